--- /dev/null
+++ b/apps/knapweedloft/Main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("knapweedloft " KNAPWEEDLOFT_VERSION);
+  return 0;
+}
