--- a/build.sh
+++ b/build.sh
@@ -82,7 +82,9 @@
 generate)
   installPackages flatbuffers-compiler
   for SCHEMA in libs/*/schema/*.fbs; do
-    flatc --cpp --scoped-enums --gen-object-api -o "$(dirname "$(dirname "$SCHEMA")")/src/generated" "$SCHEMA"
+    LIBRARY=$(basename "$(dirname "$(dirname "$SCHEMA")")")
+    flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api \
+      -o "libs/$LIBRARY/include/$LIBRARY/generated" "$SCHEMA"
   done
   ;;
 demo | faults | fleet | ledger | capacity | bench | fuzz)
--- /dev/null
+++ b/libs/link/include/link/LinkNode.h
@@ -0,0 +1,104 @@
+#ifndef KNAPWEEDLOFT_LINK_LINKNODE_H
+#define KNAPWEEDLOFT_LINK_LINKNODE_H
+
+#include "link/generated/link_generated.h"
+#include "model/Endpoint.h"
+#include "model/Handle.h"
+#include "model/Member.h"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace knapweedloft::link {
+
+struct PeerTag;
+/// One established link. A handle is never used for a second link.
+using PeerHandle = model::Handle<PeerTag>;
+
+/// Why a link ended.
+enum class LinkEnd : std::uint8_t { Closed, Silent, Malformed, Refused, Local };
+
+inline constexpr model::NameTable<LinkEnd, 5> LinkEndNames{
+    {"closed", "silent", "malformed", "refused", "local"}};
+
+/// All links of a daemon: accepted and opened TCP connections that carry
+/// length-prefixed FlatBuffers, many messages under way on each.
+///
+/// A link is up once both Hellos are exchanged. Heartbeats go out on every
+/// link; one that brings nothing for m_SilentAfter is closed as Silent. The
+/// hooks run on the node's own thread and must not block.
+///
+/// \code
+///   LinkNode Node({.m_Self = Self, .m_Hooks = {.m_OnMessage = handle}});
+///   Node.connect(PeerEndpoint);
+///   Node.send(Peer, std::move(Forward)); // a wire::ForwardT
+/// \endcode
+class LinkNode {
+public:
+  struct Hooks {
+    /// The link is up. \p Peer says who is at the other end.
+    std::function<void(PeerHandle Link, const model::Member &Peer)> m_OnUp;
+    std::function<void(PeerHandle Link, wire::MessageUnion &Message)>
+        m_OnMessage;
+    /// Called once for each link that was up.
+    std::function<void(PeerHandle Link, LinkEnd Reason)> m_OnDown;
+    /// A connect() that never came up.
+    std::function<void(const model::Endpoint &To, LinkEnd Reason)>
+        m_OnConnectFailed;
+    /// Fills in the heartbeat that is about to be sent.
+    std::function<void(wire::HeartbeatT &Beat)> m_FillHeartbeat;
+  };
+
+  struct Options {
+    model::Member m_Self; ///< m_Link.m_Port 0: the kernel chooses.
+    absl::Duration m_HeartbeatInterval = absl::Milliseconds(500);
+    absl::Duration m_SilentAfter = absl::Milliseconds(1500);
+    absl::Duration m_ConnectTimeout = absl::Seconds(1);
+    std::size_t m_MaxFrameBytes = 4 << 20;
+    std::size_t m_MaxQueuedBytes = 16 << 20; ///< A link; past it send() fails.
+    std::size_t m_MaxLinks = 4096;
+    Hooks m_Hooks;
+  };
+
+  /// Binds and listens; hooks may run before it returns.
+  /// \throws LinkError if the address cannot be bound.
+  explicit LinkNode(Options Settings);
+  ~LinkNode();
+
+  /// \returns where this node accepts links.
+  [[nodiscard]] const model::Endpoint &endpoint() const;
+
+  /// Opens a link in the background; m_OnUp or m_OnConnectFailed follows.
+  void connect(const model::Endpoint &To);
+
+  /// Queues \p Message, any of the wire::...T types of the union, on \p Link.
+  /// Callable from any thread.
+  /// \returns false if the link is down or its queue is full.
+  template <typename MessageT> bool send(PeerHandle Link, MessageT Message) {
+    wire::EnvelopeT Envelope;
+    Envelope.message.Set(std::move(Message));
+    return sendEnvelope(Link, Envelope);
+  }
+
+  /// Closes \p Link; its m_OnDown runs with LinkEnd::Local.
+  void close(PeerHandle Link);
+
+  /// Runs \p Task on the node's thread, after \p Delay.
+  void post(std::function<void()> Task,
+            absl::Duration Delay = absl::ZeroDuration());
+
+private:
+  bool sendEnvelope(PeerHandle Link, const wire::EnvelopeT &Envelope);
+
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace knapweedloft::link
+
+#endif // KNAPWEEDLOFT_LINK_LINKNODE_H
