Set the interfaces of the decisions under load

Cause: daemons are wired in parallel and need stable signatures. Conclusion: the algorithms of admission and choice follow one by one.

--- /dev/null
+++ b/libs/policy/include/policy/AdmissionLoad.h
@@ -0,0 +1,25 @@
+#ifndef KNAPWEEDLOFT_POLICY_ADMISSIONLOAD_H
+#define KNAPWEEDLOFT_POLICY_ADMISSIONLOAD_H
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace knapweedloft::policy {
+
+/// The load of a target as its target side sees it; goes back to the entry
+/// sides with each answer.
+struct AdmissionLoad {
+  float m_Limit = 0;            ///< Requests the target may run at once.
+  std::uint32_t m_InFlight = 0; ///< Requests that run.
+  std::uint32_t m_Queued = 0;
+  /// 0: nothing is shed; 1: all of Low; up to 4: every priority. The part
+  /// behind the point is the share shed of the next priority.
+  float m_ShedLevel = 0;
+  absl::Duration m_Latency; ///< Recent mean latency of the target alone.
+  bool m_IsRamping = false; ///< The target is in its cold start.
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_ADMISSIONLOAD_H
--- /dev/null
+++ b/libs/policy/include/policy/AdmissionRefusal.h
@@ -0,0 +1,20 @@
+#ifndef KNAPWEEDLOFT_POLICY_ADMISSIONREFUSAL_H
+#define KNAPWEEDLOFT_POLICY_ADMISSIONREFUSAL_H
+
+#include "model/RefusalReason.h"
+#include "policy/Ticket.h"
+
+#include "absl/time/time.h"
+
+namespace knapweedloft::policy {
+
+/// A ticket that was queued and is now refused; it has not run.
+struct AdmissionRefusal {
+  TicketId m_Id = 0;
+  model::RefusalReason m_Reason = model::RefusalReason::None;
+  absl::Duration m_RetryAfter;
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_ADMISSIONREFUSAL_H
--- /dev/null
+++ b/libs/policy/include/policy/AttemptBudget.h
@@ -0,0 +1,39 @@
+#ifndef KNAPWEEDLOFT_POLICY_ATTEMPTBUDGET_H
+#define KNAPWEEDLOFT_POLICY_ATTEMPTBUDGET_H
+
+#include <cstdint>
+
+namespace knapweedloft::policy {
+
+/// The retries that are left to one request over all its hops. A share given
+/// to a hop below is taken from this one, so that the sum never grows.
+///
+/// \code
+///   AttemptBudget Left(3);
+///   Wire.attempts_left = Left.handOver();  // with each forward
+///   if (Left.tryTake())                    // before each retry
+///     retry();
+/// \endcode
+class AttemptBudget {
+public:
+  explicit AttemptBudget(std::uint16_t Retries) : m_Left(Retries) {}
+
+  [[nodiscard]] std::uint16_t left() const { return m_Left; }
+
+  /// Takes one retry.
+  [[nodiscard]] bool tryTake();
+
+  /// Takes the share that goes with the next forward: half of what is left,
+  /// rounded down, so that this hop can still retry.
+  [[nodiscard]] std::uint16_t handOver();
+
+  /// Puts back what a hop below has proved not to have used.
+  void giveBack(std::uint16_t Retries);
+
+private:
+  std::uint16_t m_Left;
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_ATTEMPTBUDGET_H
--- /dev/null
+++ b/libs/policy/include/policy/RetryContext.h
@@ -0,0 +1,32 @@
+#ifndef KNAPWEEDLOFT_POLICY_RETRYCONTEXT_H
+#define KNAPWEEDLOFT_POLICY_RETRYCONTEXT_H
+
+#include "model/Ran.h"
+#include "model/RefusalReason.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace knapweedloft::policy {
+
+/// An attempt that has failed.
+struct RetryContext {
+  /// None where the target itself answered with an error.
+  model::RefusalReason m_Reason = model::RefusalReason::None;
+  model::Ran m_Ran = model::Ran::Unknown;
+  bool m_IsIdempotent = false;
+  /// The failure comes from below the target that was called, or the answer
+  /// says not to retry: a hop nearer to it has had its tries.
+  bool m_IsFromBelow = false;
+  /// The request is itself a retry of a hop above, or a resend by a target.
+  bool m_IsResend = false;
+  std::uint16_t m_AttemptsLeft = 0; ///< Of the request's AttemptBudget.
+  int m_Attempt = 1;                ///< The one that failed; from 1.
+  absl::Time m_Deadline;
+  absl::Duration m_ExpectedLatency; ///< A retry needs at least this.
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_RETRYCONTEXT_H
--- /dev/null
+++ b/libs/policy/include/policy/TargetFeedback.h
@@ -0,0 +1,13 @@
+#ifndef KNAPWEEDLOFT_POLICY_TARGETFEEDBACK_H
+#define KNAPWEEDLOFT_POLICY_TARGETFEEDBACK_H
+
+#include "policy/AdmissionLoad.h"
+
+namespace knapweedloft::policy {
+
+/// What a target side fed back with an answer or a heartbeat.
+using TargetFeedback = AdmissionLoad;
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_TARGETFEEDBACK_H
--- /dev/null
+++ b/libs/policy/include/policy/TargetHandle.h
@@ -0,0 +1,16 @@
+#ifndef KNAPWEEDLOFT_POLICY_TARGETHANDLE_H
+#define KNAPWEEDLOFT_POLICY_TARGETHANDLE_H
+
+#include "model/Handle.h"
+
+namespace knapweedloft::policy {
+
+struct TargetTag;
+
+/// A target of one TargetChooser; valid until the target has been left out of
+/// setTargets and all its requests have ended.
+using TargetHandle = model::Handle<TargetTag>;
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_TARGETHANDLE_H
--- /dev/null
+++ b/libs/policy/src/EarlyRefusal.cpp
@@ -0,0 +1,61 @@
+#include "policy/EarlyRefusal.h"
+
+#include "absl/random/distributions.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedloft::policy {
+namespace {
+
+/// \returns the share of a priority that a shed level sheds, 0 to 1.
+float shedShare(float Level, model::Priority Priority) {
+  auto Before = static_cast<float>(model::PriorityCount - 1 -
+                                   static_cast<std::size_t>(Priority));
+  return std::clamp(Level - Before, 0.0F, 1.0F);
+}
+
+} // namespace
+
+EarlyRefusal::EarlyRefusal(const Options &Settings) : m_Settings(Settings) {}
+
+float EarlyRefusal::level(absl::Time Now, std::uint32_t Customer) const {
+  if (Customer >= m_Entries.size())
+    return 0;
+  const Entry &Known = m_Entries[Customer];
+  absl::Duration Age = std::max(Now - Known.m_Updated, absl::ZeroDuration());
+  double HalfLives = absl::FDivDuration(Age, m_Settings.m_HalfLife);
+  return Known.m_Level * static_cast<float>(std::exp2(-HalfLives));
+}
+
+void EarlyRefusal::observe(float ShedLevel, absl::Time Now,
+                           std::uint32_t Customer) {
+  if (Customer >= m_Entries.size())
+    m_Entries.resize(Customer + 1);
+  float Before = level(Now, Customer);
+  Entry &Known = m_Entries[Customer];
+  Known.m_Level = Before + m_Settings.m_Smoothing * (ShedLevel - Before);
+  Known.m_Updated = Now;
+}
+
+std::optional<absl::Duration> EarlyRefusal::refuse(model::Priority Priority,
+                                                   absl::Time Now,
+                                                   absl::BitGenRef Random,
+                                                   std::uint32_t Customer) {
+  if (!m_Settings.m_IsEnabled || Customer >= m_Entries.size())
+    return std::nullopt;
+  float Level = level(Now, Customer);
+  float Share = shedShare(Level, Priority);
+  if (Share <= 0 || absl::Uniform(Random, 0.0F, 1.0F) >= Share)
+    return std::nullopt;
+  Entry &Known = m_Entries[Customer];
+  if (Now - std::max(Known.m_Updated, Known.m_Probed) >=
+      m_Settings.m_ProbeInterval) {
+    Known.m_Probed = Now;
+    return std::nullopt;
+  }
+  double Jitter = absl::Uniform(Random, 0.5, 1.5);
+  return m_Settings.m_RetryAfter * Jitter * std::max(1.0F, Level);
+}
+
+} // namespace knapweedloft::policy
