--- a/libs/policy/include/policy/AdmissionDecision.h
+++ b/libs/policy/include/policy/AdmissionDecision.h
@@ -15,7 +15,7 @@
 struct AdmissionDecision {
   Verdict m_Verdict = Verdict::Refused;
   model::RefusalReason m_Reason = model::RefusalReason::None;
-  absl::Duration m_RetryAfter; ///< Only of a refusal.
+  absl::Duration m_RetryAfter = absl::ZeroDuration(); ///< Only of a refusal.
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/include/policy/AdmissionLoad.h
+++ b/libs/policy/include/policy/AdmissionLoad.h
@@ -16,7 +16,8 @@
   /// 0: nothing is shed; 1: all of Low; up to 4: every priority. The part
   /// behind the point is the share shed of the next priority.
   float m_ShedLevel = 0;
-  absl::Duration m_Latency; ///< Recent mean latency of the target alone.
+  absl::Duration m_Latency =
+      absl::ZeroDuration(); ///< Recent mean latency of the target alone.
   bool m_IsRamping = false; ///< The target is in its cold start.
 };
 
--- a/libs/policy/include/policy/AdmissionRefusal.h
+++ b/libs/policy/include/policy/AdmissionRefusal.h
@@ -12,7 +12,7 @@
 struct AdmissionRefusal {
   TicketId m_Id = 0;
   model::RefusalReason m_Reason = model::RefusalReason::None;
-  absl::Duration m_RetryAfter;
+  absl::Duration m_RetryAfter = absl::ZeroDuration();
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/include/policy/RetryContext.h
+++ b/libs/policy/include/policy/RetryContext.h
@@ -23,8 +23,9 @@
   bool m_IsResend = false;
   std::uint16_t m_AttemptsLeft = 0; ///< Of the request's AttemptBudget.
   int m_Attempt = 1;                ///< The one that failed; from 1.
-  absl::Time m_Deadline;
-  absl::Duration m_ExpectedLatency; ///< A retry needs at least this.
+  absl::Time m_Deadline = absl::InfiniteFuture();
+  absl::Duration m_ExpectedLatency =
+      absl::ZeroDuration(); ///< A retry needs at least this.
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/include/policy/Ticket.h
+++ b/libs/policy/include/policy/Ticket.h
@@ -17,7 +17,7 @@
   TicketId m_Id = 0;
   model::Priority m_Priority = model::Priority::Normal;
   std::uint32_t m_Customer = 0; ///< Dense index, given by the caller.
-  absl::Time m_Deadline;
+  absl::Time m_Deadline = absl::InfiniteFuture();
   bool m_IsIdempotent = false;
   float m_Weight = 1; ///< Share among customers, such as its rate; more than 0.
 };
