Add the decisions on rates, freshness, liveness and spread

Cause: rates over the fleet, membership and the spread of records need decisions that can be run without sockets and clocks. Change: token bucket with reserve, keeper of one customer's bucket, the holder's allotment on atomics, grant lifetimes, clock offsets, freshness, failure detector, watch ring, relay tree, keeper election.

--- /dev/null
+++ b/libs/policy/include/policy/RateShard.h
@@ -0,0 +1,22 @@
+#ifndef KNAPWEEDLOFT_POLICY_RATESHARD_H
+#define KNAPWEEDLOFT_POLICY_RATESHARD_H
+
+#include <cstdint>
+#include <string_view>
+
+namespace knapweedloft::policy {
+
+/// Number of groups of customers; each group has one keeper of its rates.
+inline constexpr std::uint32_t RateShardCount = 256;
+
+/// A hash that is the same on every daemon and in every release: FNV-1a,
+/// finished with the mixer of MurmurHash3.
+[[nodiscard]] std::uint64_t stableHash(std::string_view Text,
+                                       std::uint64_t Seed = 0);
+
+/// \returns the shard of \p Customer, below RateShardCount.
+[[nodiscard]] std::uint32_t rateShardOf(std::string_view Customer);
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_RATESHARD_H
--- /dev/null
+++ b/libs/policy/src/FailureDetector.cpp
@@ -0,0 +1,121 @@
+#include "policy/FailureDetector.h"
+
+#include "absl/random/uniform_int_distribution.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::policy {
+
+void FailureDetector::watch(const std::vector<PeerLife> &Peers,
+                            absl::Time Now) {
+  absl::flat_hash_map<std::string, Watched> Next;
+  for (const PeerLife &Peer : Peers) {
+    auto Found = m_Watched.find(Peer.m_Name);
+    bool IsKnown = Found != m_Watched.end() &&
+                   Found->second.m_Incarnation == Peer.m_Incarnation;
+    Watched State = IsKnown ? Found->second : Watched();
+    if (!IsKnown) {
+      State.m_Incarnation = Peer.m_Incarnation;
+      State.m_HeardAt = Now;
+    }
+    Next.emplace(Peer.m_Name, State);
+  }
+  m_Watched = std::move(Next);
+}
+
+void FailureDetector::onHeard(const std::string &Name, absl::Time Now) {
+  auto Found = m_Watched.find(Name);
+  if (Found == m_Watched.end())
+    return;
+  Watched &Peer = Found->second;
+  Peer.m_HeardAt = std::max(Peer.m_HeardAt, Now);
+  Peer.m_IsDenied = false;
+  Peer.m_WasSuspect |= Peer.m_Liveness != Liveness::Alive;
+  Peer.m_Liveness = Liveness::Alive;
+}
+
+void FailureDetector::onHelperAnswer(const std::string &Name, bool IsAlive,
+                                     absl::Time Now) {
+  if (IsAlive)
+    return onHeard(Name, Now);
+  auto Found = m_Watched.find(Name);
+  if (Found != m_Watched.end())
+    Found->second.m_IsDenied = true;
+}
+
+std::vector<DetectorStep>
+FailureDetector::tick(const std::vector<std::string> &Helpers,
+                      absl::BitGenRef Random, absl::Time Now) {
+  forgivePause(Now);
+  std::vector<DetectorStep> Steps;
+  for (auto &[Name, Peer] : m_Watched) {
+    if (std::exchange(Peer.m_WasSuspect, false))
+      Steps.push_back({DetectorStep::Kind::Recovered,
+                       {Name, Peer.m_Incarnation},
+                       std::string()});
+    if (Now < Peer.m_HeardAt + m_Settings.m_SilentAfter)
+      continue;
+    judge(Name, Peer, Now, Steps);
+    probe(Name, Peer, Helpers, Random, Now, Steps);
+  }
+  return Steps;
+}
+
+Liveness FailureDetector::livenessOf(const std::string &Name) const {
+  auto Found = m_Watched.find(Name);
+  return Found == m_Watched.end() ? Liveness::Alive : Found->second.m_Liveness;
+}
+
+void FailureDetector::forgivePause(absl::Time Now) {
+  absl::Duration Gap = Now - m_TickedAt;
+  bool IsFirst = m_TickedAt == absl::InfinitePast();
+  m_TickedAt = Now;
+  if (IsFirst || Gap <= m_Settings.m_PauseAfter)
+    return;
+  for (auto &[Name, Peer] : m_Watched) {
+    Peer.m_HeardAt = std::min(Peer.m_HeardAt + Gap, Now);
+    Peer.m_SuspectAt += Gap;
+  }
+}
+
+void FailureDetector::judge(const std::string &Name, Watched &Peer,
+                            absl::Time Now, std::vector<DetectorStep> &Steps) {
+  // The helpers have one round of probes before anything is concluded.
+  if (!Peer.m_IsDenied || Peer.m_Liveness == Liveness::Dead)
+    return;
+  PeerLife Life{Name, Peer.m_Incarnation};
+  if (Peer.m_Liveness == Liveness::Alive) {
+    Peer.m_Liveness = Liveness::Suspect;
+    Peer.m_SuspectAt = Now;
+    Steps.push_back({DetectorStep::Kind::Suspected, Life, std::string()});
+    return;
+  }
+  if (Now < Peer.m_SuspectAt + m_Settings.m_SuspicionTimeout)
+    return;
+  Peer.m_Liveness = Liveness::Dead;
+  Steps.push_back({DetectorStep::Kind::Died, Life, std::string()});
+}
+
+void FailureDetector::probe(const std::string &Name, Watched &Peer,
+                            const std::vector<std::string> &Helpers,
+                            absl::BitGenRef Random, absl::Time Now,
+                            std::vector<DetectorStep> &Steps) {
+  if (Now < Peer.m_ProbedAt + m_Settings.m_ProbeInterval || Helpers.empty())
+    return;
+  Peer.m_ProbedAt = Now;
+  std::size_t Start = absl::uniform_int_distribution<std::size_t>(
+      0, Helpers.size() - 1)(Random);
+  std::size_t Asked = 0;
+  for (std::size_t Step = 0;
+       Step < Helpers.size() && Asked < m_Settings.m_Helpers; ++Step) {
+    const std::string &Helper = Helpers[(Start + Step) % Helpers.size()];
+    if (Helper == Name)
+      continue;
+    ++Asked;
+    Steps.push_back(
+        {DetectorStep::Kind::ProbeThrough, {Name, Peer.m_Incarnation}, Helper});
+  }
+}
+
+} // namespace knapweedloft::policy
--- /dev/null
+++ b/libs/policy/src/RelayTree.cpp
@@ -0,0 +1,80 @@
+#include "policy/RelayTree.h"
+
+#include "policy/KeeperElection.h"
+#include "policy/PolicyError.h"
+
+#include <algorithm>
+
+namespace knapweedloft::policy {
+namespace {
+
+constexpr char Subject[] = "relay";
+
+void append(std::vector<std::string> &Names, const std::string &Name,
+            const std::string &Except) {
+  if (Name != Except &&
+      std::find(Names.begin(), Names.end(), Name) == Names.end())
+    Names.push_back(Name);
+}
+
+} // namespace
+
+RelayTree::RelayTree(std::vector<std::string> Members, const Options &Settings)
+    : m_Settings(Settings), m_Ranked(std::move(Members)) {
+  if (Settings.m_Followers == 0 || Settings.m_FanOut == 0)
+    throw PolicyError("a relay tree needs a follower and a fan-out");
+  std::sort(m_Ranked.begin(), m_Ranked.end(),
+            [](const std::string &Left, const std::string &Right) {
+              std::uint64_t LeftWeight = rendezvousWeight(Subject, Left);
+              std::uint64_t RightWeight = rendezvousWeight(Subject, Right);
+              if (LeftWeight != RightWeight)
+                return LeftWeight > RightWeight;
+              return Left < Right;
+            });
+}
+
+bool RelayTree::isFollower(const std::string &Name) const {
+  return rankOf(Name) < std::min(m_Settings.m_Followers, m_Ranked.size());
+}
+
+std::vector<std::string> RelayTree::followers() const {
+  std::size_t Count = std::min(m_Settings.m_Followers, m_Ranked.size());
+  return {m_Ranked.begin(), m_Ranked.begin() + Count};
+}
+
+std::vector<std::string> RelayTree::parentsOf(const std::string &Name) const {
+  std::vector<std::string> Parents;
+  std::size_t Rank = rankOf(Name);
+  if (Rank < m_Ranked.size() && Rank >= m_Settings.m_Followers) {
+    std::size_t Parent = parentRank(Rank);
+    append(Parents, m_Ranked[Parent], Name);
+    // The neighbour of the parent is on its level or on the one above.
+    std::size_t Second =
+        Parent > 0 ? Parent - 1 : std::min<std::size_t>(1, Rank - 1);
+    append(Parents, m_Ranked[Second], Name);
+  }
+  for (const std::string &Follower : followers())
+    append(Parents, Follower, Name);
+  return Parents;
+}
+
+std::size_t RelayTree::depthOf(const std::string &Name) const {
+  std::size_t Rank = rankOf(Name);
+  if (Rank >= m_Ranked.size())
+    return 0;
+  std::size_t Depth = 0;
+  for (; Rank >= m_Settings.m_Followers; Rank = parentRank(Rank))
+    ++Depth;
+  return Depth;
+}
+
+std::size_t RelayTree::rankOf(const std::string &Name) const {
+  auto Found = std::find(m_Ranked.begin(), m_Ranked.end(), Name);
+  return static_cast<std::size_t>(Found - m_Ranked.begin());
+}
+
+std::size_t RelayTree::parentRank(std::size_t Rank) const {
+  return (Rank - m_Settings.m_Followers) / m_Settings.m_FanOut;
+}
+
+} // namespace knapweedloft::policy
