--- a/libs/platform/include/platform/ReplicaFeed.h
+++ b/libs/platform/include/platform/ReplicaFeed.h
@@ -9,6 +9,9 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 
+#include <optional>
+#include <string>
+
 namespace knapweedloft::platform {
 
 /// Feeds a state replica from a follower of the log.
@@ -16,7 +19,8 @@
 /// While the replica's next record is still kept it is read from there. Once
 /// that has expired the feed scans what is left of the log for a whole image
 /// that covers at least the expired records, loads it and reads on from its
-/// offset; an image from a peer ends the scan too. Thread-safe.
+/// offset; an image from a peer ends the scan too. Thread-safe; no lock is held
+/// while the replica calls its hooks.
 ///
 /// \code
 ///   ReplicaFeed Feed(Replica);
@@ -50,10 +54,13 @@
   [[nodiscard]] model::LogOffset partOffset();
 
 private:
-  void scan(const LogRead &Read) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_Mutex);
-  void takePart(const LogRecord &Record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_Mutex);
-  void endSearchIfCovered(model::LogOffset First)
+  /// \returns the newest whole image that helps, or nothing.
+  std::optional<std::string> scan(const LogRead &Read)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_Mutex);
+  std::optional<std::string> takePart(const LogRecord &Record)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_Mutex);
+  void load(const std::string &Image);
+  void endSearchIfCovered() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_Mutex);
 
   state::StateReplica &m_Replica;
   absl::Mutex m_Mutex;
--- a/libs/platform/src/LogFollower.cpp
+++ b/libs/platform/src/LogFollower.cpp
@@ -1,6 +1,6 @@
 #include "platform/LogFollower.h"
 
-#include "NamedThread.h"
+#include "platform/NamedThread.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
--- a/libs/platform/src/NamedThread.cpp
+++ b/libs/platform/src/NamedThread.cpp
@@ -1,4 +1,4 @@
-#include "NamedThread.h"
+#include "platform/NamedThread.h"
 
 #include "platform/PlatformError.h"
 
--- a/libs/platform/src/ReplicaFeed.cpp
+++ b/libs/platform/src/ReplicaFeed.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace knapweedloft::platform {
@@ -33,17 +34,19 @@
 
 model::LogOffset ReplicaFeed::next() {
   absl::MutexLock Lock(&m_Mutex);
-  endSearchIfCovered(m_First);
+  endSearchIfCovered();
   return m_IsSearching ? m_ScanAt : m_Replica.offset();
 }
 
 void ReplicaFeed::take(const LogRead &Read) {
+  std::optional<std::string> Image;
   {
     absl::MutexLock Lock(&m_Mutex);
     m_First = std::max(m_First, Read.m_First);
-    scan(Read);
-    endSearchIfCovered(m_First);
+    Image = scan(Read);
   }
+  if (Image)
+    load(*Image);
   // Records past a gap are ignored by the replica, so those of a scan do no
   // harm.
   m_Replica.applyRecords(storedRecordsOf(Read));
@@ -58,7 +61,7 @@
 
 bool ReplicaFeed::isSearching() {
   absl::MutexLock Lock(&m_Mutex);
-  endSearchIfCovered(m_First);
+  endSearchIfCovered();
   return m_IsSearching;
 }
 
@@ -72,34 +75,42 @@
   return m_PartOffset;
 }
 
-void ReplicaFeed::scan(const LogRead &Read) {
+std::optional<std::string> ReplicaFeed::scan(const LogRead &Read) {
+  std::optional<std::string> Newest;
   for (const LogRecord &Each : Read.m_Records) {
-    takePart(Each);
+    std::optional<std::string> Image = takePart(Each);
+    if (Image)
+      Newest = std::move(Image);
     m_ScanAt = std::max(m_ScanAt, Each.m_Offset + 1);
   }
+  return Newest;
 }
 
-void ReplicaFeed::takePart(const LogRecord &Record) {
+std::optional<std::string> ReplicaFeed::takePart(const LogRecord &Record) {
   const std::optional<state::ImagePart> Part = imagePartOf(Record);
   if (!Part)
-    return;
+    return std::nullopt;
   m_PartOffset = std::max(m_PartOffset, Part->m_Offset);
-  const std::optional<std::string> Image = m_Assembler.add(*Part);
+  std::optional<std::string> Image = m_Assembler.add(*Part);
   if (!Image)
-    return;
+    return std::nullopt;
   m_ImageOffset = std::max(m_ImageOffset, Part->m_Offset);
-  if (!m_IsSearching || Part->m_Offset < m_First)
-    return;
+  const bool Helps = m_IsSearching && Part->m_Offset >= m_First;
+  return Helps ? std::move(Image) : std::nullopt;
+}
+
+void ReplicaFeed::load(const std::string &Image) {
   try {
-    m_Replica.loadImage(*Image);
+    m_Replica.loadImage(Image);
   } catch (const state::StateError &) {
     // Whole by its checksum and yet no image: as if it were not there.
+    absl::MutexLock Lock(&m_Mutex);
     m_ImageOffset = 0;
   }
 }
 
-void ReplicaFeed::endSearchIfCovered(model::LogOffset First) {
-  if (m_IsSearching && m_Replica.offset() >= First)
+void ReplicaFeed::endSearchIfCovered() {
+  if (m_IsSearching && m_Replica.offset() >= m_First)
     m_IsSearching = false;
 }
 
--- a/libs/state/include/state/Fold.h
+++ b/libs/state/include/state/Fold.h
@@ -61,6 +61,10 @@
   std::unique_ptr<Impl> m_Impl;
 };
 
+/// \returns the offset of the state that \p Image holds.
+/// \throws StateError if \p Image is not an image.
+[[nodiscard]] model::LogOffset offsetOfImage(std::string_view Image);
+
 } // namespace knapweedloft::state
 
 #endif // KNAPWEEDLOFT_STATE_FOLD_H
--- a/libs/state/src/ImageCodec.cpp
+++ b/libs/state/src/ImageCodec.cpp
@@ -87,15 +87,14 @@
   }
 }
 
-std::unique_ptr<wire::ImageT> unpackImage(std::string_view Bytes) {
+const wire::Image &verifiedImage(std::string_view Bytes) {
   constexpr flatbuffers::uoffset_t MaxDepth = 64;
   constexpr flatbuffers::uoffset_t MaxTables = 10'000'000;
   const auto *Data = reinterpret_cast<const std::uint8_t *>(Bytes.data());
   flatbuffers::Verifier Verifier(Data, Bytes.size(), MaxDepth, MaxTables);
   if (!Verifier.VerifyBuffer<wire::Image>(nullptr))
     throw StateError("the bytes are not an image");
-  return std::unique_ptr<wire::ImageT>(
-      flatbuffers::GetRoot<wire::Image>(Data)->UnPack());
+  return *flatbuffers::GetRoot<wire::Image>(Data);
 }
 
 } // namespace
@@ -118,7 +117,7 @@
 
 void decodeImage(std::string_view Bytes, Snapshot::Impl &State,
                  SettledChanges &Settled, RetiredIncarnations &Retired) {
-  const std::unique_ptr<wire::ImageT> Image = unpackImage(Bytes);
+  const std::unique_ptr<wire::ImageT> Image(verifiedImage(Bytes).UnPack());
   State.m_Offset = Image->offset;
   for (const auto &Each : Image->resources)
     State.setAlone({Each->revision, fromWire(Each->resource)});
@@ -130,4 +129,8 @@
     Retired.add(Each);
 }
 
+model::LogOffset offsetOfImage(std::string_view Image) {
+  return verifiedImage(Image).offset();
+}
+
 } // namespace knapweedloft::state
