--- a/libs/policy/include/policy/Allotment.h
+++ b/libs/policy/include/policy/Allotment.h
@@ -54,7 +54,8 @@
 
   /// \returns whether tokens should be asked for although no call waits.
   [[nodiscard]] bool isLow() const {
-    return held() <= m_LowMark.load(std::memory_order_relaxed);
+    std::int64_t Mark = m_LowMark.load(std::memory_order_relaxed);
+    return Mark > 0 && held() <= Mark;
   }
 
   /// Begins an ask; the one before it is given up. \p Burst is the customer's.
--- a/libs/policy/src/Allotment.cpp
+++ b/libs/policy/src/Allotment.cpp
@@ -24,7 +24,7 @@
                         absl::Time Now) {
   TokenAsk Ask = beginAsk(Epoch, Now);
   double Ahead = m_Demand * absl::ToDoubleSeconds(m_Settings.m_Ahead);
-  Ahead = std::ceil(std::min(Ahead, Burst * m_Settings.m_BurstShare));
+  Ahead = std::floor(std::min(Ahead, Burst * m_Settings.m_BurstShare));
   Ask.m_Needed = Needed;
   Ask.m_Wanted = std::max(0.0, Ahead - Ask.m_Held);
   m_LowMark.store(static_cast<std::int64_t>(Ahead / 2),
