--- a/libs/platform/include/platform/Appender.h
+++ b/libs/platform/include/platform/Appender.h
@@ -16,7 +16,8 @@
 /// Appends records on threads of its own, again and again until one attempt is
 /// known to have taken effect or the deadline has passed.
 ///
-/// Only for records of which a second copy does no harm. Thread-safe.
+/// Only for records of which a second copy does no harm, and whose order does
+/// not matter. Thread-safe.
 ///
 /// \code
 ///   Writer.append({.m_Payload = encodeRecord(Change),
