--- /dev/null
+++ b/libs/app/src/TargetSide.cpp
@@ -0,0 +1,285 @@
+#include "app/TargetSide.h"
+
+#include "app/BaseUrl.h"
+#include "app/RequestHeaders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::app {
+namespace {
+
+using model::Ran;
+using model::RefusalReason;
+
+/// When to come back to a daemon that cannot take a forward now.
+constexpr absl::Duration ComeBackAfter = absl::Seconds(1);
+
+policy::RunOutcome outcomeOf(const http::HttpResult &Result) {
+  switch (Result.m_Failure) {
+  case http::Failure::None:
+    return Result.m_Response.m_Status >= 500 ? policy::RunOutcome::Error
+                                             : policy::RunOutcome::Success;
+  case http::Failure::TooLarge:
+    return policy::RunOutcome::Error;
+  case http::Failure::TimedOut:
+    return policy::RunOutcome::Timeout;
+  case http::Failure::Cancelled:
+    return policy::RunOutcome::Cancelled;
+  case http::Failure::NotSent:
+  case http::Failure::Cut:
+    break;
+  }
+  return policy::RunOutcome::ConnectionLost;
+}
+
+RefusalReason reasonOf(http::Failure Failure) {
+  switch (Failure) {
+  case http::Failure::NotSent:
+    return RefusalReason::NoTarget;
+  case http::Failure::TimedOut:
+    return RefusalReason::DeadlinePassed;
+  case http::Failure::Cancelled:
+    return RefusalReason::Cancelled;
+  default:
+    return RefusalReason::BadAnswer;
+  }
+}
+
+Ran ranOf(http::Failure Failure) {
+  switch (Failure) {
+  case http::Failure::None:
+  case http::Failure::TooLarge:
+    return Ran::Yes;
+  case http::Failure::NotSent:
+    return Ran::No;
+  default:
+    return Ran::Unknown;
+  }
+}
+
+} // namespace
+
+TargetSide::TargetSide(Options Settings, ContextTable &Contexts, absl::Time Now)
+    : m_Options(std::move(Settings)), m_Contexts(Contexts),
+      m_Admission(m_Options.m_Admission, Now) {}
+
+void TargetSide::onAnnouncement(const Announcement &News, absl::Time Now) {
+  std::string Base = toBaseUrl(News.m_At);
+  if (Base != m_TargetBase || News.m_Instance != m_TargetInstance)
+    m_Admission.restart(Now);
+  m_TargetBase = std::move(Base);
+  m_TargetInstance = News.m_Instance;
+  m_IsServing = News.m_State == TargetState::Ready;
+}
+
+void TargetSide::onForward(link::PeerHandle From, wire::ForwardT &Message,
+                           const state::Snapshot &State, absl::Time Now) {
+  model::ForwardId Id = fromWire(Message.id);
+  RefusalReason Reason = check(Message, State, Now);
+  if (Reason != RefusalReason::None) {
+    refuse(From, Id, Reason, Ran::No, ComeBackAfter, Now);
+    return;
+  }
+  if (m_Tickets.contains(Id))
+    return; // A second copy; the first is answered.
+  policy::TicketId Ticket = ++m_LastTicket;
+  Run Next;
+  Next.m_Id = Id;
+  Next.m_From = From;
+  Next.m_Deadline = Now + absl::Microseconds(Message.remaining_us);
+  Next.m_Message = std::move(Message);
+  policy::Ticket Offer;
+  Offer.m_Id = Ticket;
+  Offer.m_Priority = static_cast<model::Priority>(Next.m_Message.priority);
+  Offer.m_Customer = customerIndex(Next.m_Message.customer);
+  Offer.m_Deadline = Next.m_Deadline;
+  Offer.m_IsIdempotent = Next.m_Message.is_idempotent;
+  m_Tickets.emplace(Id, Ticket);
+  m_Runs.emplace(Ticket, std::move(Next));
+  policy::AdmissionDecision Decision = m_Admission.offer(Offer, Now);
+  if (Decision.m_Verdict == policy::Verdict::Refused) {
+    m_Tickets.erase(Id);
+    m_Runs.erase(Ticket);
+    refuse(From, Id, Decision.m_Reason, Ran::No, Decision.m_RetryAfter, Now);
+  } else if (Decision.m_Verdict == policy::Verdict::Run) {
+    start(Ticket, Now);
+  }
+  drainAdmission(Now);
+}
+
+RefusalReason TargetSide::check(const wire::ForwardT &Message,
+                                const state::Snapshot &State,
+                                absl::Time Now) const {
+  (void)Now;
+  if (Message.to_incarnation != m_Options.m_Self)
+    return RefusalReason::WrongIncarnation;
+  if (m_IsStopping)
+    return RefusalReason::Stopping;
+  if (!m_IsServing || Message.service != m_Options.m_Service)
+    return RefusalReason::NoTarget;
+  if (Message.priority >= model::PriorityCount || Message.method.empty() ||
+      Message.path.empty())
+    return RefusalReason::BadRequest;
+  if (Message.key_digest.empty())
+    return RefusalReason::None;
+  model::KeyDigest Digest{};
+  if (Message.key_digest.size() != Digest.size())
+    return RefusalReason::BadKey;
+  std::copy(Message.key_digest.begin(), Message.key_digest.end(),
+            Digest.begin());
+  // A daemon behind the entry side's state cannot judge a key it has not seen.
+  if (State.offset() < Message.state_offset)
+    return RefusalReason::None;
+  const model::Key *Found = State.findKey(Digest);
+  if (!Found || Found->m_Customer != Message.customer)
+    return RefusalReason::BadKey;
+  return RefusalReason::None;
+}
+
+void TargetSide::refuse(link::PeerHandle To, const model::ForwardId &Id,
+                        RefusalReason Reason, Ran DidRun,
+                        absl::Duration RetryAfter, absl::Time Now) {
+  wire::AnswerT Answer;
+  Answer.id = toWire(Id);
+  Answer.refusal = static_cast<std::uint8_t>(Reason);
+  Answer.ran = static_cast<std::uint8_t>(DidRun);
+  Answer.retry_after_us =
+      static_cast<std::uint64_t>(absl::ToInt64Microseconds(RetryAfter));
+  Answer.load = load(Now);
+  m_Options.m_Hooks.m_Answer(To, std::move(Answer));
+}
+
+void TargetSide::drainAdmission(absl::Time Now) {
+  m_ToRun.clear();
+  m_ToRefuse.clear();
+  m_Admission.poll(Now, m_ToRun, m_ToRefuse);
+  for (policy::TicketId Ticket : m_ToRun)
+    start(Ticket, Now);
+  for (const policy::AdmissionRefusal &Refusal : m_ToRefuse) {
+    auto Found = m_Runs.find(Refusal.m_Id);
+    if (Found == m_Runs.end())
+      continue;
+    Run Refused = std::move(Found->second);
+    m_Runs.erase(Found);
+    m_Tickets.erase(Refused.m_Id);
+    refuse(Refused.m_From, Refused.m_Id, Refusal.m_Reason, Ran::No,
+           Refusal.m_RetryAfter, Now);
+  }
+  absl::Time Next = m_Admission.nextEvent();
+  if (Next < absl::InfiniteFuture())
+    m_Options.m_Hooks.m_Wake(Next);
+}
+
+void TargetSide::start(policy::TicketId Ticket, absl::Time Now) {
+  auto Found = m_Runs.find(Ticket);
+  if (Found == m_Runs.end())
+    return;
+  Run &Next = Found->second;
+  wire::ForwardT &Message = Next.m_Message;
+  CallContext Context;
+  Context.m_Customer = Message.customer;
+  Context.m_HasKey = Message.key_digest.size() == Context.m_Digest.size();
+  if (Context.m_HasKey)
+    std::copy(Message.key_digest.begin(), Message.key_digest.end(),
+              Context.m_Digest.begin());
+  Context.m_Priority = static_cast<model::Priority>(Message.priority);
+  Context.m_Deadline = Next.m_Deadline;
+  Context.m_Attempts = policy::AttemptBudget(Message.attempts_left);
+  Next.m_Context = m_Contexts.open(std::move(Context));
+  Next.m_Started = Now;
+  absl::Duration Left = Next.m_Deadline - Now;
+  http::HttpRequest Request;
+  Request.m_Method = Message.method;
+  Request.m_Path = Message.path;
+  Request.m_Headers = fromWire(std::move(Message.headers));
+  Request.m_Body = toText(Message.body);
+  Request.m_Headers.push_back(
+      {std::string(ContextHeader), toText(Next.m_Context)});
+  Request.m_Headers.push_back(
+      {std::string(TimeoutHeader),
+       std::to_string(absl::ToInt64Milliseconds(Left))});
+  Message.body.clear();
+  Next.m_Call = m_Options.m_Hooks.m_Call(
+      m_TargetBase, std::move(Request), Left,
+      [this, Ticket](http::HttpResult Result, absl::Time Finished) {
+        onResult(Ticket, std::move(Result), Finished);
+      });
+}
+
+void TargetSide::onResult(policy::TicketId Ticket, http::HttpResult Result,
+                          absl::Time Now) {
+  auto Found = m_Runs.find(Ticket);
+  if (Found == m_Runs.end())
+    return;
+  Run Done = std::move(Found->second);
+  m_Runs.erase(Found);
+  m_Tickets.erase(Done.m_Id);
+  policy::RunOutcome Outcome = outcomeOf(Result);
+  if (const CallContext *Context = m_Contexts.find(Done.m_Context)) {
+    Done.m_HasFailedBelow = Context->m_HasFailedBelow;
+    Done.m_AttemptsLeft = Context->m_Attempts.left();
+    if (Outcome == policy::RunOutcome::Error && Done.m_HasFailedBelow)
+      Outcome = policy::RunOutcome::DownstreamRefused;
+  }
+  m_Contexts.close(Done.m_Context);
+  m_Admission.finish(Ticket, Outcome, Result.m_Latency, Now);
+  answerResult(Done, Result, Now);
+  drainAdmission(Now);
+}
+
+void TargetSide::answerResult(Run &Done, http::HttpResult &Result,
+                              absl::Time Now) {
+  if (Result.m_Failure != http::Failure::None) {
+    refuse(Done.m_From, Done.m_Id, reasonOf(Result.m_Failure),
+           ranOf(Result.m_Failure), ComeBackAfter, Now);
+    return;
+  }
+  wire::AnswerT Answer;
+  Answer.id = toWire(Done.m_Id);
+  Answer.ran = static_cast<std::uint8_t>(Ran::Yes);
+  Answer.status = static_cast<std::uint16_t>(Result.m_Response.m_Status);
+  Answer.headers = toWire(headersForCaller(Result.m_Response.m_Headers));
+  Answer.body = toBytes(Result.m_Response.m_Body);
+  Answer.load = load(Now);
+  Answer.attempts_left = Done.m_AttemptsLeft;
+  Answer.is_final = Done.m_HasFailedBelow;
+  m_Options.m_Hooks.m_Answer(Done.m_From, std::move(Answer));
+}
+
+void TargetSide::onCancel(const model::ForwardId &Id, absl::Time Now) {
+  auto Found = m_Tickets.find(Id);
+  if (Found == m_Tickets.end())
+    return;
+  policy::TicketId Ticket = Found->second;
+  Run &Cancelled = m_Runs.at(Ticket);
+  if (Cancelled.m_Started != absl::InfinitePast()) {
+    m_Options.m_Hooks.m_CancelCall(Cancelled.m_Call);
+    return; // Its result follows.
+  }
+  m_Admission.cancel(Ticket, Now);
+  m_Runs.erase(Ticket);
+  m_Tickets.erase(Found);
+  drainAdmission(Now);
+}
+
+void TargetSide::tick(absl::Time Now) { drainAdmission(Now); }
+
+void TargetSide::stopIntake() { m_IsStopping = true; }
+
+wire::Load TargetSide::load(absl::Time Now) const {
+  policy::AdmissionLoad Load = m_Admission.load(Now);
+  return {static_cast<float>(Load.m_Limit),
+          Load.m_InFlight,
+          Load.m_Queued,
+          Load.m_ShedLevel,
+          static_cast<std::uint32_t>(absl::ToInt64Microseconds(Load.m_Latency)),
+          Load.m_IsRamping};
+}
+
+std::uint32_t TargetSide::customerIndex(const std::string &Customer) {
+  auto Next = static_cast<std::uint32_t>(m_CustomerIndices.size());
+  return m_CustomerIndices.emplace(Customer, Next).first->second;
+}
+
+} // namespace knapweedloft::app
