Serve and call HTTP without a thread for each request

Cause: daemons need a server whose requests wait for an answer from any thread and a client that tells whole answers, cut ones and requests never sent apart.

Change: HttpServer on libmicrohttpd with suspended connections; an epoll set of its own finds callers that hang up and ends transfers that trickle for more than two idle timeouts. HttpClient drives a libcurl multi handle from epoll. libcurl sends a request again by itself when a kept connection breaks before the answer; its hook before each sending now allows the first one only. An answer that ends with its connection alone counts as cut.

Proofs seen red without the mechanism: second sending allowed (POST seen twice, the call waits for its timeout), framing check off, hang-up event ignored (the test waits), limit on transfers off, limit on discarded bytes off, two framings accepted.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -23,11 +23,11 @@
     unsigned m_Threads = 2;
     std::size_t m_MaxBodyBytes = 1 << 20; ///< Past it: 413.
     std::size_t m_MaxHeaderBytes = 16384; ///< Past it: 431.
-    unsigned m_MaxConnections = 4096;     ///< Past it: closed at accept.
+    unsigned m_MaxConnections = 4096;     ///< Past it: left in the backlog.
     absl::Duration m_IdleTimeout = absl::Seconds(30);
     std::string m_ThreadName = "http";
     /// Called on a server thread for each whole request; must not block.
-    std::function<void(HttpExchange)> m_OnRequest;
+    std::function<void(HttpExchange)> m_OnRequest = nullptr;
   };
 
   /// Binds, listens and starts to serve.
--- /dev/null
+++ b/libs/http/src/ClientCall.cpp
@@ -0,0 +1,235 @@
+#include "ClientCall.h"
+
+#include "http/HttpError.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <strings.h>
+#include <utility>
+
+namespace knapweedloft::http {
+namespace {
+
+constexpr std::size_t MaxAnswerHeaderBytes = 65536;
+
+bool hasControl(std::string_view Text) {
+  return std::any_of(Text.begin(), Text.end(), [](char Character) {
+    auto Byte = static_cast<unsigned char>(Character);
+    return (Byte < ' ' && Byte != '\t') || Byte == 127;
+  });
+}
+
+bool isSendable(const HttpRequest &Request) {
+  bool HasBlank = Request.m_Path.find(' ') != std::string::npos;
+  if (Request.m_Method.empty() || Request.m_Path.empty() || HasBlank ||
+      hasControl(Request.m_Method) || hasControl(Request.m_Path))
+    return false;
+  return std::none_of(Request.m_Headers.begin(), Request.m_Headers.end(),
+                      [](const HeaderField &Field) {
+                        return Field.m_Name.empty() ||
+                               hasControl(Field.m_Name) ||
+                               hasControl(Field.m_Value);
+                      });
+}
+
+/// Fields that belong to the connection; libcurl sets them.
+bool isSetByClient(const std::string &Name) {
+  for (const char *Own : {"Connection", "Content-Length", "Transfer-Encoding",
+                          "Keep-Alive", "Expect", "TE", "Upgrade"})
+    if (strcasecmp(Name.c_str(), Own) == 0)
+      return true;
+  return false;
+}
+
+std::string_view trim(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t\r\n";
+  std::size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
+} // namespace
+
+ClientCall::ClientCall(std::size_t MaxBodyBytes)
+    : m_MaxBodyBytes(MaxBodyBytes), m_Handle(curl_easy_init()) {
+  if (m_Handle == nullptr)
+    throw HttpError("no handle for an HTTP call");
+  setFixedOptions();
+}
+
+ClientCall::~ClientCall() {
+  curl_easy_cleanup(m_Handle);
+  curl_slist_free_all(m_HeaderLines);
+}
+
+void ClientCall::setFixedOptions() {
+  curl_easy_setopt(m_Handle, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(m_Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(m_Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(m_Handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(m_Handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(m_Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(m_Handle, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(m_Handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(m_Handle, CURLOPT_WRITEFUNCTION, &ClientCall::onBody);
+  curl_easy_setopt(m_Handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(m_Handle, CURLOPT_HEADERFUNCTION, &ClientCall::onHeader);
+  curl_easy_setopt(m_Handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(m_Handle, CURLOPT_PREREQFUNCTION, &ClientCall::onSend);
+  curl_easy_setopt(m_Handle, CURLOPT_PREREQDATA, this);
+}
+
+bool ClientCall::prepare(HttpClient::CallId Id, const std::string &Base,
+                         HttpRequest Request, absl::Duration Timeout,
+                         HttpClient::Done OnDone, absl::Time Now) {
+  m_Id = Id;
+  m_Request = std::move(Request);
+  m_OnDone = std::move(OnDone);
+  m_Started = Now;
+  if (!isSendable(m_Request))
+    return false;
+  curl_easy_setopt(m_Handle, CURLOPT_URL, Base.c_str());
+  curl_easy_setopt(m_Handle, CURLOPT_REQUEST_TARGET, m_Request.m_Path.c_str());
+  bool IsBounded = Timeout != absl::InfiniteDuration();
+  auto Milliseconds = static_cast<long>(
+      std::max<std::int64_t>(1, absl::ToInt64Milliseconds(Timeout)));
+  curl_easy_setopt(m_Handle, CURLOPT_TIMEOUT_MS, IsBounded ? Milliseconds : 0L);
+  setMethod();
+  setHeaders();
+  return true;
+}
+
+void ClientCall::setMethod() {
+  const std::string &Method = m_Request.m_Method;
+  curl_easy_setopt(m_Handle, CURLOPT_HTTPGET, 1L);
+  curl_easy_setopt(m_Handle, CURLOPT_CUSTOMREQUEST, Method.c_str());
+  if (Method == "HEAD") {
+    curl_easy_setopt(m_Handle, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  bool DeclaresEmpty = Method == "POST" || Method == "PUT" || Method == "PATCH";
+  if (m_Request.m_Body.empty() && !DeclaresEmpty)
+    return;
+  curl_easy_setopt(m_Handle, CURLOPT_POST, 1L);
+  curl_easy_setopt(m_Handle, CURLOPT_POSTFIELDS, m_Request.m_Body.data());
+  curl_easy_setopt(m_Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(m_Request.m_Body.size()));
+}
+
+void ClientCall::setHeaders() {
+  curl_slist_free_all(std::exchange(m_HeaderLines, nullptr));
+  std::string Line;
+  for (const HeaderField &Field : m_Request.m_Headers) {
+    if (isSetByClient(Field.m_Name))
+      continue;
+    Line = Field.m_Name;
+    Line += Field.m_Value.empty() ? ";" : ": " + Field.m_Value;
+    m_HeaderLines = curl_slist_append(m_HeaderLines, Line.c_str());
+  }
+  // A name without a value takes out what libcurl would add.
+  m_HeaderLines = curl_slist_append(m_HeaderLines, "Expect:");
+  for (const char *Name : {"Accept", "Content-Type"}) {
+    if (findHeader(m_Request.m_Headers, Name) != nullptr)
+      continue;
+    Line = Name;
+    Line += ':';
+    m_HeaderLines = curl_slist_append(m_HeaderLines, Line.c_str());
+  }
+  curl_easy_setopt(m_Handle, CURLOPT_HTTPHEADER, m_HeaderLines);
+}
+
+void ClientCall::finish(Failure What, absl::Time Now) {
+  HttpResult Result;
+  Result.m_Failure = What;
+  Result.m_Latency = Now - m_Started;
+  if (What == Failure::None)
+    Result.m_Response = std::move(m_Response);
+  HttpClient::Done OnDone = std::exchange(m_OnDone, nullptr);
+  m_Request = HttpRequest();
+  m_Response = HttpResponse();
+  m_HeaderBytes = 0;
+  m_HasSent = false;
+  m_IsTooLarge = false;
+  m_HasHeaders = false;
+  if (OnDone)
+    OnDone(std::move(Result));
+}
+
+Failure ClientCall::failureOf(CURLcode Code) const {
+  if (Code == CURLE_OK)
+    return hasFramedBody() ? Failure::None : Failure::Cut;
+  if (!m_HasSent)
+    return Failure::NotSent;
+  if (m_IsTooLarge)
+    return Failure::TooLarge;
+  if (Code == CURLE_OPERATION_TIMEDOUT)
+    return Failure::TimedOut;
+  return Failure::Cut;
+}
+
+/// A body that ends with its connection can be cut without a trace.
+bool ClientCall::hasFramedBody() const {
+  int Status = m_Response.m_Status;
+  if (m_Request.m_Method == "HEAD" || Status == 204 || Status == 304)
+    return true;
+  return findHeader(m_Response.m_Headers, "Content-Length") != nullptr ||
+         findHeader(m_Response.m_Headers, "Transfer-Encoding") != nullptr;
+}
+
+std::size_t ClientCall::onBody(char *Data, std::size_t, std::size_t Size,
+                               void *Self) {
+  auto &Call = *static_cast<ClientCall *>(Self);
+  std::string &Body = Call.m_Response.m_Body;
+  Call.m_IsTooLarge = Body.size() + Size > Call.m_MaxBodyBytes;
+  if (Call.m_IsTooLarge)
+    return 0;
+  Body.append(Data, Size);
+  return Size;
+}
+
+std::size_t ClientCall::onHeader(char *Data, std::size_t, std::size_t Size,
+                                 void *Self) {
+  auto &Call = *static_cast<ClientCall *>(Self);
+  Call.m_HeaderBytes += Size;
+  Call.m_IsTooLarge = Call.m_HeaderBytes > MaxAnswerHeaderBytes;
+  if (Call.m_IsTooLarge)
+    return 0;
+  Call.readHeaderLine(trim({Data, Size}));
+  return Size;
+}
+
+void ClientCall::readHeaderLine(std::string_view Line) {
+  constexpr std::string_view StatusLine = "HTTP/1.";
+  constexpr std::size_t StatusAt = sizeof "HTTP/1.1";
+  bool IsInterim = m_Response.m_Status < 200;
+  if (Line.starts_with(StatusLine) && (!m_HasHeaders || IsInterim)) {
+    m_Response.m_Headers.clear();
+    m_Response.m_Status = 0;
+    if (Line.size() > StatusAt)
+      m_Response.m_Status =
+          std::atoi(std::string(Line.substr(StatusAt)).c_str());
+    m_HasHeaders = false;
+    return;
+  }
+  if (Line.empty()) {
+    m_HasHeaders = true;
+    return;
+  }
+  std::size_t Colon = Line.find(':');
+  // What comes after the header is a trailer of a chunked body.
+  if (m_HasHeaders || Colon == std::string_view::npos)
+    return;
+  m_Response.m_Headers.push_back({std::string(Line.substr(0, Colon)),
+                                  std::string(trim(Line.substr(Colon + 1)))});
+}
+
+int ClientCall::onSend(void *Self, char *, char *, int, int) {
+  auto &Call = *static_cast<ClientCall *>(Self);
+  if (Call.m_HasSent)
+    return CURL_PREREQFUNC_ABORT;
+  Call.m_HasSent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/ClientCall.h
@@ -0,0 +1,69 @@
+#ifndef KNAPWEEDLOFT_HTTP_CLIENTCALL_H
+#define KNAPWEEDLOFT_HTTP_CLIENTCALL_H
+
+#include "http/HttpClient.h"
+
+#include <curl/curl.h>
+
+#include <string>
+
+namespace knapweedloft::http {
+
+/// One call on a libcurl easy handle. Reused for later calls, so that the
+/// handle and its fixed options are set up once.
+///
+/// libcurl sends a request anew by itself if a kept connection breaks before
+/// anything of the answer came; the server may have run it by then. The hook
+/// before each sending allows the first one only.
+class ClientCall {
+public:
+  explicit ClientCall(std::size_t MaxBodyBytes);
+  ~ClientCall();
+  ClientCall(const ClientCall &) = delete;
+  ClientCall &operator=(const ClientCall &) = delete;
+
+  /// Prepares the handle for a call. \returns false if the request holds
+  /// characters that would break its framing.
+  bool prepare(HttpClient::CallId Id, const std::string &Base,
+               HttpRequest Request, absl::Duration Timeout,
+               HttpClient::Done OnDone, absl::Time Now);
+
+  /// Ends the call: hands its result to the callback and forgets the call.
+  void finish(Failure What, absl::Time Now);
+
+  /// \returns what the transfer's result means for the caller.
+  [[nodiscard]] Failure failureOf(CURLcode Code) const;
+
+  [[nodiscard]] HttpClient::CallId id() const { return m_Id; }
+  [[nodiscard]] CURL *handle() const { return m_Handle; }
+
+private:
+  static std::size_t onBody(char *Data, std::size_t, std::size_t Size,
+                            void *Self);
+  static std::size_t onHeader(char *Data, std::size_t, std::size_t Size,
+                              void *Self);
+  static int onSend(void *Self, char *, char *, int, int);
+
+  void setFixedOptions();
+  void setMethod();
+  void setHeaders();
+  void readHeaderLine(std::string_view Line);
+  [[nodiscard]] bool hasFramedBody() const;
+
+  const std::size_t m_MaxBodyBytes;
+  CURL *m_Handle;
+  curl_slist *m_HeaderLines = nullptr;
+  HttpClient::CallId m_Id = 0;
+  HttpRequest m_Request;
+  HttpResponse m_Response;
+  HttpClient::Done m_OnDone;
+  absl::Time m_Started;
+  std::size_t m_HeaderBytes = 0;
+  bool m_HasSent = false;
+  bool m_IsTooLarge = false;
+  bool m_HasHeaders = false;
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_CLIENTCALL_H
--- /dev/null
+++ b/libs/http/src/ClientImpl.cpp
@@ -0,0 +1,256 @@
+#include "ClientImpl.h"
+
+#include "SteadyNow.h"
+#include "http/HttpError.h"
+
+#include <algorithm>
+#include <array>
+#include <pthread.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace knapweedloft::http {
+namespace {
+
+constexpr std::size_t EventsPerWait = 64;
+constexpr std::size_t MaxSpareCalls = 256;
+/// Kept connections idle for longer are not used again.
+constexpr long MaxIdleSeconds = 20;
+
+void initLibrary() {
+  static const CURLcode Result = curl_global_init(CURL_GLOBAL_DEFAULT);
+  if (Result != CURLE_OK)
+    throw HttpError("libcurl cannot be set up");
+}
+
+std::uint32_t epollEventsOf(int What) {
+  std::uint32_t Events = 0;
+  if ((What & CURL_POLL_IN) != 0)
+    Events |= EPOLLIN;
+  if ((What & CURL_POLL_OUT) != 0)
+    Events |= EPOLLOUT;
+  return Events;
+}
+
+int curlEventsOf(std::uint32_t Events) {
+  int Result = 0;
+  if ((Events & (EPOLLIN | EPOLLHUP)) != 0)
+    Result |= CURL_CSELECT_IN;
+  if ((Events & EPOLLOUT) != 0)
+    Result |= CURL_CSELECT_OUT;
+  if ((Events & EPOLLERR) != 0)
+    Result |= CURL_CSELECT_ERR;
+  return Result;
+}
+
+} // namespace
+
+HttpClient::Impl::Impl(Options Settings)
+    : m_Settings(std::move(Settings)), m_Multi(nullptr),
+      m_Epoll(epoll_create1(EPOLL_CLOEXEC)),
+      m_Wake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  initLibrary();
+  m_Multi = curl_multi_init();
+  if (m_Multi == nullptr || m_Epoll < 0 || m_Wake < 0)
+    throw HttpError("an HTTP client cannot be set up");
+  curl_multi_setopt(m_Multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
+  curl_multi_setopt(m_Multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(m_Multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
+  curl_multi_setopt(m_Multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(m_Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  curl_multi_setopt(m_Multi, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(m_Settings.m_MaxIdleConnections));
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.fd = m_Wake;
+  epoll_ctl(m_Epoll, EPOLL_CTL_ADD, m_Wake, &Event);
+  m_Thread = std::thread([this] { run(); });
+  pthread_setname_np(m_Thread.native_handle(),
+                     m_Settings.m_ThreadName.substr(0, 15).c_str());
+}
+
+HttpClient::Impl::~Impl() {
+  m_IsStopping = true;
+  std::uint64_t One = 1;
+  [[maybe_unused]] ssize_t Written = write(m_Wake, &One, sizeof One);
+  m_Thread.join();
+  for (auto &[Id, Call] : m_Calls)
+    curl_multi_remove_handle(m_Multi, Call->handle());
+  m_Calls.clear();
+  m_Spare.clear();
+  curl_multi_cleanup(m_Multi);
+  close(m_Wake);
+  close(m_Epoll);
+}
+
+HttpClient::CallId HttpClient::Impl::send(const std::string &Base,
+                                          HttpRequest Request,
+                                          absl::Duration Timeout, Done OnDone) {
+  CallId Id = ++m_LastId;
+  push({Id, Base, std::move(Request), Timeout, std::move(OnDone), steadyNow()});
+  return Id;
+}
+
+void HttpClient::Impl::cancel(CallId Call) {
+  Order Work;
+  Work.m_Id = Call;
+  push(std::move(Work));
+}
+
+void HttpClient::Impl::push(Order Work) {
+  bool IsFirst;
+  {
+    absl::MutexLock Lock(&m_Mutex);
+    IsFirst = m_Orders.empty();
+    m_Orders.push_back(std::move(Work));
+  }
+  // The thread looks at the orders before it waits; only others must wake it.
+  if (!IsFirst || std::this_thread::get_id() == m_Thread.get_id())
+    return;
+  std::uint64_t One = 1;
+  [[maybe_unused]] ssize_t Written = write(m_Wake, &One, sizeof One);
+}
+
+void HttpClient::Impl::run() {
+  while (!m_IsStopping) {
+    drainOrders();
+    collect();
+    wait();
+  }
+}
+
+void HttpClient::Impl::drainOrders() {
+  while (true) {
+    m_Taken.clear();
+    {
+      absl::MutexLock Lock(&m_Mutex);
+      m_Taken.swap(m_Orders);
+    }
+    if (m_Taken.empty())
+      return;
+    for (Order &Work : m_Taken) {
+      if (Work.m_Request.m_Method.empty() && !Work.m_OnDone)
+        stop(Work.m_Id);
+      else
+        start(std::move(Work));
+    }
+  }
+}
+
+std::unique_ptr<ClientCall> HttpClient::Impl::makeCall() {
+  if (m_Spare.empty()) {
+    auto Call = std::make_unique<ClientCall>(m_Settings.m_MaxBodyBytes);
+    curl_easy_setopt(Call->handle(), CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+    return Call;
+  }
+  std::unique_ptr<ClientCall> Call = std::move(m_Spare.back());
+  m_Spare.pop_back();
+  return Call;
+}
+
+void HttpClient::Impl::start(Order Work) {
+  std::unique_ptr<ClientCall> Call = makeCall();
+  bool IsSendable =
+      Call->prepare(Work.m_Id, Work.m_Base, std::move(Work.m_Request),
+                    Work.m_Timeout, std::move(Work.m_OnDone), Work.m_Asked);
+  if (!IsSendable) {
+    end(std::move(Call), Failure::NotSent);
+    return;
+  }
+  CURL *Handle = Call->handle();
+  m_Calls.emplace(Work.m_Id, std::move(Call));
+  curl_multi_add_handle(m_Multi, Handle);
+}
+
+void HttpClient::Impl::stop(CallId Id) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  std::unique_ptr<ClientCall> Call = std::move(Found->second);
+  m_Calls.erase(Found);
+  curl_multi_remove_handle(m_Multi, Call->handle());
+  end(std::move(Call), Failure::Cancelled);
+}
+
+void HttpClient::Impl::end(std::unique_ptr<ClientCall> Call, Failure What) {
+  Call->finish(What, steadyNow());
+  if (m_Spare.size() < MaxSpareCalls)
+    m_Spare.push_back(std::move(Call));
+}
+
+void HttpClient::Impl::wait() {
+  std::array<epoll_event, EventsPerWait> Events{};
+  int Timeout = -1;
+  {
+    absl::MutexLock Lock(&m_Mutex);
+    if (!m_Orders.empty())
+      Timeout = 0;
+  }
+  if (Timeout < 0 && m_TimerAt != absl::InfiniteFuture()) {
+    absl::Duration Left =
+        absl::Ceil(m_TimerAt - steadyNow(), absl::Milliseconds(1));
+    Timeout = static_cast<int>(
+        std::max<std::int64_t>(0, absl::ToInt64Milliseconds(Left)));
+  }
+  int Count = epoll_wait(m_Epoll, Events.data(), Events.size(), Timeout);
+  int Running = 0;
+  for (int Index = 0; Index < Count; ++Index) {
+    if (Events[Index].data.fd != m_Wake) {
+      curl_multi_socket_action(m_Multi, Events[Index].data.fd,
+                               curlEventsOf(Events[Index].events), &Running);
+      continue;
+    }
+    std::uint64_t Wakes = 0;
+    [[maybe_unused]] ssize_t Read = read(m_Wake, &Wakes, sizeof Wakes);
+  }
+  if (m_TimerAt > steadyNow())
+    return;
+  m_TimerAt = absl::InfiniteFuture();
+  curl_multi_socket_action(m_Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
+}
+
+void HttpClient::Impl::collect() {
+  int Left = 0;
+  while (CURLMsg *Message = curl_multi_info_read(m_Multi, &Left)) {
+    if (Message->msg != CURLMSG_DONE)
+      continue;
+    CURLcode Code = Message->data.result;
+    CURL *Handle = Message->easy_handle;
+    void *Private = nullptr;
+    curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
+    curl_multi_remove_handle(m_Multi, Handle);
+    auto Found = m_Calls.find(static_cast<ClientCall *>(Private)->id());
+    std::unique_ptr<ClientCall> Call = std::move(Found->second);
+    m_Calls.erase(Found);
+    Failure What = Call->failureOf(Code);
+    end(std::move(Call), What);
+  }
+}
+
+int HttpClient::Impl::onSocket(CURL *, curl_socket_t Socket, int What,
+                               void *Self, void *Known) {
+  auto &Client = *static_cast<Impl *>(Self);
+  if (What == CURL_POLL_REMOVE) {
+    epoll_ctl(Client.m_Epoll, EPOLL_CTL_DEL, Socket, nullptr);
+    return 0;
+  }
+  epoll_event Event{};
+  Event.events = epollEventsOf(What);
+  Event.data.fd = Socket;
+  int Operation = Known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+  epoll_ctl(Client.m_Epoll, Operation, Socket, &Event);
+  curl_multi_assign(Client.m_Multi, Socket, &Client);
+  return 0;
+}
+
+int HttpClient::Impl::onTimer(CURLM *, long Milliseconds, void *Self) {
+  auto &Client = *static_cast<Impl *>(Self);
+  Client.m_TimerAt = Milliseconds < 0
+                         ? absl::InfiniteFuture()
+                         : steadyNow() + absl::Milliseconds(Milliseconds);
+  return 0;
+}
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/ConnectionWatcher.h
@@ -0,0 +1,73 @@
+#ifndef KNAPWEEDLOFT_HTTP_CONNECTIONWATCHER_H
+#define KNAPWEEDLOFT_HTTP_CONNECTIONWATCHER_H
+
+#include "PendingExchange.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace knapweedloft::http {
+
+/// Finds peers that hang up and peers that are too slow.
+///
+/// libmicrohttpd does not look at the socket of a suspended connection. This
+/// thread has an epoll set of its own that wakes only when a peer closes its
+/// side; a peer that shuts down its sending side only counts as gone too.
+/// A few times per limit it closes connections that were for too long in the
+/// middle of a request or of an answer, however steadily bytes trickle.
+class ConnectionWatcher {
+public:
+  using ConnectionId = std::uint64_t;
+
+  /// \throws HttpError if the epoll set cannot be made.
+  ConnectionWatcher(absl::Duration TransferLimit,
+                    const std::string &ThreadName);
+  ~ConnectionWatcher();
+  ConnectionWatcher(const ConnectionWatcher &) = delete;
+  ConnectionWatcher &operator=(const ConnectionWatcher &) = delete;
+
+  [[nodiscard]] ConnectionId add(int Socket, absl::Time Now);
+  void remove(ConnectionId Connection);
+
+  /// The request is whole and waits for its answer.
+  /// \returns false if the peer has hung up already.
+  bool beginWait(ConnectionId Connection,
+                 std::shared_ptr<PendingExchange> Pending);
+
+  /// The answer is about to be sent, or the connection has become idle.
+  void beginTransfer(ConnectionId Connection, absl::Time Now);
+
+  /// Ends every wait as if the peers had hung up.
+  void hangUpAll();
+
+private:
+  struct Watched {
+    int m_Socket;
+    bool m_HasHungUp = false;
+    absl::Time m_TransferSince;
+    std::shared_ptr<PendingExchange> m_Pending; ///< Set while it waits.
+  };
+
+  void run();
+  void closeSlow(absl::Time Now);
+  void hangUp(ConnectionId Connection);
+
+  const absl::Duration m_TransferLimit;
+  int m_Epoll;
+  int m_Stop;
+  absl::Mutex m_Mutex;
+  ConnectionId m_LastId ABSL_GUARDED_BY(m_Mutex) = 0;
+  absl::flat_hash_map<ConnectionId, Watched>
+      m_Connections ABSL_GUARDED_BY(m_Mutex);
+  std::thread m_Thread;
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_CONNECTIONWATCHER_H
--- /dev/null
+++ b/libs/http/tests/RawSocket.h
@@ -0,0 +1,113 @@
+#ifndef KNAPWEEDLOFT_HTTP_RAWSOCKET_H
+#define KNAPWEEDLOFT_HTTP_RAWSOCKET_H
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstdint>
+#include <poll.h>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace knapweedloft::http {
+
+/// A blocking TCP socket on 127.0.0.1 that sends and reads plain bytes.
+class RawSocket {
+public:
+  explicit RawSocket(int Socket) : m_Socket(Socket) {}
+  RawSocket(RawSocket &&Other) noexcept
+      : m_Socket(std::exchange(Other.m_Socket, -1)) {}
+  ~RawSocket() { closeNow(); }
+
+  static RawSocket connectTo(std::uint16_t Port) {
+    RawSocket Result(socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in Address = loopback(Port);
+    require(connect(Result.m_Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof Address));
+    return Result;
+  }
+
+  static RawSocket listenAnywhere() {
+    RawSocket Result(socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in Address = loopback(0);
+    require(bind(Result.m_Socket, reinterpret_cast<sockaddr *>(&Address),
+                 sizeof Address));
+    require(listen(Result.m_Socket, 16));
+    return Result;
+  }
+
+  [[nodiscard]] RawSocket acceptOne() const {
+    return RawSocket(accept(m_Socket, nullptr, nullptr));
+  }
+
+  /// \returns whether a peer waits to be accepted or bytes to be read.
+  [[nodiscard]] bool isReadable() const {
+    pollfd Poll{.fd = m_Socket, .events = POLLIN, .revents = 0};
+    return poll(&Poll, 1, 0) == 1;
+  }
+
+  [[nodiscard]] std::uint16_t port() const {
+    sockaddr_in Address{};
+    socklen_t Length = sizeof Address;
+    getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    return ntohs(Address.sin_port);
+  }
+
+  bool sendAll(std::string_view Bytes) const {
+    while (!Bytes.empty()) {
+      ssize_t Sent = send(m_Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+      if (Sent <= 0)
+        return false;
+      Bytes.remove_prefix(static_cast<std::size_t>(Sent));
+    }
+    return true;
+  }
+
+  /// Reads until what was read ends with \p End or the peer closes.
+  [[nodiscard]] std::string readUntil(std::string_view End) const {
+    std::string Result;
+    char Byte = 0;
+    while (!Result.ends_with(End) && recv(m_Socket, &Byte, 1, 0) == 1)
+      Result += Byte;
+    return Result;
+  }
+
+  [[nodiscard]] std::string readToEnd() const {
+    std::string Result;
+    char Bytes[4096];
+    while (true) {
+      ssize_t Count = recv(m_Socket, Bytes, sizeof Bytes, 0);
+      if (Count <= 0)
+        return Result;
+      Result.append(Bytes, static_cast<std::size_t>(Count));
+    }
+  }
+
+  void closeNow() {
+    if (m_Socket >= 0)
+      close(std::exchange(m_Socket, -1));
+  }
+
+private:
+  static void require(int Result) {
+    if (Result != 0)
+      throw std::system_error(errno, std::generic_category());
+  }
+
+  static sockaddr_in loopback(std::uint16_t Port) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(Port);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return Address;
+  }
+
+  int m_Socket;
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_RAWSOCKET_H
