--- a/libs/app/include/app/ResourceApi.h
+++ b/libs/app/include/app/ResourceApi.h
@@ -65,7 +65,7 @@
 
   /// The same without a server: \p Answer is called once, on any thread.
   void handle(const http::HttpRequest &Request, bool IsFromLoopback,
-              Reply Answer);
+              const Reply &Answer);
 
 private:
   class Impl;
--- a/libs/app/src/ResourceApi.cpp
+++ b/libs/app/src/ResourceApi.cpp
@@ -24,7 +24,6 @@
 constexpr int Forbidden = 403;
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
-constexpr int ServiceUnavailable = 503;
 constexpr std::size_t ChangeIdDigits = 32;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
@@ -102,7 +101,8 @@
     }
     const std::string *Field =
         http::findHeader(Request.m_Headers, "Authorization");
-    const std::string_view Given = Field == nullptr ? "" : *Field;
+    const std::string_view Given =
+        Field == nullptr ? std::string_view() : std::string_view(*Field);
     const bool IsRight =
         Given.starts_with(BearerPrefix) &&
         state::isSameDigest(state::digestOf(Given.substr(BearerPrefix.size())),
@@ -287,7 +287,7 @@
 }
 
 void ResourceApi::handle(const http::HttpRequest &Request, bool IsFromLoopback,
-                         Reply Answer) {
+                         const Reply &Answer) {
   m_Impl->handle(Request, IsFromLoopback, Answer);
 }
 
--- a/libs/platform/include/platform/HttpLog.h
+++ b/libs/platform/include/platform/HttpLog.h
@@ -36,7 +36,7 @@
 ///   model::LogOffset Offset = Log.m_Append("config", Payload);
 /// \endcode
 /// \throws PlatformError if the address is not an IP number.
-[[nodiscard]] LogService makeHttpLog(HttpLogOptions Options);
+[[nodiscard]] LogService makeHttpLog(const HttpLogOptions &Options);
 
 } // namespace knapweedloft::platform
 
--- a/libs/platform/src/HttpLog.cpp
+++ b/libs/platform/src/HttpLog.cpp
@@ -131,7 +131,7 @@
 
 } // namespace
 
-LogService makeHttpLog(HttpLogOptions Options) {
+LogService makeHttpLog(const HttpLogOptions &Options) {
   auto Caller = std::make_shared<HttpCaller>(Options);
   return {.m_Append =
               [Caller, Options](const std::string &Stream,
--- a/tools/logservice/include/logservice/LogServer.h
+++ b/tools/logservice/include/logservice/LogServer.h
@@ -21,7 +21,7 @@
 
   /// \p Store must outlive the server.
   /// \throws std::runtime_error if the address cannot be bound.
-  LogServer(LogStore &Store, Options Settings);
+  LogServer(LogStore &Store, const Options &Settings);
   ~LogServer();
 
   [[nodiscard]] std::uint16_t port() const;
--- a/tools/logservice/src/LogServer.cpp
+++ b/tools/logservice/src/LogServer.cpp
@@ -194,7 +194,7 @@
   MHD_Daemon *m_Daemon = nullptr;
 };
 
-LogServer::LogServer(LogStore &Store, Options Settings)
+LogServer::LogServer(LogStore &Store, const Options &Settings)
     : m_Impl(std::make_unique<Impl>(Store, Settings)) {}
 
 LogServer::~LogServer() = default;
