--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -86,6 +86,12 @@
     return sendEnvelope(Link, Envelope);
   }
 
+  bool send(PeerHandle Link, wire::MessageUnion Message) {
+    wire::EnvelopeT Envelope;
+    Envelope.message = std::move(Message);
+    return sendEnvelope(Link, Envelope);
+  }
+
   /// Closes \p Link; its m_OnDown runs with LinkEnd::Local.
   void close(PeerHandle Link);
 
