--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -65,8 +65,7 @@
     return;
   }
   m_Options.m_Hooks.m_OnHangUp(
-      Held.m_Request,
-      [this, Id](absl::Time Then) { onHangUp(Id, Then); });
+      Held.m_Request, [this, Id](absl::Time Then) { onHangUp(Id, Then); });
   setAlarm(Id, Held.m_Request.m_Deadline + m_Options.m_DeadlineGrace);
   dispatch(Id, Now);
 }
--- /dev/null
+++ b/libs/policy/include/policy/Freshness.h
@@ -0,0 +1,40 @@
+#ifndef KNAPWEEDLOFT_POLICY_FRESHNESS_H
+#define KNAPWEEDLOFT_POLICY_FRESHNESS_H
+
+#include "model/NameTable.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace knapweedloft::policy {
+
+/// How far a daemon may trust its state.
+enum class Freshness : std::uint8_t {
+  Fresh,    ///< It had all records that the log held within the bound.
+  LogAway,  ///< Nobody reaches the log, so nothing can have been appended.
+  Split,    ///< The log is away here; another data center may reach it.
+  Isolated, ///< No word about the log's end within the bound.
+};
+
+inline constexpr model::NameTable<Freshness, 4> FreshnessNames{
+    {"fresh", "log-away", "split", "isolated"}};
+
+/// Until when each verdict holds; the first one that holds is the verdict.
+struct FreshnessBounds {
+  absl::Time m_Fresh = absl::InfinitePast();
+  absl::Time m_LogAway = absl::InfinitePast();
+  absl::Time m_Split = absl::InfinitePast();
+
+  [[nodiscard]] Freshness judge(absl::Time Now) const {
+    if (Now < m_Fresh)
+      return Freshness::Fresh;
+    if (Now < m_LogAway)
+      return Freshness::LogAway;
+    return Now < m_Split ? Freshness::Split : Freshness::Isolated;
+  }
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_FRESHNESS_H
--- a/libs/policy/include/policy/FreshnessJudge.h
+++ b/libs/policy/include/policy/FreshnessJudge.h
@@ -2,26 +2,14 @@
 #define KNAPWEEDLOFT_POLICY_FRESHNESSJUDGE_H
 
 #include "model/LogOffset.h"
-#include "model/NameTable.h"
+#include "policy/Freshness.h"
 
 #include "absl/time/time.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace knapweedloft::policy {
 
-/// How far a daemon may trust its state.
-enum class Freshness : std::uint8_t {
-  Fresh,    ///< It had all records that the log held within the bound.
-  LogAway,  ///< Nobody reaches the log, so nothing can have been appended.
-  Split,    ///< The log is away here; another data center may reach it.
-  Isolated, ///< No word about the log's end within the bound.
-};
-
-inline constexpr model::NameTable<Freshness, 4> FreshnessNames{
-    {"fresh", "log-away", "split", "isolated"}};
-
 /// What a follower found when it last read the log or tried to.
 struct LogStamp {
   model::LogOffset m_End = 0; ///< End of the log when it was last read.
@@ -58,7 +46,12 @@
   /// The state has reached \p Applied.
   void onApplied(model::LogOffset Applied);
 
-  [[nodiscard]] Freshness judge(absl::Time Now) const;
+  [[nodiscard]] Freshness judge(absl::Time Now) const {
+    return bounds().judge(Now);
+  }
+
+  /// \returns until when each verdict holds unless a stamp comes.
+  [[nodiscard]] FreshnessBounds bounds() const;
 
   /// \returns whether keyed routes may be served.
   [[nodiscard]] bool isTrusted(absl::Time Now) const;
--- a/libs/policy/include/policy/RelayTree.h
+++ b/libs/policy/include/policy/RelayTree.h
@@ -26,7 +26,7 @@
     std::size_t m_FanOut = 8;    ///< First-choice children of a member.
   };
 
-  RelayTree(std::vector<std::string> Members, const Options &Settings);
+  RelayTree(const std::vector<std::string> &Members, const Options &Settings);
 
   [[nodiscard]] bool isFollower(const std::string &Name) const;
 
@@ -44,8 +44,10 @@
 
   [[nodiscard]] std::size_t size() const { return m_Ranked.size(); }
 
-private:
+  /// \returns the rank of \p Name; size() if it is not in the tree.
   [[nodiscard]] std::size_t rankOf(const std::string &Name) const;
+
+private:
   [[nodiscard]] std::size_t parentRank(std::size_t Rank) const;
 
   Options m_Settings;
--- a/libs/policy/src/FreshnessJudge.cpp
+++ b/libs/policy/src/FreshnessJudge.cpp
@@ -29,14 +29,10 @@
     count(m_Away);
 }
 
-Freshness FreshnessJudge::judge(absl::Time Now) const {
-  if (Now < m_FreshAt + m_Settings.m_Bound)
-    return Freshness::Fresh;
-  if (Now < m_AwayAt + m_Settings.m_Bound)
-    return Freshness::LogAway;
-  if (Now < m_SplitAt + m_Settings.m_Bound)
-    return Freshness::Split;
-  return Freshness::Isolated;
+FreshnessBounds FreshnessJudge::bounds() const {
+  return {.m_Fresh = m_FreshAt + m_Settings.m_Bound,
+          .m_LogAway = m_AwayAt + m_Settings.m_Bound,
+          .m_Split = m_SplitAt + m_Settings.m_Bound};
 }
 
 bool FreshnessJudge::isTrusted(absl::Time Now) const {
--- a/libs/policy/src/RelayTree.cpp
+++ b/libs/policy/src/RelayTree.cpp
@@ -4,6 +4,8 @@
 #include "policy/PolicyError.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <utility>
 
 namespace knapweedloft::policy {
 namespace {
@@ -19,18 +21,19 @@
 
 } // namespace
 
-RelayTree::RelayTree(std::vector<std::string> Members, const Options &Settings)
-    : m_Settings(Settings), m_Ranked(std::move(Members)) {
+RelayTree::RelayTree(const std::vector<std::string> &Members,
+                     const Options &Settings)
+    : m_Settings(Settings) {
   if (Settings.m_Followers == 0 || Settings.m_FanOut == 0)
     throw PolicyError("a relay tree needs a follower and a fan-out");
-  std::sort(m_Ranked.begin(), m_Ranked.end(),
-            [](const std::string &Left, const std::string &Right) {
-              std::uint64_t LeftWeight = rendezvousWeight(Subject, Left);
-              std::uint64_t RightWeight = rendezvousWeight(Subject, Right);
-              if (LeftWeight != RightWeight)
-                return LeftWeight > RightWeight;
-              return Left < Right;
-            });
+  std::vector<std::pair<std::uint64_t, std::string>> Weighed;
+  Weighed.reserve(Members.size());
+  for (const std::string &Name : Members)
+    Weighed.emplace_back(rendezvousWeight(Subject, Name), Name);
+  std::sort(Weighed.begin(), Weighed.end());
+  m_Ranked.reserve(Members.size());
+  for (auto &[Weight, Name] : Weighed)
+    m_Ranked.push_back(std::move(Name));
 }
 
 bool RelayTree::isFollower(const std::string &Name) const {
