Tell how a change is applied from the fleet's bounded summary

The status of a resource listed every member's offset, which no daemon holds at the size to come. It now takes the summary that the spread of records sends up the relay tree, and says how many members it knows nothing of.

--- a/libs/app/include/app/ResourceApi.h
+++ b/libs/app/include/app/ResourceApi.h
@@ -1,7 +1,7 @@
 #ifndef KNAPWEEDLOFT_APP_RESOURCEAPI_H
 #define KNAPWEEDLOFT_APP_RESOURCEAPI_H
 
-#include "app/AppliedView.h"
+#include "app/AppliedSummary.h"
 #include "http/HttpExchange.h"
 #include "http/HttpMessage.h"
 #include "platform/LogService.h"
@@ -39,8 +39,8 @@
     state::StateReplica *m_Replica = nullptr; ///< Must outlive the API.
     platform::LogService m_Log;
     std::string m_Stream = "config";
-    /// What is known of how far each member has applied the log.
-    std::function<AppliedView()> m_Applied;
+    /// What is known of how far the fleet has applied the log. Any thread.
+    std::function<AppliedSummary()> m_Applied;
     std::function<absl::Time()> m_Now;     ///< Monotonic.
     std::function<absl::Time()> m_WallNow; ///< For records' time of writing.
     std::function<double()> m_Random;      ///< Uniform in [0, 1); thread-safe.
--- a/libs/app/src/AppliedStatus.h
+++ b/libs/app/src/AppliedStatus.h
@@ -1,7 +1,7 @@
 #ifndef KNAPWEEDLOFT_APP_APPLIEDSTATUS_H
 #define KNAPWEEDLOFT_APP_APPLIEDSTATUS_H
 
-#include "app/AppliedView.h"
+#include "app/AppliedSummary.h"
 #include "state/Snapshot.h"
 
 #include <nlohmann/json.hpp>
@@ -12,7 +12,7 @@
 /// and who is behind.
 [[nodiscard]] nlohmann::json appliedStatus(std::uint64_t Revision,
                                            const state::Snapshot &State,
-                                           const AppliedView &View);
+                                           const AppliedSummary &Applied);
 
 } // namespace knapweedloft::app
 
