Read settings with every key checked, write log lines, add `check`

Cause: a daemon needs settings that cannot be half right, and one form of log line for all parts.

Unknown or missing keys, wrong types, values out of range, addresses that are no IP and unreadable files give one line with file, key and what is allowed; the program ends with 2. Log lines quote and escape what could break a line.

--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -1,6 +1,59 @@
+#include "CheckCommand.h"
+#include "ExitCode.h"
+#include "app/SettingsError.h"
+
+#include "CLI/CLI.hpp"
+#include "fmt/format.h"
+
 #include <cstdio>
+#include <exception>
+
+namespace knapweedloft {
+namespace {
+
+constexpr const char *Description =
+    "knapweedloft: overload control for service call graphs.\n"
+    "One daemon runs beside each target and takes callers' HTTP requests.";
+
+constexpr const char *Footer =
+    "A first look:\n"
+    "  knapweedloft check --settings docs/operators/example.toml\n"
+    "`knapweedloft SUBCOMMAND --help` lists the options of a subcommand.\n"
+    "\n"
+    "Exit codes: 0 done; 1 tried and failed; 2 wrong arguments, settings or\n"
+    "input, nothing was tried.";
+
+int codeOf(ExitCode Code) { return static_cast<int>(Code); }
+
+int run(int Count, char **Arguments) {
+  CLI::App App(Description, "knapweedloft");
+  App.footer(Footer);
+  App.set_version_flag("--version", "knapweedloft " KNAPWEEDLOFT_VERSION);
+  App.require_subcommand(1);
+  addCheckCommand(App);
+  try {
+    App.parse(Count, Arguments);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? codeOf(ExitCode::Ok)
+                                : codeOf(ExitCode::BadUsage);
+  }
+  return codeOf(ExitCode::Ok);
+}
+
+} // namespace
+} // namespace knapweedloft
 
-int main() {
-  std::puts("knapweedloft " KNAPWEEDLOFT_VERSION);
-  return 0;
+int main(int Count, char **Arguments) {
+  using namespace knapweedloft;
+  try {
+    return run(Count, Arguments);
+  } catch (const Exit &Early) {
+    return codeOf(Early.m_Code);
+  } catch (const app::SettingsError &Error) {
+    fmt::print(stderr, "knapweedloft: {}\n", Error.what());
+    return codeOf(ExitCode::BadUsage);
+  } catch (const std::exception &Error) {
+    fmt::print(stderr, "knapweedloft: {}\n", Error.what());
+    return codeOf(ExitCode::Failed);
+  }
 }
--- /dev/null
+++ b/libs/app/src/Log.cpp
@@ -0,0 +1,87 @@
+#include "app/Log.h"
+
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <atomic>
+#include <unistd.h>
+
+namespace knapweedloft::app {
+namespace {
+
+std::atomic<LogLevel> &processLevel() {
+  static std::atomic<LogLevel> Level = LogLevel::Info;
+  return Level;
+}
+
+bool isPlain(char Character) {
+  return Character > ' ' && Character < 127 && Character != '"' &&
+         Character != '\\' && Character != '=';
+}
+
+void appendQuoted(std::string &Line, std::string_view Value) {
+  Line += '"';
+  for (char Character : Value) {
+    auto Byte = static_cast<unsigned char>(Character);
+    if (Character == '"' || Character == '\\')
+      Line += '\\';
+    if (Byte < ' ' || Byte == 127)
+      fmt::format_to(std::back_inserter(Line), "\\x{:02x}", Byte);
+    else
+      Line += Character;
+  }
+  Line += '"';
+}
+
+} // namespace
+
+std::string formatLogLine(absl::Time WallTime, LogLevel Level,
+                          std::string_view Part, std::string_view Sentence,
+                          Log::Fields Values) {
+  std::string Line =
+      absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", WallTime, absl::UTCTimeZone());
+  fmt::format_to(std::back_inserter(Line), " {} {}: {}",
+                 LogLevelNames.nameOf(Level), Part, Sentence);
+  for (const LogField &Field : Values) {
+    fmt::format_to(std::back_inserter(Line), " {}=", Field.m_Key);
+    const std::string &Value = Field.m_Value;
+    if (!Value.empty() && std::all_of(Value.begin(), Value.end(), isPlain))
+      Line += Value;
+    else
+      appendQuoted(Line, Value);
+  }
+  Line += '\n';
+  return Line;
+}
+
+void Log::setLevel(LogLevel Level) { processLevel() = Level; }
+
+bool Log::isWritten(LogLevel Level) { return Level <= processLevel(); }
+
+void Log::write(LogLevel Level, std::string_view Sentence,
+                Fields Values) const {
+  if (!isWritten(Level))
+    return;
+  std::string Line =
+      formatLogLine(absl::Now(), Level, m_Part, Sentence, Values);
+  [[maybe_unused]] ssize_t Written =
+      ::write(STDERR_FILENO, Line.data(), Line.size());
+}
+
+void Log::error(std::string_view Sentence, Fields Values) const {
+  write(LogLevel::Error, Sentence, Values);
+}
+
+void Log::warning(std::string_view Sentence, Fields Values) const {
+  write(LogLevel::Warning, Sentence, Values);
+}
+
+void Log::info(std::string_view Sentence, Fields Values) const {
+  write(LogLevel::Info, Sentence, Values);
+}
+
+void Log::debug(std::string_view Sentence, Fields Values) const {
+  write(LogLevel::Debug, Sentence, Values);
+}
+
+} // namespace knapweedloft::app
