--- a/libs/app/include/app/Membership.h
+++ b/libs/app/include/app/Membership.h
@@ -44,7 +44,7 @@
     /// Opens a link if there is none; onPeerUp() may follow.
     std::function<void(const model::Member &Peer)> m_Connect;
     /// Appends to the log, in the background and perhaps in vain.
-    std::function<void(state::Entry Entry)> m_Append;
+    std::function<void(const state::Entry &Entry)> m_Append;
     /// FreshnessJudge::isTrusted() with the log being read: deaths and joins
     /// are only appended on a state that is fresh.
     std::function<bool(absl::Time Now)> m_IsFresh;
