Drive the resource API from the command line

Cause: operators need to apply, read, delete and watch resources without writing HTTP by hand, and to repeat what was not answered.

--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -1,5 +1,10 @@
+#include "ApplyCommand.h"
 #include "CheckCommand.h"
+#include "DeleteCommand.h"
 #include "ExitCode.h"
+#include "GetCommand.h"
+#include "UsageError.h"
+#include "WatchCommand.h"
 #include "app/SettingsError.h"
 
 #include "CLI/CLI.hpp"
@@ -21,7 +26,9 @@
     "`knapweedloft SUBCOMMAND --help` lists the options of a subcommand.\n"
     "\n"
     "Exit codes: 0 done; 1 tried and failed; 2 wrong arguments, settings or\n"
-    "input, nothing was tried.";
+    "input, nothing was tried; 3 refused: a race was lost or the resource "
+    "does\n"
+    "not allow it; 4 not known or not in force everywhere in time.";
 
 int codeOf(ExitCode Code) { return static_cast<int>(Code); }
 
@@ -31,6 +38,10 @@
   App.set_version_flag("--version", "knapweedloft " KNAPWEEDLOFT_VERSION);
   App.require_subcommand(1);
   addCheckCommand(App);
+  addApplyCommand(App);
+  addGetCommand(App);
+  addDeleteCommand(App);
+  addWatchCommand(App);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &Error) {
@@ -49,6 +60,9 @@
     return run(Count, Arguments);
   } catch (const Exit &Early) {
     return codeOf(Early.m_Code);
+  } catch (const UsageError &Error) {
+    fmt::print(stderr, "knapweedloft: {}\n", Error.what());
+    return codeOf(ExitCode::BadUsage);
   } catch (const app::SettingsError &Error) {
     fmt::print(stderr, "knapweedloft: {}\n", Error.what());
     return codeOf(ExitCode::BadUsage);
