--- a/apps/knapweedloft/ApiOptions.cpp
+++ b/apps/knapweedloft/ApiOptions.cpp
@@ -13,6 +13,7 @@
                   "resource API of a daemon, by IP number; give more than one "
                   "to go on where one does not answer")
       ->required()
+      ->allow_extra_args(false)
       ->type_name("ADDRESS:PORT");
   Command
       .add_option("--token-file", Options.m_TokenFile,
--- a/apps/knapweedloft/ApplyCommand.cpp
+++ b/apps/knapweedloft/ApplyCommand.cpp
@@ -143,6 +143,7 @@
       ->add_option("--file", Options->m_Files,
                    "JSON: one resource or an array, each with kind and name; "
                    "- is standard input")
+      ->allow_extra_args(false)
       ->type_name("FILE");
   Command->add_option("resource", Options->m_Arguments,
                       "KIND NAME FIELD=VALUE...");
