--- a/libs/state/include/state/ImageParts.h
+++ b/libs/state/include/state/ImageParts.h
@@ -29,8 +29,8 @@
 class ImageAssembler {
 public:
   struct Options {
-    std::size_t m_MaxImages = 4;
-    std::size_t m_MaxImageBytes = std::size_t{64} << 20;
+    std::size_t m_MaxImages = 2;
+    std::size_t m_MaxImageBytes = std::size_t{32} << 20;
   };
 
   explicit ImageAssembler(Options Limits) : m_Limits(Limits) {}
