--- a/libs/platform/tests/ImageWriterTest.cpp
+++ b/libs/platform/tests/ImageWriterTest.cpp
@@ -123,10 +123,13 @@
 
 TEST_F(ImageWriterTest, Review_StateLacksRecords_WritesNothing) {
   auto Appends = appender();
-  for (int Number = 0; Number < 40; ++Number)
-    appendCustomer(Number);
-  m_Store.expireBefore(Stream, 10);
   Daemon Lost;
+  for (int Number = 0; Number < 25; ++Number)
+    appendCustomer(Number);
+  catchUp(Lost);
+  for (int Number = 25; Number < 40; ++Number)
+    appendCustomer(Number);
+  m_Store.expireBefore(Stream, 30);
   const LogRead Read = catchUp(Lost);
   ASSERT_TRUE(Lost.m_Feed.isSearching());
   auto Writer = writerOf(Lost, *Appends);
