Wire the daemon: entry, target, rates, membership, spread and API in one process

Cause: the parts existed beside each other. Change: one daemon with the threads of docs/design/architecture.md; run and report subcommands. Two faults found on the first run of three daemons: the fold took a member's corrected record (its service, known once the target has announced itself) for a duplicate, so no target was ever found; and the API compared the operators' token by a view into a destroyed string.

--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -1,5 +1,7 @@
 #include "CheckCommand.h"
 #include "ExitCode.h"
+#include "ReportCommand.h"
+#include "RunCommand.h"
 #include "app/SettingsError.h"
 
 #include "CLI/CLI.hpp"
@@ -30,7 +32,9 @@
   App.footer(Footer);
   App.set_version_flag("--version", "knapweedloft " KNAPWEEDLOFT_VERSION);
   App.require_subcommand(1);
+  addRunCommand(App);
   addCheckCommand(App);
+  addReportCommand(App);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &Error) {
--- a/libs/app/include/app/Spread.h
+++ b/libs/app/include/app/Spread.h
@@ -55,7 +55,7 @@
     absl::Duration m_SubscribedFor = absl::Seconds(10);
     absl::Duration m_ReportInterval = absl::Seconds(1);
     std::size_t m_MaxRecords = 256;        ///< In one message.
-    std::size_t m_ChunkBytes = 256 * 1024; ///< Of an image.
+    std::size_t m_ChunkBytes = std::size_t{256} << 10; ///< Of an image.
     std::size_t m_MaxNamed = 32;           ///< Behind, in one report.
   };
 
--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -40,7 +40,6 @@
 
   struct Options {
     model::Incarnation m_Self = 0;
-    std::string m_Service;
     policy::Admission::Options m_Admission;
     Hooks m_Hooks;
   };
@@ -90,6 +89,7 @@
   Options m_Options;
   ContextTable &m_Contexts;
   policy::Admission m_Admission;
+  std::string m_Service;
   std::string m_TargetBase; ///< Empty until the target announced itself.
   std::uint64_t m_TargetInstance = 0;
   bool m_IsServing = false;
--- /dev/null
+++ b/libs/app/src/DaemonImpl.h
@@ -0,0 +1,129 @@
+#ifndef KNAPWEEDLOFT_APP_DAEMONIMPL_H
+#define KNAPWEEDLOFT_APP_DAEMONIMPL_H
+
+#include "app/AppendQueue.h"
+#include "app/CallerHandler.h"
+#include "app/ContextTable.h"
+#include "app/Daemon.h"
+#include "app/EntrySide.h"
+#include "app/Membership.h"
+#include "app/MetricsText.h"
+#include "app/PeerTable.h"
+#include "app/RateService.h"
+#include "app/RequestMetrics.h"
+#include "app/ResourceApi.h"
+#include "app/Spread.h"
+#include "app/TargetSide.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "link/LinkNode.h"
+#include "platform/LogFollower.h"
+#include "platform/LogService.h"
+#include "state/Record.h"
+#include "state/StateReplica.h"
+
+#include "absl/random/random.h"
+#include "absl/synchronization/mutex.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace knapweedloft::app {
+
+/// The components of a daemon and the hooks between them. Members named
+/// "link thread" are touched by that thread only.
+class Daemon::Impl {
+public:
+  explicit Impl(const Settings &From);
+  ~Impl();
+
+  std::size_t stop();
+
+private:
+  // DaemonSetup.cpp
+  void makeSides();
+  void makeControl();
+  void makeRates();
+  void makeLinks();
+  void makeLog();
+  void makeApi();
+  void makeServers();
+  void append(state::Entry Entry);
+
+  // DaemonLinks.cpp
+  void onUp(link::PeerHandle Link, const model::Member &Who);
+  void onDown(link::PeerHandle Link, link::LinkEnd Reason);
+  void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
+  [[nodiscard]] link::PeerHandle linkTo(const std::string &Name);
+  [[nodiscard]] bool forwardTo(const model::Member &To, wire::ForwardT Message);
+  void fillHeartbeat(link::wire::HeartbeatT &Beat);
+
+  // DaemonTicks.cpp
+  void scheduleTick(absl::Time When);
+  void tickSides();
+  void tickControl();
+  /// Corrects the own record, such as when the target has told its service.
+  void correctJoin(absl::Time Now);
+  void onAnnouncement(const Announcement &News);
+  void onAdvance();
+  void onLogSeen(const platform::LogFreshness &Seen);
+  void wantLinks(absl::Time Now);
+  void updateShared(absl::Time Now);
+
+  // DaemonApi.cpp
+  void handleApi(http::HttpExchange Exchange);
+  [[nodiscard]] DaemonGauges gauges();
+  [[nodiscard]] bool isReady() const;
+
+  template <typename MessageT>
+  bool sendTo(const std::string &Name, MessageT Message) {
+    link::PeerHandle Link = linkTo(Name);
+    return Link.isValid() && m_Links->send(Link, std::move(Message));
+  }
+
+  /// Runs \p Task on the link thread.
+  void post(std::function<void()> Task) { m_Links->post(std::move(Task)); }
+
+  /// Stands for the daemon itself where a link is asked for.
+  static constexpr link::PeerHandle SelfLink{link::PeerHandle::Invalid - 1};
+
+  Settings m_Settings;
+  model::Member m_Self; // link thread
+  platform::LogService m_Log;
+  state::StateReplica m_Replica;
+  RequestMetrics m_Metrics;
+  std::atomic<bool> m_IsStopping{false};
+  std::atomic<std::size_t> m_InFlight{0}; ///< As of the last tick.
+
+  // Copies of what the link thread owns, for the API's threads.
+  mutable absl::Mutex m_SharedMutex;
+  DaemonGauges m_Gauges ABSL_GUARDED_BY(m_SharedMutex);
+  AppliedSummary m_FleetApplied ABSL_GUARDED_BY(m_SharedMutex);
+
+  // Link thread.
+  ContextTable m_Contexts;
+  std::unique_ptr<PeerTable> m_Peers;
+  std::unique_ptr<TargetSide> m_Target;
+  std::unique_ptr<EntrySide> m_Entry;
+  std::unique_ptr<Spread> m_Spread;
+  std::unique_ptr<Membership> m_Members;
+  std::unique_ptr<RateService> m_Rates;
+  absl::BitGen m_Random;
+  absl::Time m_NextTick = absl::InfiniteFuture();
+  absl::Time m_NextJoin = absl::InfinitePast();
+  absl::Time m_NextWant = absl::InfinitePast();
+
+  std::unique_ptr<CallerHandler> m_Caller;
+  std::unique_ptr<ResourceApi> m_Api;
+  std::unique_ptr<AppendQueue> m_Appends;
+  std::unique_ptr<http::HttpClient> m_Client;
+  std::unique_ptr<link::LinkNode> m_Links;
+  std::unique_ptr<platform::LogFollower> m_Follower;
+  std::unique_ptr<http::HttpServer> m_CallerServer;
+  std::unique_ptr<http::HttpServer> m_ApiServer;
+};
+
+} // namespace knapweedloft::app
+
+#endif // KNAPWEEDLOFT_APP_DAEMONIMPL_H
--- /dev/null
+++ b/libs/app/src/DaemonLinks.cpp
@@ -0,0 +1,98 @@
+#include "DaemonImpl.h"
+
+#include "app/Clock.h"
+#include "app/Log.h"
+
+#include <utility>
+
+namespace knapweedloft::app {
+
+namespace {
+
+constexpr Log LinkLog{"link"};
+
+template <typename MessageT> MessageT *as(link::wire::MessageUnion &Message) {
+  return Message.type == link::wire::MessageUnionTraits<MessageT>::enum_value
+             ? static_cast<MessageT *>(Message.value)
+             : nullptr;
+}
+
+} // namespace
+
+void Daemon::Impl::onUp(link::PeerHandle Link, const model::Member &Who) {
+  absl::Time Now = monotonicNow();
+  m_Peers->onUp(Link, Who);
+  m_Members->onPeerUp({Who.m_Name, Who.m_Incarnation}, Now);
+  m_Spread->onPeerUp(Who, Now);
+  m_Entry->onPeerUp(Who, Now);
+}
+
+void Daemon::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
+  const model::Member *Known = m_Peers->memberOf(Link);
+  if (!Known)
+    return;
+  model::Member Who = *Known;
+  LinkLog.info(
+      "Link is down.",
+      {{"peer", Who.m_Name}, {"reason", link::LinkEndNames.nameOf(Reason)}});
+  if (!m_Peers->onDown(Link))
+    return;
+  absl::Time Now = monotonicNow();
+  m_Members->onPeerDown(Who.m_Name, Now);
+  m_Spread->onPeerDown(Who.m_Name, Now);
+  m_Entry->onPeerDown(Who, Now);
+}
+
+link::PeerHandle Daemon::Impl::linkTo(const std::string &Name) {
+  link::PeerHandle Found = m_Peers->find(Name);
+  if (Found.isValid())
+    return Found;
+  state::SnapshotPtr State = m_Replica.store().share();
+  if (const model::Member *Who = State->findMember(Name))
+    m_Peers->want(*Who, monotonicNow());
+  return {};
+}
+
+bool Daemon::Impl::forwardTo(const model::Member &To, wire::ForwardT Message) {
+  if (To.m_Incarnation != m_Self.m_Incarnation) {
+    link::PeerHandle Link = m_Peers->find(To.m_Name, To.m_Incarnation);
+    return Link.isValid() && m_Links->send(Link, std::move(Message));
+  }
+  auto Shared = std::make_shared<wire::ForwardT>(std::move(Message));
+  post([this, Shared] {
+    state::SnapshotStore::ReadGuard State(m_Replica.store());
+    m_Target->onForward(SelfLink, *Shared, *State, monotonicNow());
+  });
+  return true;
+}
+
+void Daemon::Impl::onMessage(link::PeerHandle From,
+                             link::wire::MessageUnion &Message) {
+  absl::Time Now = monotonicNow();
+  const model::Member *Sender = m_Peers->memberOf(From);
+  if (!Sender)
+    return;
+  policy::PeerLife Life{Sender->m_Name, Sender->m_Incarnation};
+  m_Members->onHeard(Life.m_Name, Now);
+  if (auto *Forward = as<wire::ForwardT>(Message)) {
+    state::SnapshotStore::ReadGuard State(m_Replica.store());
+    m_Target->onForward(From, *Forward, *State, Now);
+  } else if (auto *Answer = as<wire::AnswerT>(Message)) {
+    m_Entry->onAnswer(*Answer, Now);
+  } else if (auto *Cancel = as<wire::CancelT>(Message)) {
+    m_Target->onCancel(fromWire(Cancel->id), Now);
+  } else if (auto *Beat = as<wire::HeartbeatT>(Message)) {
+    m_Spread->onHeartbeat(Life.m_Name, *Beat, Now);
+  } else if (!m_Rates->onMessage(Life, Message, Now) &&
+             !m_Members->onMessage(Life, Message, Now)) {
+    m_Spread->onMessage(Life, Message, Now);
+  }
+}
+
+void Daemon::Impl::fillHeartbeat(link::wire::HeartbeatT &Beat) {
+  absl::Time Now = monotonicNow();
+  m_Spread->fillHeartbeat(Beat, Now);
+  Beat.load = m_Target->load(Now);
+}
+
+} // namespace knapweedloft::app
--- /dev/null
+++ b/libs/app/src/DaemonStop.cpp
@@ -0,0 +1,51 @@
+#include "DaemonImpl.h"
+
+#include "app/Clock.h"
+
+#include "absl/time/clock.h"
+
+namespace knapweedloft::app {
+namespace {
+
+/// Time for callers and peers to learn of the stop while everything is served.
+constexpr absl::Duration NoticeTime = absl::Milliseconds(500);
+constexpr absl::Duration PollInterval = absl::Milliseconds(20);
+
+} // namespace
+
+Daemon::Daemon(const Settings &From) : m_Impl(std::make_unique<Impl>(From)) {}
+
+Daemon::~Daemon() = default;
+
+std::size_t Daemon::stop() { return m_Impl->stop(); }
+
+Daemon::Impl::~Impl() {
+  // Listeners first, then what feeds the link thread, then the thread itself.
+  m_ApiServer.reset();
+  m_Api.reset();
+  m_CallerServer.reset();
+  m_Follower.reset();
+  m_Appends.reset();
+  m_Client.reset();
+  m_Links.reset();
+}
+
+std::size_t Daemon::Impl::stop() {
+  m_IsStopping = true;
+  post([this] {
+    m_Rates->stopKeeping();
+    m_Members->leave();
+  });
+  absl::SleepFor(NoticeTime);
+  post([this] { m_Target->stopIntake(); });
+  absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
+  absl::SleepFor(PollInterval * 5);
+  while (m_InFlight > 0 && monotonicNow() < Limit)
+    absl::SleepFor(PollInterval);
+  m_CallerServer->quiesce();
+  while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
+    absl::SleepFor(PollInterval);
+  return m_InFlight;
+}
+
+} // namespace knapweedloft::app
--- a/libs/app/src/ResourceApi.cpp
+++ b/libs/app/src/ResourceApi.cpp
@@ -102,7 +102,7 @@
     }
     const std::string *Field =
         http::findHeader(Request.m_Headers, "Authorization");
-    const std::string_view Given = Field == nullptr ? "" : *Field;
+    const std::string_view Given = Field == nullptr ? std::string_view() : *Field;
     const bool IsRight =
         Given.starts_with(BearerPrefix) &&
         state::isSameDigest(state::digestOf(Given.substr(BearerPrefix.size())),
@@ -288,7 +288,7 @@
 
 void ResourceApi::handle(const http::HttpRequest &Request, bool IsFromLoopback,
                          Reply Answer) {
-  m_Impl->handle(Request, IsFromLoopback, Answer);
+  m_Impl->handle(Request, IsFromLoopback, std::move(Answer));
 }
 
 } // namespace knapweedloft::app
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -70,6 +70,7 @@
     m_Admission.restart(Now);
   m_TargetBase = std::move(Base);
   m_TargetInstance = News.m_Instance;
+  m_Service = News.m_Service;
   m_IsServing = News.m_State == TargetState::Ready;
 }
 
@@ -116,7 +117,7 @@
     return RefusalReason::WrongIncarnation;
   if (m_IsStopping)
     return RefusalReason::Stopping;
-  if (!m_IsServing || Message.service != m_Options.m_Service)
+  if (!m_IsServing || Message.service != m_Service)
     return RefusalReason::NoTarget;
   if (Message.priority >= model::PriorityCount || Message.method.empty() ||
       Message.path.empty())
--- a/libs/app/tests/EntrySideTest.cpp
+++ b/libs/app/tests/EntrySideTest.cpp
@@ -93,7 +93,7 @@
   }
 
   void answer(const wire::ForwardT &To, RefusalReason Reason, Ran DidRun,
-              std::string Body = "") {
+              const std::string &Body = "") {
     wire::AnswerT Answer;
     Answer.id = To.id;
     Answer.refusal = static_cast<std::uint8_t>(Reason);
--- a/libs/state/src/FoldImpl.cpp
+++ b/libs/state/src/FoldImpl.cpp
@@ -74,9 +74,11 @@
     return FoldResult::Rejected;
   const HeldMember *Former = m_State.m_Members.find(Who.m_Name);
   if (Former != nullptr) {
-    if (Former->m_Member.m_Incarnation == Who.m_Incarnation)
+    if (Former->m_Member == Who)
       return FoldResult::Duplicate;
-    m_Retired.add(Former->m_Member.m_Incarnation);
+    // The same incarnation may correct its record, such as its service.
+    if (Former->m_Member.m_Incarnation != Who.m_Incarnation)
+      m_Retired.add(Former->m_Member.m_Incarnation);
   }
   m_State.m_Members.set({revisionHere(), Who});
   return FoldResult::Applied;
