Carry messages between daemons over framed TCP links

One epoll thread owns all connections. Links come up after both Hellos, carry heartbeats with acknowledgements, and end as silent when nothing comes or a heartbeat stays unacknowledged for the limit. Send queues are bounded and may be filled from any thread.

--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -5,6 +5,7 @@
 #include "model/Endpoint.h"
 #include "model/Handle.h"
 #include "model/Member.h"
+#include "model/NameTable.h"
 
 #include "absl/time/time.h"
 
--- /dev/null
+++ b/libs/link/src/LinkNode.cpp
@@ -0,0 +1,32 @@
+#include "link/LinkNode.h"
+
+#include "LinkNodeImpl.h"
+
+#include <utility>
+
+namespace knapweedloft::link {
+
+LinkNode::LinkNode(Options Settings)
+    : m_Impl(std::make_unique<Impl>(std::move(Settings))) {}
+
+LinkNode::~LinkNode() = default;
+
+const model::Endpoint &LinkNode::endpoint() const { return m_Impl->endpoint(); }
+
+void LinkNode::connect(const model::Endpoint &To) {
+  m_Impl->loop().post([this, To] { m_Impl->open(To); });
+}
+
+void LinkNode::close(PeerHandle Link) {
+  m_Impl->loop().post([this, Link] { m_Impl->close(Link); });
+}
+
+void LinkNode::post(std::function<void()> Task, absl::Duration Delay) {
+  m_Impl->loop().post(std::move(Task), Delay);
+}
+
+bool LinkNode::sendEnvelope(PeerHandle Link, const wire::EnvelopeT &Envelope) {
+  return m_Impl->send(Link, Envelope);
+}
+
+} // namespace knapweedloft::link
--- /dev/null
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -0,0 +1,293 @@
+#include "LinkNodeImpl.h"
+
+#include "EnvelopeCodec.h"
+#include "Greeting.h"
+#include "MonotonicClock.h"
+#include "Sockets.h"
+
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace knapweedloft::link {
+namespace {
+
+constexpr std::uint64_t ListenerToken = UINT64_MAX - 1;
+/// How long the listener rests when the process is out of descriptors.
+constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
+constexpr int MaxAcceptsARound = 64;
+/// Frames of one link are handled for this long at most in a round.
+constexpr int MaxReadsARound = 4;
+
+} // namespace
+
+LinkNode::Impl::Impl(Options Settings)
+    : m_Settings(std::move(Settings)),
+      m_Loop([this](std::uint64_t Token, std::uint32_t Events) {
+        onReady(Token, Events);
+      }),
+      m_Listener(listenOn(m_Settings.m_Self.m_Link)) {
+  m_Settings.m_Self.m_Link.m_Port = localEndpoint(m_Listener.get()).m_Port;
+  m_Loop.watch(m_Listener.get(), EPOLLIN, ListenerToken);
+  m_Loop.start("link");
+}
+
+LinkNode::Impl::~Impl() { m_Loop.stop(); }
+
+bool LinkNode::Impl::send(PeerHandle Link, const wire::EnvelopeT &Envelope) {
+  auto Queue = m_Table.find(Link);
+  if (!Queue)
+    return false;
+  std::string Frame = encodeFrame(Envelope);
+  if (Frame.size() > m_Settings.m_MaxFrameBytes + FrameBuffer::PrefixBytes)
+    return false;
+  SendQueue::Push Result = Queue->push(std::move(Frame));
+  if (Result == SendQueue::Push::FlushDue)
+    m_Loop.post([this, Link] { flush(Link); });
+  return Result != SendQueue::Push::Refused;
+}
+
+void LinkNode::Impl::open(const model::Endpoint &To) {
+  if (m_Connections.size() >= m_Settings.m_MaxLinks)
+    return failOpen(To, LinkEnd::Refused);
+  FileDescriptor Socket = connectTo(To);
+  if (!Socket.isValid())
+    return failOpen(To, LinkEnd::Refused);
+  Connection *Peer = add(std::move(Socket), Connection::Phase::Connecting);
+  if (!Peer)
+    return failOpen(To, LinkEnd::Local);
+  Peer->m_IsOpener = true;
+  Peer->m_To = To;
+  Peer->m_IsWriteBlocked = true;
+  m_Loop.rewatch(Peer->m_Socket.get(), EPOLLIN | EPOLLOUT,
+                 Peer->m_Link.m_Index);
+}
+
+void LinkNode::Impl::failOpen(const model::Endpoint &To, LinkEnd Reason) {
+  if (m_Settings.m_Hooks.m_OnConnectFailed)
+    m_Settings.m_Hooks.m_OnConnectFailed(To, Reason);
+}
+
+void LinkNode::Impl::onReady(std::uint64_t Token, std::uint32_t Events) {
+  if (Token == ListenerToken)
+    return accept();
+  PeerHandle Link{static_cast<std::uint32_t>(Token)};
+  Connection *Peer = find(Link);
+  if (!Peer)
+    return;
+  if (Peer->m_Phase == Connection::Phase::Connecting)
+    return onConnected(*Peer);
+  if (Events & EPOLLOUT)
+    flush(Link);
+  if (Events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+    read(Link);
+}
+
+void LinkNode::Impl::accept() {
+  for (int Count = 0; Count < MaxAcceptsARound; ++Count) {
+    FileDescriptor Socket(::accept4(m_Listener.get(), nullptr, nullptr,
+                                    SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!Socket.isValid() && (errno == EMFILE || errno == ENFILE))
+      return refuseAccept();
+    if (!Socket.isValid())
+      return;
+    if (m_Connections.size() >= m_Settings.m_MaxLinks)
+      continue;
+    setNoDelay(Socket.get());
+    Connection *Peer = add(std::move(Socket), Connection::Phase::Greeting);
+    if (Peer)
+      queue(*Peer, helloOf(m_Settings.m_Self, monotonicNow()));
+  }
+}
+
+void LinkNode::Impl::refuseAccept() {
+  m_Loop.rewatch(m_Listener.get(), 0, ListenerToken);
+  m_Loop.post(
+      [this] { m_Loop.rewatch(m_Listener.get(), EPOLLIN, ListenerToken); },
+      AcceptRest);
+}
+
+Connection *LinkNode::Impl::add(FileDescriptor Socket,
+                                Connection::Phase Start) {
+  if (m_NextIndex == PeerHandle::Invalid)
+    return nullptr;
+  PeerHandle Link{m_NextIndex++};
+  auto Peer = std::make_unique<Connection>(
+      Link, std::move(Socket), Start, m_Settings.m_MaxQueuedBytes,
+      m_Settings.m_SilentAfter, monotonicNow());
+  Connection *Added = Peer.get();
+  m_Loop.watch(Added->m_Socket.get(), EPOLLIN, Link.m_Index);
+  m_Connections[Link] = std::move(Peer);
+  m_Loop.post([this, Link] { endUnlessUp(Link); }, m_Settings.m_ConnectTimeout);
+  return Added;
+}
+
+void LinkNode::Impl::onConnected(Connection &Peer) {
+  if (pendingError(Peer.m_Socket.get()) != 0)
+    return end(Peer.m_Link, LinkEnd::Refused);
+  Peer.m_Phase = Connection::Phase::Greeting;
+  watchWrites(Peer, false);
+  queue(Peer, helloOf(m_Settings.m_Self, monotonicNow()));
+}
+
+void LinkNode::Impl::read(PeerHandle Link) {
+  for (int Count = 0; Count < MaxReadsARound; ++Count) {
+    Connection *Peer = find(Link);
+    if (!Peer)
+      return;
+    auto Room = Peer->m_Incoming.room();
+    ssize_t Bytes =
+        ::recv(Peer->m_Socket.get(), Room.data(), Room.size(), MSG_DONTWAIT);
+    if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+      return;
+    if (Bytes <= 0)
+      return end(Link, LinkEnd::Closed);
+    Peer->m_Incoming.commit(static_cast<std::size_t>(Bytes));
+    Peer->m_Monitor.onReceived(monotonicNow());
+    std::span<const std::uint8_t> Frame;
+    auto Result = FrameBuffer::Result::Frame;
+    while ((Peer = find(Link)) != nullptr &&
+           (Result = Peer->m_Incoming.next(Frame)) ==
+               FrameBuffer::Result::Frame)
+      onFrame(*Peer, Frame);
+    if (Result == FrameBuffer::Result::Oversize)
+      return end(Link, LinkEnd::Malformed);
+    if (static_cast<std::size_t>(Bytes) < Room.size())
+      return;
+  }
+}
+
+void LinkNode::Impl::onFrame(Connection &Peer,
+                             std::span<const std::uint8_t> Frame) {
+  auto Envelope = decodeFrame(Frame);
+  if (!Envelope)
+    return end(Peer.m_Link, LinkEnd::Malformed);
+  const wire::HelloT *Hello = Envelope->message.AsHello();
+  bool IsGreeting = Peer.m_Phase == Connection::Phase::Greeting;
+  if (IsGreeting != (Hello != nullptr))
+    return end(Peer.m_Link, LinkEnd::Malformed);
+  if (Hello)
+    return onHello(Peer, *Hello);
+  onMessage(Peer, Envelope->message);
+}
+
+void LinkNode::Impl::onHello(Connection &Peer, const wire::HelloT &Hello) {
+  if (Hello.protocol != ProtocolNumber || Hello.incarnation == 0 ||
+      Hello.incarnation == m_Settings.m_Self.m_Incarnation)
+    return end(Peer.m_Link, LinkEnd::Refused);
+  Peer.m_Phase = Connection::Phase::Up;
+  Peer.m_Incoming.setMaxFrameBytes(m_Settings.m_MaxFrameBytes);
+  m_Table.insert(Peer.m_Link, Peer.m_Outgoing);
+  PeerHandle Link = Peer.m_Link;
+  if (m_Settings.m_Hooks.m_OnUp)
+    m_Settings.m_Hooks.m_OnUp(Link, memberOf(Hello));
+  tick(Link);
+}
+
+void LinkNode::Impl::onMessage(Connection &Peer, wire::MessageUnion &Message) {
+  if (const wire::HeartbeatAckT *Ack = Message.AsHeartbeatAck())
+    return Peer.m_Monitor.onAcknowledged(Ack->sequence);
+  if (const wire::HeartbeatT *Beat = Message.AsHeartbeat()) {
+    wire::HeartbeatAckT Ack;
+    Ack.sequence = Beat->sequence;
+    queue(Peer, Ack);
+  }
+  if (m_Settings.m_Hooks.m_OnMessage)
+    m_Settings.m_Hooks.m_OnMessage(Peer.m_Link, Message);
+}
+
+template <typename MessageT>
+void LinkNode::Impl::queue(Connection &Peer, MessageT Message) {
+  wire::EnvelopeT Envelope;
+  Envelope.message.Set(std::move(Message));
+  PeerHandle Link = Peer.m_Link;
+  auto Result = Peer.m_Outgoing->push(encodeFrame(Envelope));
+  if (Result == SendQueue::Push::FlushDue)
+    m_Loop.post([this, Link] { flush(Link); });
+}
+
+void LinkNode::Impl::flush(PeerHandle Link) {
+  Connection *Peer = find(Link);
+  if (!Peer || Peer->m_Phase == Connection::Phase::Connecting)
+    return;
+  switch (Peer->m_Outgoing->flush(Peer->m_Socket.get())) {
+  case SendQueue::Flush::Empty:
+    return watchWrites(*Peer, false);
+  case SendQueue::Flush::Blocked:
+    return watchWrites(*Peer, true);
+  case SendQueue::Flush::Broken:
+    return end(Link, LinkEnd::Closed);
+  }
+}
+
+void LinkNode::Impl::watchWrites(Connection &Peer, bool IsBlocked) {
+  if (Peer.m_IsWriteBlocked == IsBlocked)
+    return;
+  Peer.m_IsWriteBlocked = IsBlocked;
+  std::uint32_t Events = EPOLLIN;
+  if (IsBlocked)
+    Events |= EPOLLOUT;
+  m_Loop.rewatch(Peer.m_Socket.get(), Events, Peer.m_Link.m_Index);
+}
+
+void LinkNode::Impl::endUnlessUp(PeerHandle Link) {
+  Connection *Peer = find(Link);
+  if (Peer && Peer->m_Phase != Connection::Phase::Up)
+    end(Link, LinkEnd::Silent);
+}
+
+void LinkNode::Impl::tick(PeerHandle Link) {
+  Connection *Peer = find(Link);
+  if (!Peer)
+    return;
+  absl::Time Now = monotonicNow();
+  if (Peer->m_Monitor.deadline() <= Now) {
+    // After a pause of this process the peer's bytes may wait unread.
+    read(Link);
+    Peer = find(Link);
+  }
+  if (!Peer)
+    return;
+  if (Peer->m_Monitor.deadline() <= Now)
+    return end(Link, LinkEnd::Silent);
+  if (Peer->m_NextBeat <= Now)
+    beat(*Peer, Now);
+  absl::Time Next = std::min(Peer->m_NextBeat, Peer->m_Monitor.deadline());
+  m_Loop.post([this, Link] { tick(Link); },
+              std::max(Next - Now, absl::Milliseconds(1)));
+}
+
+void LinkNode::Impl::beat(Connection &Peer, absl::Time Now) {
+  wire::HeartbeatT Beat;
+  if (m_Settings.m_Hooks.m_FillHeartbeat)
+    m_Settings.m_Hooks.m_FillHeartbeat(Beat);
+  Beat.sequence = Peer.m_Monitor.onHeartbeat(Now);
+  Beat.now_us = static_cast<std::uint64_t>(absl::ToUnixMicros(Now));
+  Peer.m_NextBeat = Now + m_Settings.m_HeartbeatInterval;
+  queue(Peer, Beat);
+}
+
+void LinkNode::Impl::end(PeerHandle Link, LinkEnd Reason) {
+  auto Found = m_Connections.find(Link);
+  if (Found == m_Connections.end())
+    return;
+  std::unique_ptr<Connection> Peer = std::move(Found->second);
+  m_Connections.erase(Found);
+  m_Table.erase(Link);
+  Peer->m_Outgoing->close();
+  if (Peer->m_Phase == Connection::Phase::Up) {
+    if (m_Settings.m_Hooks.m_OnDown)
+      m_Settings.m_Hooks.m_OnDown(Link, Reason);
+    return;
+  }
+  if (Peer->m_IsOpener)
+    failOpen(Peer->m_To, Reason);
+}
+
+Connection *LinkNode::Impl::find(PeerHandle Link) {
+  auto Found = m_Connections.find(Link);
+  return Found == m_Connections.end() ? nullptr : Found->second.get();
+}
+
+} // namespace knapweedloft::link
--- /dev/null
+++ b/libs/link/src/LinkNodeImpl.h
@@ -0,0 +1,67 @@
+#ifndef KNAPWEEDLOFT_LINK_LINKNODEIMPL_H
+#define KNAPWEEDLOFT_LINK_LINKNODEIMPL_H
+
+#include "Connection.h"
+#include "EventLoop.h"
+#include "LinkTable.h"
+#include "link/LinkNode.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <memory>
+#include <string>
+
+namespace knapweedloft::link {
+
+/// The connections of a LinkNode and what happens to them. Everything but
+/// send() runs on the loop's thread.
+class LinkNode::Impl {
+public:
+  explicit Impl(Options Settings);
+  ~Impl();
+
+  [[nodiscard]] const model::Endpoint &endpoint() const {
+    return m_Settings.m_Self.m_Link;
+  }
+  EventLoop &loop() { return m_Loop; }
+
+  /// From any thread.
+  bool send(PeerHandle Link, const wire::EnvelopeT &Envelope);
+
+  void open(const model::Endpoint &To);
+  void close(PeerHandle Link) { end(Link, LinkEnd::Local); }
+
+private:
+  void onReady(std::uint64_t Token, std::uint32_t Events);
+  void accept();
+  void refuseAccept();
+  Connection *add(FileDescriptor Socket, Connection::Phase Start);
+  void failOpen(const model::Endpoint &To, LinkEnd Reason);
+
+  void onConnected(Connection &Peer);
+  void read(PeerHandle Link);
+  void onFrame(Connection &Peer, std::span<const std::uint8_t> Frame);
+  void onHello(Connection &Peer, const wire::HelloT &Hello);
+  void onMessage(Connection &Peer, wire::MessageUnion &Message);
+  void flush(PeerHandle Link);
+  void watchWrites(Connection &Peer, bool IsBlocked);
+  template <typename MessageT> void queue(Connection &Peer, MessageT Message);
+
+  void endUnlessUp(PeerHandle Link);
+  void tick(PeerHandle Link);
+  void beat(Connection &Peer, absl::Time Now);
+  void end(PeerHandle Link, LinkEnd Reason);
+
+  [[nodiscard]] Connection *find(PeerHandle Link);
+
+  Options m_Settings;
+  EventLoop m_Loop;
+  FileDescriptor m_Listener;
+  LinkTable m_Table;
+  absl::flat_hash_map<PeerHandle, std::unique_ptr<Connection>> m_Connections;
+  std::uint32_t m_NextIndex = 0;
+};
+
+} // namespace knapweedloft::link
+
+#endif // KNAPWEEDLOFT_LINK_LINKNODEIMPL_H
--- /dev/null
+++ b/libs/link/src/Sockets.h
@@ -0,0 +1,28 @@
+#ifndef KNAPWEEDLOFT_LINK_SOCKETS_H
+#define KNAPWEEDLOFT_LINK_SOCKETS_H
+
+#include "FileDescriptor.h"
+#include "model/Endpoint.h"
+
+namespace knapweedloft::link {
+
+/// Binds a non-blocking listening socket.
+/// \throws LinkError if \p At is not an IP number or cannot be bound.
+FileDescriptor listenOn(const model::Endpoint &At);
+
+/// Begins a non-blocking connect.
+/// \returns an invalid descriptor if it failed at once.
+FileDescriptor connectTo(const model::Endpoint &To);
+
+/// \returns the address that \p Socket is bound to.
+model::Endpoint localEndpoint(int Socket);
+
+/// \returns the error that a non-blocking connect ended with, 0 if none.
+int pendingError(int Socket);
+
+/// Sends small frames at once instead of waiting for more bytes.
+void setNoDelay(int Socket);
+
+} // namespace knapweedloft::link
+
+#endif // KNAPWEEDLOFT_LINK_SOCKETS_H
