Check the rate invariant on random schedules

Cause: the bound on what a customer spends must hold while anything fails. Change: 2,000 seeded schedules of five daemons with pauses, stalled caller threads, restarts, the log away or slow, cuts, wrong deaths, lost and repeated messages and drifting clocks. They found two faults, mended here: a daemon took its own failed read for an outage of the log for all although others read it, and a restarted daemon with an empty state trusted it while the log was away. Now an outage needs the word of a follower of every data center, and somebody's recent read rules it out.

--- a/libs/app/include/app/RateService.h
+++ b/libs/app/include/app/RateService.h
@@ -69,8 +69,10 @@
               Hooks Surroundings);
   ~RateService();
 
-  /// Takes a token of \p Customer. \p Done runs at once where the answer is
-  /// known, else on the link thread within about \p MaxWait.
+  /// Takes a token of \p Customer. Call it only while the state is trusted: one
+  /// that lacks records may not know the customer's rate. \p Done runs at once
+  /// where the answer is known, else on the link thread within about \p
+  /// MaxWait.
   void acquire(const std::string &Customer, absl::Time Now,
                absl::Duration MaxWait,
                std::function<void(const RateDecision &)> Done);
--- a/libs/app/src/Spread.cpp
+++ b/libs/app/src/Spread.cpp
@@ -63,7 +63,9 @@
     Stamp.m_At = Stamp.m_IsAway ? Now : Seen.m_ReadAt;
     if (Stamp.m_IsAway) {
       Stamp.m_AwaySince = *Seen.m_AwaySince;
-      Stamp.m_IsSplit = !hearsEverySite(Now);
+      Stamp.m_End = std::max(Seen.m_End, m_Judge.furthestEnd());
+      // Without any word of an end, this state may lack everything.
+      Stamp.m_IsSplit = Stamp.m_End == 0 || !isAwayEverywhere(Now);
     }
     m_IsLogAway = Stamp.m_IsAway;
     takeStamp(Stamp, Now);
@@ -94,8 +96,8 @@
     policy::LogStamp Stamp =
         fromWire(Beat.stamp, Here.m_Clock.delayOf(SentAt, Now), Now);
     std::string Site = m_Roles.followerSite(From);
-    if (!Site.empty())
-      m_SiteHeardAt[Site] = Now;
+    if (!Site.empty() && Stamp.m_IsAway)
+      m_SiteAwayAt[Site] = Stamp.m_At;
     takeStamp(Stamp, Now);
   }
 
@@ -162,6 +164,7 @@
 
   [[nodiscard]] policy::FreshnessBounds bounds() const {
     return {.m_Fresh = absl::FromUnixNanos(m_FreshNanos.load()),
+            .m_Behind = absl::FromUnixNanos(m_BehindNanos.load()),
             .m_LogAway = absl::FromUnixNanos(m_AwayNanos.load()),
             .m_Split = absl::FromUnixNanos(m_SplitNanos.load())};
   }
@@ -214,6 +217,7 @@
   void publishBounds() {
     policy::FreshnessBounds Bounds = m_Judge.bounds();
     m_FreshNanos.store(absl::ToUnixNanos(Bounds.m_Fresh));
+    m_BehindNanos.store(absl::ToUnixNanos(Bounds.m_Behind));
     m_AwayNanos.store(absl::ToUnixNanos(Bounds.m_LogAway));
     m_SplitNanos.store(absl::ToUnixNanos(Bounds.m_Split));
   }
@@ -225,16 +229,17 @@
     m_Feed.push(stamp(Now), Now);
   }
 
-  /// Whether a follower of every other data center was heard lately: each
-  /// would have passed on that it reads the log, if it did.
-  [[nodiscard]] bool hearsEverySite(absl::Time Now) const {
-    for (const std::string &Site : m_Roles.otherDataCenters()) {
-      auto Heard = m_SiteHeardAt.find(Site);
-      if (Heard == m_SiteHeardAt.end() ||
-          Now >= Heard->second + m_Settings.m_Freshness.m_Bound)
-        return false;
-    }
-    return true;
+  /// Whether a follower of every data center, besides this daemon, said
+  /// lately that the log is away.
+  [[nodiscard]] bool isAwayEverywhere(absl::Time Now) const {
+    std::vector<std::string> Sites = m_Roles.otherDataCenters();
+    if (m_Roles.hasOtherFollowers())
+      Sites.push_back(m_Settings.m_Self.m_DataCenter);
+    return std::all_of(Sites.begin(), Sites.end(), [&](const auto &Site) {
+      auto Heard = m_SiteAwayAt.find(Site);
+      return Heard != m_SiteAwayAt.end() &&
+             Now < Heard->second + m_Settings.m_Freshness.m_Bound;
+    });
   }
 
   void onRecords(const std::string &From, const link::wire::RecordsT &Records,
@@ -383,12 +388,13 @@
   ImageAssembly m_Assembly;
   policy::FreshnessJudge m_Judge;
   std::atomic<std::int64_t> m_FreshNanos{0};
+  std::atomic<std::int64_t> m_BehindNanos{0};
   std::atomic<std::int64_t> m_AwayNanos{0};
   std::atomic<std::int64_t> m_SplitNanos{0};
   Counters m_Counters;
   state::SnapshotPtr m_Next;
   absl::flat_hash_map<std::string, Peer> m_Peers; ///< With a link that is up.
-  absl::flat_hash_map<std::string, absl::Time> m_SiteHeardAt;
+  absl::flat_hash_map<std::string, absl::Time> m_SiteAwayAt;
   bool m_IsLogAway = false;
   bool m_IsHelpingSelf = false;
   absl::Time m_StartedAt = absl::InfinitePast();
--- a/libs/app/src/SpreadRoles.cpp
+++ b/libs/app/src/SpreadRoles.cpp
@@ -57,6 +57,13 @@
   return Names;
 }
 
+bool SpreadRoles::hasOtherFollowers() const {
+  const std::vector<std::string> &Here = followersOf(m_Self.m_DataCenter);
+  return std::any_of(Here.begin(), Here.end(), [this](const auto &Name) {
+    return Name != m_Self.m_Name;
+  });
+}
+
 std::vector<std::string> SpreadRoles::otherDataCenters() const {
   std::vector<std::string> Sites;
   for (const auto &[Site, Followers] : m_Followers)
--- a/libs/app/src/SpreadRoles.h
+++ b/libs/app/src/SpreadRoles.h
@@ -40,6 +40,9 @@
   /// two of each, chosen by its own rank.
   [[nodiscard]] std::vector<std::string> remoteLinks() const;
 
+  /// \returns whether this data center has followers besides this daemon.
+  [[nodiscard]] bool hasOtherFollowers() const;
+
   /// \returns the data centers that have members, without this daemon's.
   [[nodiscard]] std::vector<std::string> otherDataCenters() const;
 
--- a/libs/policy/include/policy/Freshness.h
+++ b/libs/policy/include/policy/Freshness.h
@@ -14,7 +14,7 @@
   Fresh,    ///< It had all records that the log held within the bound.
   LogAway,  ///< Nobody reaches the log, so nothing can have been appended.
   Split,    ///< The log is away here; another data center may reach it.
-  Isolated, ///< No word about the log's end within the bound.
+  Isolated, ///< Records that the log holds may be missing here.
 };
 
 inline constexpr model::NameTable<Freshness, 4> FreshnessNames{
@@ -23,12 +23,17 @@
 /// Until when each verdict holds; the first one that holds is the verdict.
 struct FreshnessBounds {
   absl::Time m_Fresh = absl::InfinitePast();
+  /// Somebody reads the log, so it is not away for all; records are missing
+  /// here.
+  absl::Time m_Behind = absl::InfinitePast();
   absl::Time m_LogAway = absl::InfinitePast();
   absl::Time m_Split = absl::InfinitePast();
 
   [[nodiscard]] Freshness judge(absl::Time Now) const {
     if (Now < m_Fresh)
       return Freshness::Fresh;
+    if (Now < m_Behind)
+      return Freshness::Isolated;
     if (Now < m_LogAway)
       return Freshness::LogAway;
     return Now < m_Split ? Freshness::Split : Freshness::Isolated;
--- a/libs/policy/include/policy/FreshnessJudge.h
+++ b/libs/policy/include/policy/FreshnessJudge.h
@@ -64,10 +64,14 @@
   /// of the log being away.
   [[nodiscard]] const LogStamp &newest() const;
 
+  /// \returns the furthest end of the log that any stamp told of.
+  [[nodiscard]] model::LogOffset furthestEnd() const { return m_FurthestEnd; }
+
 private:
   void count(const LogStamp &Stamp);
 
   Options m_Settings;
+  model::LogOffset m_FurthestEnd = 0;
   LogStamp m_Read;                   ///< Newest of a read.
   LogStamp m_Away;                   ///< Newest of a log that is away.
   std::optional<LogStamp> m_Pending; ///< Oldest that lacks records here.
--- a/libs/policy/src/FreshnessJudge.cpp
+++ b/libs/policy/src/FreshnessJudge.cpp
@@ -5,6 +5,7 @@
 namespace knapweedloft::policy {
 
 void FreshnessJudge::onStamp(const LogStamp &Stamp, model::LogOffset Applied) {
+  m_FurthestEnd = std::max(m_FurthestEnd, Stamp.m_End);
   LogStamp &Newest = Stamp.m_IsAway ? m_Away : m_Read;
   if (Stamp.m_At > Newest.m_At)
     Newest = Stamp;
@@ -31,6 +32,7 @@
 
 FreshnessBounds FreshnessJudge::bounds() const {
   return {.m_Fresh = m_FreshAt + m_Settings.m_Bound,
+          .m_Behind = m_Read.m_At + m_Settings.m_Bound,
           .m_LogAway = m_AwayAt + m_Settings.m_Bound,
           .m_Split = m_SplitAt + m_Settings.m_Bound};
 }
--- a/libs/policy/tests/FreshnessJudgeTest.cpp
+++ b/libs/policy/tests/FreshnessJudgeTest.cpp
@@ -55,6 +55,13 @@
   EXPECT_TRUE(m_Judge.mayKeep(at(11)));
 }
 
+TEST_F(FreshnessJudgeTest, Judge_AwayButOthersReadAhead_IsIsolated) {
+  m_Judge.onStamp(read(9, 10), 4);
+  m_Judge.onStamp(away(10, false), 4);
+  EXPECT_EQ(m_Judge.judge(at(11)), Freshness::Isolated);
+  EXPECT_FALSE(m_Judge.mayKeep(at(11)));
+}
+
 TEST_F(FreshnessJudgeTest, Judge_AwayHereOnly_IsNeitherTrustedNorKeeps) {
   m_Judge.onStamp(away(10, true), 4);
   EXPECT_EQ(m_Judge.judge(at(11)), Freshness::Split);
--- /dev/null
+++ b/tools/fakefleet/tests/RateScheduleTest.cpp
@@ -0,0 +1,145 @@
+#include "fakefleet/FakeDaemon.h"
+#include "fakefleet/FakeFleet.h"
+#include "fakefleet/RateProbe.h"
+
+#include "gtest/gtest.h"
+
+#include <optional>
+#include <random>
+
+namespace knapweedloft::fakefleet {
+namespace {
+
+constexpr int Blocks = 10;
+constexpr int SchedulesPerBlock = 200;
+constexpr absl::Duration ScheduleLength = absl::Seconds(30);
+
+/// A customer that calls at three times its rate while everything fails.
+class Schedule {
+public:
+  explicit Schedule(std::uint64_t Seed)
+      : m_Random(Seed * 7919), m_PerSecond(uniform(5, 40)),
+        m_Burst(uniform(2, 60)), m_Fleet(options(Seed)) {
+    for (int Index = 1; Index <= DaemonCount; ++Index)
+      m_Fleet.add("d" + std::to_string(Index), Index % 2 == 0 ? "dc1" : "dc2");
+    m_Fleet.put(model::Customer{"c", ""});
+    m_Fleet.put(model::Rate{"c", m_PerSecond, m_Burst});
+    m_Fleet.run(absl::Seconds(4));
+    m_Probe.emplace(m_Fleet, "c", m_PerSecond, m_Burst);
+    scheduleCall();
+    scheduleFault();
+  }
+
+  void run() {
+    m_Fleet.run(ScheduleLength);
+    m_Fleet.log().m_IsAway = false;
+  }
+
+  [[nodiscard]] const RateProbe &probe() const { return *m_Probe; }
+
+private:
+  static constexpr int DaemonCount = 5;
+
+  FakeFleet::Options options(std::uint64_t Seed) {
+    return {.m_Seed = Seed,
+            .m_MostLatency = absl::Milliseconds(uniform(1, 40)),
+            .m_Loss = 0.05,
+            .m_Repeats = 0.05,
+            .m_MaxDrift = 0.0004};
+  }
+
+  double uniform(double Low, double High) {
+    return std::uniform_real_distribution<double>(Low, High)(m_Random);
+  }
+
+  std::string any() {
+    return "d" + std::to_string(1 + m_Random() % DaemonCount);
+  }
+
+  void scheduleCall() {
+    std::string Name = uniform(0, 1) < 0.5 ? m_Favorite : any();
+    m_Probe->call(Name);
+    m_Fleet.queue().after(absl::Seconds(uniform(0, 2) / (3 * m_PerSecond)),
+                          [this] { scheduleCall(); });
+  }
+
+  void scheduleFault() {
+    fault();
+    m_Fleet.queue().after(absl::Seconds(uniform(0.1, 4)),
+                          [this] { scheduleFault(); });
+  }
+
+  void fault() {
+    std::string Name = any();
+    switch (m_Random() % 8) {
+    case 0:
+      return pause(Name);
+    case 1:
+      return m_Fleet.restart(Name);
+    case 2:
+      m_Fleet.log().m_IsAway = !m_Fleet.log().m_IsAway;
+      return;
+    case 3:
+      return isolate(Name);
+    case 4:
+      return m_Fleet.setLogReach(Name, uniform(0, 1) < 0.5);
+    case 5: // Peers that are wrong.
+      return m_Fleet.append(
+          state::Leave{Name, m_Fleet.daemon(Name).self().m_Incarnation, true});
+    case 6:
+      m_Favorite = Name;
+      return;
+    default:
+      m_Fleet.log().m_Latency = absl::Milliseconds(uniform(1, 1500));
+    }
+  }
+
+  /// Some caller threads stop between reading the clock and taking a token.
+  void pause(const std::string &Name) {
+    absl::Duration Length = absl::Seconds(uniform(0.1, 12));
+    absl::Time Clock = m_Fleet.daemon(Name).clock();
+    m_Fleet.pause(Name, Length);
+    m_Fleet.queue().after(Length, [this, Name, Clock] {
+      for (int Call = 0; Call < 3; ++Call)
+        m_Probe->call(Name, Clock);
+    });
+  }
+
+  void isolate(const std::string &Name) {
+    bool IsCut = uniform(0, 1) < 0.6;
+    bool IsOneWay = uniform(0, 1) < 0.3;
+    for (const std::string &Other : m_Fleet.names()) {
+      m_Fleet.cut(Name, Other, IsCut);
+      m_Fleet.cut(Other, Name, IsCut && !IsOneWay);
+    }
+  }
+
+  std::mt19937_64 m_Random;
+  double m_PerSecond;
+  double m_Burst;
+  FakeFleet m_Fleet;
+  std::optional<RateProbe> m_Probe;
+  std::string m_Favorite = "d1";
+};
+
+class RateScheduleTest : public testing::TestWithParam<int> {};
+
+/// The invariant: tokens spent in any window of length W are at most
+/// rate * W + burst, whatever fails.
+TEST_P(RateScheduleTest, Spend_RandomFaults_StaysWithinRateAndBurst) {
+  std::uint64_t Granted = 0;
+  for (int Index = 0; Index < SchedulesPerBlock; ++Index) {
+    std::uint64_t Seed =
+        static_cast<std::uint64_t>(GetParam()) * SchedulesPerBlock + Index + 1;
+    Schedule Run(Seed);
+    Run.run();
+    Granted += Run.probe().tally().m_Granted;
+    ASSERT_LE(Run.probe().overshoot(0.001), 1e-6) << "seed " << Seed;
+  }
+  EXPECT_GT(Granted, 100U * SchedulesPerBlock);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RateScheduleTest, testing::Range(0, Blocks));
+
+} // namespace
+} // namespace knapweedloft::fakefleet
