Replace keepers on purpose in the random schedules

Cause: two mutations survived the schedules: a new keeper that does not wait, and a keeper that ignores freshness. Random faults seldom replaced a keeper that still lived. Change: one fault in ten takes the present keeper for dead while it is cut off, paused or well, with the calls going to it; another heals everything.

--- a/tools/fakefleet/tests/RateScheduleTest.cpp
+++ b/tools/fakefleet/tests/RateScheduleTest.cpp
@@ -1,6 +1,7 @@
 #include "fakefleet/FakeDaemon.h"
 #include "fakefleet/FakeFleet.h"
 #include "fakefleet/RateProbe.h"
+#include "policy/RateShard.h"
 
 #include "gtest/gtest.h"
 
@@ -71,7 +72,7 @@
 
   void fault() {
     std::string Name = any();
-    switch (m_Random() % 8) {
+    switch (m_Random() % 10) {
     case 0:
       return pause(Name);
     case 1:
@@ -89,6 +90,10 @@
     case 6:
       m_Favorite = Name;
       return;
+    case 7:
+      return replaceKeeper();
+    case 8:
+      return healAll();
     default:
       m_Fleet.log().m_Latency = absl::Milliseconds(uniform(1, 1500));
     }
@@ -105,9 +110,49 @@
     });
   }
 
+  /// Peers take a keeper for dead that is cut off, or paused, or well.
+  void replaceKeeper() {
+    std::string Name = keeper();
+    if (Name.empty() || !m_Fleet.isUp(Name))
+      return;
+    m_Favorite = Name;
+    double Choice = uniform(0, 1);
+    if (Choice < 0.6)
+      cutOff(Name, true, false);
+    else if (Choice < 0.8)
+      pause(Name);
+    m_Fleet.append(
+        state::Leave{Name, m_Fleet.daemon(Name).self().m_Incarnation, true});
+  }
+
+  /// \returns who keeps the customer's shard by the daemon furthest on.
+  std::string keeper() {
+    state::KeeperRecord Newest;
+    for (const std::string &Name : m_Fleet.names()) {
+      state::KeeperRecord Record =
+          m_Fleet.daemon(Name).replica().store().share()->keeperOf(
+              policy::rateShardOf("c"));
+      if (Record.m_Epoch > Newest.m_Epoch)
+        Newest = Record;
+    }
+    return Newest.m_Name;
+  }
+
+  void healAll() {
+    m_Fleet.log().m_IsAway = false;
+    for (const std::string &Name : m_Fleet.names()) {
+      cutOff(Name, false, false);
+      m_Fleet.setLogReach(Name, true);
+    }
+  }
+
   void isolate(const std::string &Name) {
-    bool IsCut = uniform(0, 1) < 0.6;
-    bool IsOneWay = uniform(0, 1) < 0.3;
+    cutOff(Name, uniform(0, 1) < 0.6, uniform(0, 1) < 0.3);
+  }
+
+  void cutOff(const std::string &Name, bool IsCut, bool IsOneWay) {
+    if (IsCut && !IsOneWay)
+      m_Fleet.setLogReach(Name, false);
     for (const std::string &Other : m_Fleet.names()) {
       m_Fleet.cut(Name, Other, IsCut);
       m_Fleet.cut(Other, Name, IsCut && !IsOneWay);
