--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -3,6 +3,8 @@
 #include "DeleteCommand.h"
 #include "ExitCode.h"
 #include "GetCommand.h"
+#include "ReportCommand.h"
+#include "RunCommand.h"
 #include "UsageError.h"
 #include "WatchCommand.h"
 #include "app/SettingsError.h"
@@ -37,7 +39,9 @@
   App.footer(Footer);
   App.set_version_flag("--version", "knapweedloft " KNAPWEEDLOFT_VERSION);
   App.require_subcommand(1);
+  addRunCommand(App);
   addCheckCommand(App);
+  addReportCommand(App);
   addApplyCommand(App);
   addGetCommand(App);
   addDeleteCommand(App);
