--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -17,6 +17,7 @@
 #include "http/HttpServer.h"
 #include "link/LinkNode.h"
 #include "platform/Appender.h"
+#include "platform/ImageWriter.h"
 #include "platform/LogFollower.h"
 #include "platform/LogService.h"
 #include "platform/ReplicaFeed.h"
@@ -48,6 +49,8 @@
   void makeRates();
   void makeLinks();
   void makeLog();
+  [[nodiscard]] std::unique_ptr<platform::Appender>
+  makeAppender(const std::string &ThreadName) const;
   void makeApi();
   void makeServers();
   void append(state::Entry Entry);
@@ -121,6 +124,9 @@
   std::unique_ptr<CallerHandler> m_Caller;
   std::unique_ptr<ResourceApi> m_Api;
   std::unique_ptr<platform::Appender> m_Appender;
+  /// Of its own, so that no claim waits behind the parts of an image.
+  std::unique_ptr<platform::Appender> m_ImageAppender;
+  std::unique_ptr<platform::ImageWriter> m_Images;
   std::unique_ptr<http::HttpClient> m_Client;
   std::unique_ptr<link::LinkNode> m_Links;
   std::unique_ptr<platform::LogFollower> m_Follower;
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -63,12 +63,7 @@
                                    .m_Timeout = From.m_Log.m_Timeout})),
       m_Metrics({}), m_Contexts(randomBits) {
   makeSides();
-  m_Appender = std::make_unique<platform::Appender>(
-      platform::Appender::Options{.m_Log = m_Log,
-                                  .m_Stream = m_Settings.m_Log.m_Stream,
-                                  .m_Now = monotonicNow,
-                                  .m_Random = randomUnit,
-                                  .m_Threads = 1});
+  m_Appender = makeAppender("log-append");
   makeLinks();
   // The control components need the address that links are accepted at, and
   // belong to the link thread from their first moment on.
@@ -252,7 +247,24 @@
                {{"address", Bound.m_Address}, {"port", Bound.m_Port}});
 }
 
+std::unique_ptr<platform::Appender>
+Daemon::Impl::makeAppender(const std::string &ThreadName) const {
+  return std::make_unique<platform::Appender>(
+      platform::Appender::Options{.m_Log = m_Log,
+                                  .m_Stream = m_Settings.m_Log.m_Stream,
+                                  .m_Now = monotonicNow,
+                                  .m_Random = randomUnit,
+                                  .m_Threads = 1,
+                                  .m_ThreadName = ThreadName});
+}
+
 void Daemon::Impl::makeLog() {
+  m_ImageAppender = makeAppender("image-append");
+  m_Images = std::make_unique<platform::ImageWriter>(
+      platform::ImageWriter::Options{.m_Replica = &m_Replica,
+                                     .m_Feed = &m_Feed,
+                                     .m_Appender = m_ImageAppender.get(),
+                                     .m_Seed = randomBits()});
   m_Replica.onAdvance([this](model::LogOffset) { onAdvance(); });
   platform::LogFollower::Options Options;
   Options.m_Log = m_Log;
@@ -261,6 +273,7 @@
   Options.m_OnRead = [this](const platform::LogRead &Read,
                             const platform::LogFreshness &Seen) {
     m_Feed.take(Read);
+    m_Images->review(Read, monotonicNow());
     onLogSeen(Seen);
   };
   Options.m_OnExpired = [this](const platform::OffsetExpired &Expired) {
