Measure the slopes behind the capacity page; test both tables of a daemon

The capacity tool fits costs over several sizes: the state by members and customers in process, the control components over 35 to 280 daemons on fake links in virtual time.

--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -17,6 +17,7 @@
 #include "http/HttpServer.h"
 #include "link/LinkNode.h"
 #include "platform/Appender.h"
+#include "platform/ImageWriter.h"
 #include "platform/LogFollower.h"
 #include "platform/LogService.h"
 #include "platform/ReplicaFeed.h"
@@ -121,6 +122,7 @@
   std::unique_ptr<CallerHandler> m_Caller;
   std::unique_ptr<ResourceApi> m_Api;
   std::unique_ptr<platform::Appender> m_Appender;
+  std::unique_ptr<platform::ImageWriter> m_Images;
   std::unique_ptr<http::HttpClient> m_Client;
   std::unique_ptr<link::LinkNode> m_Links;
   std::unique_ptr<platform::LogFollower> m_Follower;
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -253,6 +253,11 @@
 }
 
 void Daemon::Impl::makeLog() {
+  m_Images = std::make_unique<platform::ImageWriter>(
+      platform::ImageWriter::Options{.m_Replica = &m_Replica,
+                                     .m_Feed = &m_Feed,
+                                     .m_Appender = m_Appender.get(),
+                                     .m_Seed = m_Self.m_Incarnation});
   m_Replica.onAdvance([this](model::LogOffset) { onAdvance(); });
   platform::LogFollower::Options Options;
   Options.m_Log = m_Log;
@@ -261,6 +266,7 @@
   Options.m_OnRead = [this](const platform::LogRead &Read,
                             const platform::LogFreshness &Seen) {
     m_Feed.take(Read);
+    m_Images->review(Read, monotonicNow());
     onLogSeen(Seen);
   };
   Options.m_OnExpired = [this](const platform::OffsetExpired &Expired) {
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -25,6 +25,7 @@
   m_Api.reset();
   m_CallerServer.reset();
   m_Follower.reset();
+  m_Images.reset();
   m_Appender.reset();
   m_Client.reset();
   m_Links.reset();
--- /dev/null
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -0,0 +1,218 @@
+#include "app/TargetSide.h"
+
+#include "app/RequestHeaders.h"
+#include "state/KeyText.h"
+#include "state/RecordCodec.h"
+#include "state/StateReplica.h"
+
+#include "gtest/gtest.h"
+
+#include <map>
+#include <vector>
+
+namespace knapweedloft::app {
+namespace {
+
+using model::Ran;
+using model::RefusalReason;
+
+constexpr link::PeerHandle Entry{5};
+constexpr model::Incarnation Self = 42;
+
+/// A target side whose target, links and clock are in the test's hands.
+class TargetSideTest : public testing::Test {
+protected:
+  TargetSideTest() {
+    put(model::Customer{"acme", ""});
+    put(model::Key{"k1", "acme", state::digestOf("secret")});
+    announce(7);
+  }
+
+  void put(model::Resource What) {
+    state::ResourceChange Change;
+    Change.m_ChangeId = "c" + std::to_string(m_Replica.offset());
+    Change.m_Kind = model::kindOf(What);
+    Change.m_Name = model::nameOf(What);
+    Change.m_Resource = std::move(What);
+    state::Record Record{.m_Entry = std::move(Change)};
+    m_Replica.applyRecord(m_Replica.offset(), state::encodeRecord(Record));
+  }
+
+  void announce(std::uint64_t Instance,
+                TargetState State = TargetState::Ready) {
+    m_Target.onAnnouncement({.m_Service = "orders",
+                             .m_At = {"127.0.0.1", 9000},
+                             .m_State = State,
+                             .m_Instance = Instance},
+                            m_Now);
+  }
+
+  TargetSide::Options options() {
+    TargetSide::Options Options;
+    Options.m_Self = Self;
+    Options.m_Hooks.m_Answer = [this](link::PeerHandle To,
+                                      wire::AnswerT Answer) {
+      EXPECT_EQ(To, Entry);
+      m_Answers.push_back(std::move(Answer));
+    };
+    Options.m_Hooks.m_Call = [this](const std::string &, http::HttpRequest Http,
+                                    absl::Duration,
+                                    TargetSide::Hooks::Done OnDone) {
+      m_Requests.push_back(std::move(Http));
+      m_Calls[++m_LastCall] = std::move(OnDone);
+      return m_LastCall;
+    };
+    Options.m_Hooks.m_CancelCall = [this](http::HttpClient::CallId Call) {
+      m_Cancelled.push_back(Call);
+    };
+    Options.m_Hooks.m_Wake = [](absl::Time) {};
+    return Options;
+  }
+
+  static wire::ForwardT forward(std::uint64_t Sequence) {
+    wire::ForwardT Message;
+    Message.id = {1, Sequence};
+    Message.to_incarnation = Self;
+    Message.method = "POST";
+    Message.path = "/orders";
+    Message.service = "orders";
+    Message.customer = "acme";
+    model::KeyDigest Digest = state::digestOf("secret");
+    Message.key_digest.assign(Digest.begin(), Digest.end());
+    Message.priority = static_cast<std::uint8_t>(model::Priority::Normal);
+    Message.remaining_us = 1'000'000;
+    return Message;
+  }
+
+  void send(wire::ForwardT Message) {
+    m_Target.onForward(Entry, Message, *m_Replica.store().share(), m_Now);
+  }
+
+  void finish(http::HttpClient::CallId Call, http::Failure Failure,
+              std::string Body = "") {
+    http::HttpResult Result;
+    Result.m_Failure = Failure;
+    Result.m_Response.m_Body = std::move(Body);
+    Result.m_Latency = absl::Milliseconds(2);
+    TargetSide::Hooks::Done OnDone = std::move(m_Calls.at(Call));
+    m_Calls.erase(Call);
+    OnDone(std::move(Result), m_Now);
+  }
+
+  [[nodiscard]] RefusalReason reason(std::size_t Index) const {
+    return static_cast<RefusalReason>(m_Answers.at(Index).refusal);
+  }
+  [[nodiscard]] Ran ran(std::size_t Index) const {
+    return static_cast<Ran>(m_Answers.at(Index).ran);
+  }
+
+  absl::Time m_Now = absl::UnixEpoch() + absl::Hours(1);
+  state::StateReplica m_Replica;
+  std::uint64_t m_Bits = 0;
+  ContextTable m_Contexts{[this] { return ++m_Bits; }};
+  http::HttpClient::CallId m_LastCall = 0;
+  std::map<http::HttpClient::CallId, TargetSide::Hooks::Done> m_Calls;
+  std::vector<http::HttpRequest> m_Requests;
+  std::vector<http::HttpClient::CallId> m_Cancelled;
+  std::vector<wire::AnswerT> m_Answers;
+  TargetSide m_Target{options(), m_Contexts, m_Now};
+};
+
+TEST_F(TargetSideTest, OnForward_TargetAnswers_AnswerIsWholeAndItsOwn) {
+  send(forward(1));
+  send(forward(2));
+  ASSERT_EQ(m_Requests.size(), 2U);
+  finish(2, http::Failure::None, "two");
+  finish(1, http::Failure::None, "one");
+  ASSERT_EQ(m_Answers.size(), 2U);
+  EXPECT_EQ(m_Answers[0].id.sequence(), 2U);
+  EXPECT_EQ(toText(m_Answers[0].body), "two");
+  EXPECT_EQ(m_Answers[1].id.sequence(), 1U);
+  EXPECT_EQ(toText(m_Answers[1].body), "one");
+  EXPECT_EQ(m_Target.pending(), 0U);
+}
+
+TEST_F(TargetSideTest, OnForward_ToFormerIncarnation_IsRefusedAsNotRun) {
+  wire::ForwardT Message = forward(1);
+  Message.to_incarnation = Self + 1;
+  send(std::move(Message));
+  EXPECT_EQ(reason(0), RefusalReason::WrongIncarnation);
+  EXPECT_EQ(ran(0), Ran::No);
+  EXPECT_TRUE(m_Requests.empty());
+}
+
+TEST_F(TargetSideTest, OnForward_KeyWithdrawnHere_IsRefusedThoughEntryLetIt) {
+  state::ResourceChange Change;
+  Change.m_ChangeId = "withdraw";
+  Change.m_Kind = model::ResourceKind::Key;
+  Change.m_Name = "k1";
+  Change.m_IsDelete = true;
+  state::Record Record{.m_Entry = std::move(Change)};
+  m_Replica.applyRecord(m_Replica.offset(), state::encodeRecord(Record));
+  send(forward(1));
+  EXPECT_EQ(reason(0), RefusalReason::BadKey);
+  EXPECT_TRUE(m_Requests.empty());
+}
+
+TEST_F(TargetSideTest, OnForward_KeyOfAnotherCustomer_IsRefused) {
+  wire::ForwardT Message = forward(1);
+  Message.customer = "zeta";
+  send(std::move(Message));
+  EXPECT_EQ(reason(0), RefusalReason::BadKey);
+}
+
+TEST_F(TargetSideTest, OnForward_Draining_IsRefusedAndRunningGoesOn) {
+  send(forward(1));
+  announce(7, TargetState::Draining);
+  send(forward(2));
+  EXPECT_EQ(reason(0), RefusalReason::NoTarget);
+  EXPECT_EQ(ran(0), Ran::No);
+  finish(1, http::Failure::None, "done");
+  EXPECT_EQ(toText(m_Answers[1].body), "done");
+}
+
+TEST_F(TargetSideTest, OnResult_ConnectionBrokeHalfWay_IsNeverPassedAsWhole) {
+  send(forward(1));
+  finish(1, http::Failure::Cut, "half of it");
+  EXPECT_EQ(reason(0), RefusalReason::BadAnswer);
+  EXPECT_EQ(ran(0), Ran::Unknown);
+  EXPECT_TRUE(m_Answers[0].body.empty());
+}
+
+TEST_F(TargetSideTest, OnResult_ConnectionRefused_SaysNotRun) {
+  send(forward(1));
+  finish(1, http::Failure::NotSent);
+  EXPECT_EQ(reason(0), RefusalReason::NoTarget);
+  EXPECT_EQ(ran(0), Ran::No);
+}
+
+TEST_F(TargetSideTest, OnCancel_Running_ClosesTheCall) {
+  send(forward(1));
+  m_Target.onCancel({1, 1}, m_Now);
+  EXPECT_EQ(m_Cancelled.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnForward_Running_ContextLivesJustAsLong) {
+  send(forward(1));
+  const std::string *Context =
+      http::findHeader(m_Requests.at(0).m_Headers, ContextHeader);
+  ASSERT_NE(Context, nullptr);
+  auto Id = contextFromText(*Context);
+  ASSERT_TRUE(Id);
+  ASSERT_NE(m_Contexts.find(*Id), nullptr);
+  EXPECT_EQ(m_Contexts.find(*Id)->m_Customer, "acme");
+  finish(1, http::Failure::None);
+  EXPECT_EQ(m_Contexts.find(*Id), nullptr);
+}
+
+TEST_F(TargetSideTest, StopIntake_NewForward_IsRefusedRunningFinishes) {
+  send(forward(1));
+  m_Target.stopIntake();
+  send(forward(2));
+  EXPECT_EQ(reason(0), RefusalReason::Stopping);
+  finish(1, http::Failure::None, "done");
+  EXPECT_EQ(toText(m_Answers[1].body), "done");
+}
+
+} // namespace
+} // namespace knapweedloft::app
--- /dev/null
+++ b/tools/capacity/Main.cpp
@@ -0,0 +1,27 @@
+#include "ControlSlopes.h"
+#include "Sheet.h"
+#include "StateSlopes.h"
+
+#include "CLI/CLI.hpp"
+#include "fmt/format.h"
+
+#include <cstdint>
+#include <exception>
+
+int main(int Count, char **Arguments) {
+  CLI::App Program("Measures the slopes behind docs/CAPACITY.md");
+  std::uint64_t Seed = 1;
+  Program.add_option("--seed", Seed, "Seed of the fake fleet's chance");
+  CLI11_PARSE(Program, Count, Arguments);
+  try {
+    knapweedloft::capacity::Sheet Page;
+    knapweedloft::capacity::measureState(Page);
+    knapweedloft::capacity::measureControl(Page, Seed);
+    fmt::print("capacity seed={} rows={} short={}\n", Seed, Page.rows(),
+               Page.shortRows());
+    return Page.shortRows() == 0 ? 0 : 1;
+  } catch (const std::exception &Error) {
+    fmt::print(stderr, "capacity: {}\n", Error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/tools/capacity/StateSlopes.h
@@ -0,0 +1,14 @@
+#ifndef KNAPWEEDLOFT_CAPACITY_STATESLOPES_H
+#define KNAPWEEDLOFT_CAPACITY_STATESLOPES_H
+
+#include "Sheet.h"
+
+namespace knapweedloft::capacity {
+
+/// Measures what the state costs by members and by customers: memory, image,
+/// time of a change and of a start from an image. Needs no other process.
+void measureState(Sheet &Page);
+
+} // namespace knapweedloft::capacity
+
+#endif // KNAPWEEDLOFT_CAPACITY_STATESLOPES_H
