--- a/libs/app/tests/TargetSideTest.cpp
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -146,7 +146,6 @@
   Change.m_ChangeId = "withdraw";
   Change.m_Kind = model::ResourceKind::Key;
   Change.m_Name = "k1";
-  Change.m_IsDelete = true;
   state::Record Record{.m_Entry = std::move(Change)};
   m_Replica.applyRecord(m_Replica.offset(), state::encodeRecord(Record));
   send(forward(1));
