--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -264,7 +264,7 @@
       platform::ImageWriter::Options{.m_Replica = &m_Replica,
                                      .m_Feed = &m_Feed,
                                      .m_Appender = m_ImageAppender.get(),
-                                     .m_Seed = randomBits()});
+                                     .m_Seed = m_Self.m_Incarnation});
   m_Replica.onAdvance([this](model::LogOffset) { onAdvance(); });
   platform::LogFollower::Options Options;
   Options.m_Log = m_Log;
