Do not forward a request whose key was withdrawn while it waited

Cause: a request that waits for a link or for its next attempt kept the verdict on its key from when it came in, and told targets the newer state offset, so that a target side that was behind did not check either. Change: the entry side looks the key up again before each forward. Conclusion: the new test fails without the check (the request was forwarded) and passes with it.

--- a/libs/app/include/app/EntrySide.h
+++ b/libs/app/include/app/EntrySide.h
@@ -114,6 +114,8 @@
   [[nodiscard]] bool inherit(EntryRequest &Request, Pending &Next,
                              absl::Time Now, Ending &Refused);
   void dispatch(PendingId Id, absl::Time Now);
+  /// \returns whether the key has been withdrawn since the request entered.
+  [[nodiscard]] bool isKeyWithdrawn(const EntryRequest &Request) const;
   [[nodiscard]] bool forward(PendingId Id, Pending &Next, EntryService &Service,
                              policy::TargetHandle Target, absl::Time Now);
   [[nodiscard]] wire::ForwardT makeForward(const Pending &Next,
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -146,6 +146,10 @@
     return;
   Pending &Next = Found->second;
   Next.m_Stage = Stage::Choosing;
+  if (isKeyWithdrawn(Next.m_Request)) {
+    end(Id, {.m_Reason = RefusalReason::BadKey, .m_IsFinal = true}, Now);
+    return;
+  }
   EntryService &Service = serviceOf(Next.m_Request.m_Route.m_Service, Now);
   std::vector<policy::TargetHandle> Excluded = Next.m_Excluded;
   bool IsLinkMissing = false;
@@ -174,6 +178,15 @@
       Now);
 }
 
+bool EntrySide::isKeyWithdrawn(const EntryRequest &Request) const {
+  // The key of a target's own call was judged where its request entered.
+  if (!Request.m_HasKey || Request.m_Context)
+    return false;
+  state::SnapshotStore::ReadGuard State(m_Store);
+  const model::Key *Found = State->findKey(Request.m_Digest);
+  return !Found || Found->m_Customer != Request.m_Customer;
+}
+
 bool EntrySide::forward(PendingId Id, Pending &Next, EntryService &Service,
                         policy::TargetHandle Target, absl::Time Now) {
   model::Member To;
--- a/libs/app/tests/EntrySideTest.cpp
+++ b/libs/app/tests/EntrySideTest.cpp
@@ -72,7 +72,18 @@
     return Options;
   }
 
-  void submit(bool IsIdempotent = false) {
+  /// Puts or, without a customer, deletes the key that submit() shows.
+  void setKey(const std::string &ChangeId, const std::string &Customer) {
+    state::ResourceChange Change{.m_ChangeId = ChangeId,
+                                 .m_Kind = model::ResourceKind::Key,
+                                 .m_Name = "k"};
+    if (!Customer.empty())
+      Change.m_Resource =
+          model::Key{.m_Name = "k", .m_Customer = Customer, .m_Digest = Digest};
+    append(Change);
+  }
+
+  void submit(bool IsIdempotent = false, bool HasKey = false) {
     EntryRequest Request;
     auto Http = std::make_shared<http::HttpRequest>();
     Http->m_Method = "POST";
@@ -87,6 +98,8 @@
     Request.m_Route.m_Service = "orders";
     Request.m_Route.m_IsIdempotent = IsIdempotent;
     Request.m_Customer = "acme";
+    Request.m_HasKey = HasKey;
+    Request.m_Digest = Digest;
     Request.m_Received = m_Now;
     Request.m_Deadline = m_Now + Timeout;
     m_Entry.submit(std::move(Request), m_Now);
@@ -115,6 +128,7 @@
   }
 
   static constexpr model::Incarnation Self = 99;
+  static constexpr model::KeyDigest Digest{7};
   absl::Time m_Now = absl::UnixEpoch() + absl::Hours(1);
   state::StateReplica m_Replica;
   ContextTable m_Contexts{[] { return std::uint64_t{7}; }};
@@ -217,6 +231,26 @@
   EXPECT_EQ(m_Sent.size(), 1U);
 }
 
+TEST_F(EntrySideTest, OnPeerUp_KeyWithdrawnWhileWaiting_IsNotForwarded) {
+  append(
+      state::ResourceChange{.m_ChangeId = "c",
+                            .m_Name = "acme",
+                            .m_Resource = model::Customer{.m_Name = "acme"}});
+  setKey("put", "acme");
+  m_IsLinked = false;
+  submit(false, true);
+  setKey("delete", "");
+  m_IsLinked = true;
+  model::Member Who;
+  Who.m_Name = "a-1";
+  Who.m_Service = "orders";
+  m_Entry.onPeerUp(Who, m_Now);
+  EXPECT_TRUE(m_Sent.empty());
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 401);
+  EXPECT_EQ(problem()["ran"], "no");
+}
+
 TEST_F(EntrySideTest, Submit_NoLinkComesUp_RefusesAsNotRun) {
   m_IsLinked = false;
   submit();
