Test what the target side does with a key that it has not heard of

Cause: a daemon behind the entry's state must not refuse a new key, and a digest of the wrong size must not pass. Change: two tests more of the target side's check.

--- a/libs/app/tests/TargetSideTest.cpp
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -160,6 +160,21 @@
   EXPECT_EQ(reason(0), RefusalReason::BadKey);
 }
 
+TEST_F(TargetSideTest, OnForward_KeyNotHeardOfHereYet_IsLeftToTheEntry) {
+  wire::ForwardT Message = forward(1);
+  Message.key_digest[0] ^= 1;
+  Message.state_offset = m_Replica.offset() + 1;
+  send(std::move(Message));
+  EXPECT_EQ(m_Requests.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnForward_DigestCutShort_IsRefused) {
+  wire::ForwardT Message = forward(1);
+  Message.key_digest.resize(16);
+  send(std::move(Message));
+  EXPECT_EQ(reason(0), RefusalReason::BadKey);
+}
+
 TEST_F(TargetSideTest, OnForward_Draining_IsRefusedAndRunningGoesOn) {
   send(forward(1));
   announce(7, TargetState::Draining);
