Let calls wait for a token that is due at once

Cause: near an empty bucket a call was refused though its token was due some milliseconds later, and a holder alone waited a whole token's time. Change: calls wait up to 25 ms for tokens that are due by then, as many as accrue; those that were given too little share the accrual among the others only. m_Post of RateService takes a delay.

--- a/libs/app/include/app/RateService.h
+++ b/libs/app/include/app/RateService.h
@@ -44,8 +44,9 @@
         m_SendAsk;
     std::function<bool(const std::string &Name, link::wire::GrantT Grant)>
         m_SendGrant;
-    /// Runs a task on the link thread.
-    std::function<void(std::function<void()> Task)> m_Post;
+    /// Runs a task on the link thread, after a delay.
+    std::function<void(std::function<void()> Task, absl::Duration Delay)>
+        m_Post;
     /// Appends to the log, in the background and perhaps in vain.
     std::function<void(state::KeeperClaim Claim)> m_Claim;
     /// FreshnessJudge::mayKeep() of a judge whose bound is m_StopsWithin.
@@ -63,6 +64,9 @@
     /// Time that each earlier choice for a vacant shard has to claim it.
     absl::Duration m_ClaimTurn = absl::Seconds(2);
     std::size_t m_MaxWaiting = 4096; ///< Calls of a customer.
+    /// Calls wait for tokens that are due within this; others are refused at
+    /// once.
+    absl::Duration m_Patience = absl::Milliseconds(25);
   };
 
   RateService(Options Settings, const state::SnapshotStore &Store,
--- a/libs/app/src/RateEntry.h
+++ b/libs/app/src/RateEntry.h
@@ -19,6 +19,7 @@
 
 /// A call that waits for a token.
 struct WaitingCall {
+  absl::Time m_Now; ///< When it began to wait.
   absl::Time m_Until;
   std::function<void(const RateDecision &)> m_Done;
 };
@@ -35,7 +36,9 @@
   /// The keeper had too few tokens; calls without one are refused until then.
   std::atomic<std::int64_t> m_DryUntilNanos{0};
   std::atomic<bool> m_IsKeeperAway{false}; ///< Why it is dry.
-  std::atomic<bool> m_IsAskDue{false};     ///< Posted, or under way.
+  /// Calls that may wait while dry, for tokens that are due soon.
+  std::atomic<std::size_t> m_PatientCalls{0};
+  std::atomic<bool> m_IsAskDue{false}; ///< Posted, or under way.
   absl::Mutex m_Mutex;
   std::deque<WaitingCall> m_Waiting ABSL_GUARDED_BY(m_Mutex);
 
--- a/libs/app/src/RateHolder.cpp
+++ b/libs/app/src/RateHolder.cpp
@@ -1,5 +1,6 @@
 #include "RateHolder.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -22,10 +23,10 @@
 
 } // namespace
 
-RateHolder::RateHolder(const policy::Allotment::Options &Settings,
-                       std::size_t MaxWaiting,
+RateHolder::RateHolder(const Options &Settings,
                        const state::SnapshotStore &Store, Hooks Surroundings)
-    : m_Table(Settings), m_MaxWaiting(MaxWaiting), m_Store(Store),
+    : m_Table(Settings.m_Allotment), m_MaxWaiting(Settings.m_MaxWaiting),
+      m_Patience(Settings.m_Patience), m_Store(Store),
       m_Hooks(std::move(Surroundings)) {}
 
 void RateHolder::acquire(const std::string &Customer, absl::Time Now,
@@ -43,11 +44,15 @@
       postAsk(Handle, Now);
     return Done(granted(*Token));
   }
-  if (Now < DryUntil)
-    return Done(refused(DryUntil - Now, Entry.m_IsKeeperAway.load()));
-  if (!wait(Entry, {Now + MaxWait, std::move(Done)}))
+  if (Now >= DryUntil) {
+    if (wait(Entry, m_MaxWaiting, {Now, Now + MaxWait, std::move(Done)}))
+      postAsk(Handle, Now);
     return;
-  postAsk(Handle, Now);
+  }
+  // The ask that follows at DryUntil serves those that wait.
+  bool IsPatient = DryUntil - Now <= std::min(m_Patience, MaxWait);
+  std::size_t Most = IsPatient ? Entry.m_PatientCalls.load() : 0;
+  wait(Entry, Most, {Now, Now + MaxWait, std::move(Done)});
 }
 
 void RateHolder::onGrant(const link::wire::GrantT &Grant, absl::Time Now) {
@@ -63,18 +68,32 @@
   if (!Entry.m_Held.onGrant(Grant.epoch, Given, Now))
     return;
   Entry.m_IsAskDue.store(false);
-  bool IsKeeperAway = Grant.lifetime_us == 0;
-  Entry.m_IsKeeperAway.store(IsKeeperAway);
-  absl::Time DryUntil = Now + Given.m_RetryAfter;
-  if (Given.m_RetryAfter > absl::ZeroDuration())
-    Entry.m_DryUntilNanos.store(absl::ToUnixNanos(DryUntil));
   serveWaiting(Entry, Now);
   if (Given.m_RetryAfter > absl::ZeroDuration())
-    return refuseWaiting(Entry, refused(Given.m_RetryAfter, IsKeeperAway));
+    return onShort(Handle, Given, Grant.lifetime_us == 0, Now);
   if (waitingCount(Entry) > 0)
     startAsk(Handle, Now);
 }
 
+void RateHolder::onShort(RateHandle Handle, const policy::TokenGrant &Given,
+                         bool IsKeeperAway, absl::Time Now) {
+  RateEntry &Entry = m_Table.at(Handle);
+  std::size_t Patient = 0;
+  if (Given.m_RetryAfter <= m_Patience && !IsKeeperAway) {
+    Patient = static_cast<std::size_t>(m_Patience / Given.m_RetryAfter);
+    m_Hooks.m_Post(
+        [this, Handle, Again = Now + Given.m_RetryAfter] {
+          if (waitingCount(m_Table.at(Handle)) > 0)
+            startAsk(Handle, Again);
+        },
+        Given.m_RetryAfter);
+  }
+  Entry.m_IsKeeperAway.store(IsKeeperAway);
+  Entry.m_PatientCalls.store(Patient);
+  Entry.m_DryUntilNanos.store(absl::ToUnixNanos(Now + Given.m_RetryAfter));
+  refuseWaiting(Entry, Patient, refused(Given.m_RetryAfter, IsKeeperAway));
+}
+
 void RateHolder::tick(absl::Time Now) {
   std::size_t Size = m_Table.size();
   for (std::uint32_t Index = 0; Index < Size; ++Index) {
@@ -112,18 +131,24 @@
 
 void RateHolder::postAsk(RateHandle Handle, absl::Time Now) {
   if (!m_Table.at(Handle).m_IsAskDue.exchange(true))
-    m_Hooks.m_Post([this, Handle, Now] { startAsk(Handle, Now); });
+    m_Hooks.m_Post([this, Handle, Now] { startAsk(Handle, Now); },
+                   absl::ZeroDuration());
 }
 
-bool RateHolder::wait(RateEntry &Entry, WaitingCall Call) {
+bool RateHolder::wait(RateEntry &Entry, std::size_t Most, WaitingCall Call) {
   {
     absl::MutexLock Lock(&Entry.m_Mutex);
-    if (Entry.m_Waiting.size() < m_MaxWaiting) {
+    if (Entry.m_Waiting.size() < Most) {
       Entry.m_Waiting.push_back(std::move(Call));
       return true;
     }
   }
-  Call.m_Done(refused(NoKeeperRetry, true));
+  absl::Time DryUntil = Entry.dryUntil();
+  absl::Time Now = Call.m_Now;
+  if (Now < DryUntil)
+    Call.m_Done(refused(DryUntil - Now, Entry.m_IsKeeperAway.load()));
+  else
+    Call.m_Done(refused(NoKeeperRetry, true));
   return false;
 }
 
@@ -157,11 +182,15 @@
     Call.m_Done(granted(Token));
 }
 
-void RateHolder::refuseWaiting(RateEntry &Entry, const RateDecision &Refusal) {
-  std::deque<WaitingCall> Refused;
+void RateHolder::refuseWaiting(RateEntry &Entry, std::size_t Kept,
+                               const RateDecision &Refusal) {
+  std::vector<WaitingCall> Refused;
   {
     absl::MutexLock Lock(&Entry.m_Mutex);
-    Refused.swap(Entry.m_Waiting);
+    while (Entry.m_Waiting.size() > Kept) {
+      Refused.push_back(std::move(Entry.m_Waiting.back()));
+      Entry.m_Waiting.pop_back();
+    }
   }
   for (WaitingCall &Call : Refused)
     Call.m_Done(Refusal);
--- a/libs/app/src/RateHolder.h
+++ b/libs/app/src/RateHolder.h
@@ -22,11 +22,18 @@
     std::function<void(const std::string &Keeper, link::wire::GrantAskT Ask,
                        absl::Time Now)>
         m_SendAsk;
-    std::function<void(std::function<void()> Task)> m_Post;
+    std::function<void(std::function<void()> Task, absl::Duration Delay)>
+        m_Post;
   };
 
-  RateHolder(const policy::Allotment::Options &Settings, std::size_t MaxWaiting,
-             const state::SnapshotStore &Store, Hooks Surroundings);
+  struct Options {
+    policy::Allotment::Options m_Allotment;
+    std::size_t m_MaxWaiting;
+    absl::Duration m_Patience;
+  };
+
+  RateHolder(const Options &Settings, const state::SnapshotStore &Store,
+             Hooks Surroundings);
 
   /// From any thread.
   void acquire(const std::string &Customer, absl::Time Now,
@@ -39,17 +46,21 @@
 private:
   void startAsk(RateHandle Handle, absl::Time Now);
   void postAsk(RateHandle Handle, absl::Time Now);
-  bool wait(RateEntry &Entry, WaitingCall Call);
+  bool wait(RateEntry &Entry, std::size_t Most, WaitingCall Call);
   void sendAsk(RateEntry &Entry, const policy::TokenAsk &Ask,
                const std::string &Keeper, std::uint64_t Epoch, absl::Time Now);
   void serveWaiting(RateEntry &Entry, absl::Time Now);
-  void refuseWaiting(RateEntry &Entry, const RateDecision &Refusal);
+  void onShort(RateHandle Handle, const policy::TokenGrant &Given,
+               bool IsKeeperAway, absl::Time Now);
+  void refuseWaiting(RateEntry &Entry, std::size_t Kept,
+                     const RateDecision &Refusal);
   void refuseOverdue(RateEntry &Entry, absl::Time Now);
   void giveBack(RateEntry &Entry, absl::Time Now);
   static std::size_t waitingCount(RateEntry &Entry);
 
   RateTable m_Table;
   std::size_t m_MaxWaiting;
+  absl::Duration m_Patience;
   const state::SnapshotStore &m_Store;
   Hooks m_Hooks;
 };
--- a/libs/app/src/RateService.cpp
+++ b/libs/app/src/RateService.cpp
@@ -23,8 +23,10 @@
       : m_Settings(std::move(Settings)), m_Store(Store),
         m_Hooks(std::move(Surroundings)),
         m_Self{m_Settings.m_Self.m_Name, m_Settings.m_Self.m_Incarnation},
-        m_Holder(m_Settings.m_Allotment, m_Settings.m_MaxWaiting, Store,
-                 holderHooks()),
+        m_Holder({.m_Allotment = m_Settings.m_Allotment,
+                  .m_MaxWaiting = m_Settings.m_MaxWaiting,
+                  .m_Patience = m_Settings.m_Patience},
+                 Store, holderHooks()),
         m_Keepers(m_Self, m_Settings.m_Lifetime),
         m_Claims({.m_Self = m_Self,
                   .m_Turn = m_Settings.m_ClaimTurn,
@@ -95,7 +97,8 @@
     }
     // Posted, since the holder is in the midst of asking. Answered by the time
     // of the ask: what is granted lapses by that time, too.
-    m_Hooks.m_Post([this, Ask = std::move(Ask), Now] { answerSelf(Ask, Now); });
+    m_Hooks.m_Post([this, Ask = std::move(Ask), Now] { answerSelf(Ask, Now); },
+                   absl::ZeroDuration());
   }
 
   void answerSelf(const link::wire::GrantAskT &Ask, absl::Time Now) {
--- a/libs/app/tests/RateServiceTest.cpp
+++ b/libs/app/tests/RateServiceTest.cpp
@@ -6,6 +6,8 @@
 
 #include "gtest/gtest.h"
 
+#include <fmt/format.h>
+
 #include <optional>
 #include <utility>
 #include <vector>
@@ -47,7 +49,7 @@
   }
 
   void putRate(double PerSecond, double Burst) {
-    append(state::ResourceChange{.m_ChangeId = "r1",
+    append(state::ResourceChange{.m_ChangeId = fmt::format("r{}", PerSecond),
                                  .m_Kind = model::ResourceKind::Rate,
                                  .m_Name = "c",
                                  .m_Resource =
@@ -69,8 +71,9 @@
       m_Grants.push_back(std::move(Grant));
       return true;
     };
-    Made.m_Post = [this](std::function<void()> Task) {
-      m_Tasks.push_back(std::move(Task));
+    Made.m_Post = [this](std::function<void()> Task, absl::Duration Delay) {
+      auto &Tasks = Delay > absl::ZeroDuration() ? m_Delayed : m_Tasks;
+      Tasks.push_back(std::move(Task));
     };
     Made.m_Claim = [this](state::KeeperClaim Claim) {
       m_Claims.push_back(std::move(Claim));
@@ -129,6 +132,7 @@
   std::vector<link::wire::GrantT> m_Grants;
   std::vector<state::KeeperClaim> m_Claims;
   std::vector<std::function<void()>> m_Tasks;
+  std::vector<std::function<void()>> m_Delayed;
   state::StateReplica m_Replica;
   RateService m_Rates{{.m_Self = member("a", 1)}, m_Replica.store(), hooks()};
 };
@@ -161,6 +165,35 @@
   EXPECT_TRUE(acquire()->m_IsGranted);
 }
 
+TEST_F(RateServiceTest, Acquire_TokenDueWithinPatience_WaitsForIt) {
+  putRate(100, 10);
+  claim("a", 1, 0);
+  std::optional<RateDecision> Made;
+  m_Rates.acquire("c", m_Now, absl::Milliseconds(300),
+                  [&](const RateDecision &Decision) { Made = Decision; });
+  runTasks();
+  EXPECT_FALSE(Made);
+  ASSERT_EQ(m_Delayed.size(), 1U);
+  m_Now += absl::Milliseconds(10);
+  m_Delayed[0]();
+  runTasks();
+  ASSERT_TRUE(Made);
+  EXPECT_TRUE(Made->m_IsGranted);
+}
+
+TEST_F(RateServiceTest, Acquire_MoreThanPatienceAllows_RefusesTheRest) {
+  putRate(100, 10);
+  claim("a", 1, 0);
+  int Refused = 0;
+  for (int Call = 0; Call < 10; ++Call)
+    m_Rates.acquire("c", m_Now, absl::Milliseconds(300),
+                    [&](const RateDecision &Decision) {
+                      Refused += Decision.m_IsGranted ? 0 : 1;
+                    });
+  runTasks();
+  EXPECT_EQ(Refused, 8);
+}
+
 TEST_F(RateServiceTest, Acquire_RemoteKeeper_WaitsOneRoundTrip) {
   claim("b", 2, 0);
   std::optional<RateDecision> Made;
--- a/libs/policy/src/RateKeeper.cpp
+++ b/libs/policy/src/RateKeeper.cpp
@@ -108,8 +108,9 @@
 
 absl::Duration RateKeeper::retryAfter(absl::Time Now) const {
   const TokenBucket::Options &Limits = m_Bucket.limits();
-  absl::Duration Turn =
-      absl::Seconds(static_cast<double>(m_ShortCount) / Limits.m_RatePerSecond);
+  // Those that were given too little share what accrues.
+  absl::Duration Turn = absl::Seconds(static_cast<double>(m_ShortCount - 1) /
+                                      Limits.m_RatePerSecond);
   absl::Duration Most =
       absl::Seconds(Limits.m_Burst * RetryShare / Limits.m_RatePerSecond);
   absl::Duration Wait =
--- a/tools/fakefleet/src/FakeDaemon.cpp
+++ b/tools/fakefleet/src/FakeDaemon.cpp
@@ -63,9 +63,8 @@
     Message.Set(std::move(Grant));
     return send(To, std::move(Message));
   };
-  RateHooks.m_Post = [this](std::function<void()> Task) {
-    m_Fleet.queue().after(absl::ZeroDuration(),
-                          [this, Task] { onDaemon(Task); });
+  RateHooks.m_Post = [this](std::function<void()> Task, absl::Duration Delay) {
+    m_Fleet.queue().after(Delay, [this, Task] { onDaemon(Task); });
   };
   RateHooks.m_Claim = [this](state::KeeperClaim Claim) {
     m_Fleet.appendFrom(*this, state::Entry(std::move(Claim)));
