Count a refusal as wrong by what the customer had used

Cause: a bucket that is charged for refused calls too does not say whether the customer was inside its rate. Change: a refusal is wrong while a bucket charged for granted calls alone holds a token; the other count is printed beside it.

--- a/tools/fakefleet/include/fakefleet/RateProbe.h
+++ b/tools/fakefleet/include/fakefleet/RateProbe.h
@@ -3,6 +3,8 @@
 
 #include "fakefleet/FakeFleet.h"
 
+#include "policy/TokenBucket.h"
+
 #include "absl/time/time.h"
 
 #include <cstdint>
@@ -18,8 +20,12 @@
   std::uint64_t m_OverRate = 0;
   std::uint64_t m_KeeperAway = 0;
   std::uint64_t m_Stale = 0; ///< Granted, then refused by the target side.
-  /// Refused although one bucket for the whole fleet had held a token.
+  /// Refused while the customer was inside its rate and burst: one bucket for
+  /// the whole fleet that had let the same calls through held a token.
   std::uint64_t m_Wrong = 0;
+  /// Refused where one bucket for the whole fleet, fed with all calls, did not.
+  std::uint64_t m_BesideIdeal = 0;
+  std::uint64_t m_IdealRefused = 0; ///< By that bucket.
 };
 
 /// Calls as a customer on a fake fleet, plays the target side, and compares
@@ -47,14 +53,13 @@
                   const app::RateDecision &Decision);
   void arrive(const std::string &From, const std::string &To,
               const app::RateDecision &Decision, absl::Time TakenAt);
-  bool takeIdeal();
+  void refuse(const app::RateDecision &Decision, bool IsWithinIdeal);
 
   FakeFleet &m_Fleet;
   std::string m_Customer;
-  double m_PerSecond;
-  double m_Burst;
-  double m_Ideal; ///< Tokens of one bucket for the whole fleet.
-  absl::Time m_IdealAt;
+  policy::TokenBucket::Options m_Limits;
+  policy::TokenBucket m_Ideal; ///< Charged for every call.
+  policy::TokenBucket m_Used;  ///< Charged for what was granted.
   RateTally m_Tally;
   std::vector<absl::Time> m_Accepted;
 };
--- a/tools/fakefleet/src/RateProbe.cpp
+++ b/tools/fakefleet/src/RateProbe.cpp
@@ -16,14 +16,17 @@
 
 RateProbe::RateProbe(FakeFleet &Fleet, std::string Customer, double PerSecond,
                      double Burst)
-    : m_Fleet(Fleet), m_Customer(std::move(Customer)), m_PerSecond(PerSecond),
-      m_Burst(Burst), m_Ideal(Burst), m_IdealAt(Fleet.now()) {}
+    : m_Fleet(Fleet),
+      m_Customer(std::move(Customer)), m_Limits{PerSecond, Burst},
+      m_Ideal(m_Limits, absl::InfinitePast()),
+      m_Used(m_Limits, absl::InfinitePast()) {}
 
 void RateProbe::call(const std::string &Name, absl::Time Clock) {
   if (!m_Fleet.isUp(Name))
     return;
   ++m_Tally.m_Calls;
-  bool IsWithinIdeal = takeIdeal();
+  bool IsWithinIdeal = m_Ideal.tryTake(1, m_Fleet.now());
+  m_Tally.m_IdealRefused += IsWithinIdeal ? 0 : 1;
   // Keyed routes are refused on a state that cannot be trusted.
   if (!m_Fleet.daemon(Name).spread().isTrusted(Clock))
     return onDecision(Name, IsWithinIdeal, {.m_IsKeeperAway = true});
@@ -42,13 +45,14 @@
 double RateProbe::overshoot(double Slack) const {
   std::vector<absl::Time> Times = m_Accepted;
   std::sort(Times.begin(), Times.end());
-  double Level = m_Burst;
+  double Level = m_Limits.m_Burst;
   double Worst = 0;
   absl::Time Last = absl::InfinitePast();
   for (absl::Time Taken : Times) {
     if (Last != absl::InfinitePast())
-      Level += absl::ToDoubleSeconds(Taken - Last) * m_PerSecond * (1 + Slack);
-    Level = std::min(Level, m_Burst) - 1;
+      Level += absl::ToDoubleSeconds(Taken - Last) * m_Limits.m_RatePerSecond *
+               (1 + Slack);
+    Level = std::min(Level, m_Limits.m_Burst) - 1;
     Last = Taken;
     Worst = std::max(Worst, -Level);
   }
@@ -57,11 +61,10 @@
 
 void RateProbe::onDecision(const std::string &Name, bool IsWithinIdeal,
                            const app::RateDecision &Decision) {
-  if (!Decision.m_IsGranted) {
-    ++(Decision.m_IsKeeperAway ? m_Tally.m_KeeperAway : m_Tally.m_OverRate);
-    m_Tally.m_Wrong += IsWithinIdeal ? 1 : 0;
-    return;
-  }
+  if (!Decision.m_IsGranted)
+    return refuse(Decision, IsWithinIdeal);
+  // Past what it holds there is overshoot, which overshoot() tells.
+  (void)m_Used.tryTake(1, m_Fleet.now());
   std::vector<std::string> Names = m_Fleet.names();
   std::string Target = Names[m_Fleet.random()() % Names.size()];
   absl::Duration Way =
@@ -96,15 +99,10 @@
   m_Accepted.push_back(TakenAt);
 }
 
-bool RateProbe::takeIdeal() {
-  absl::Duration Elapsed = m_Fleet.now() - m_IdealAt;
-  m_IdealAt = m_Fleet.now();
-  m_Ideal =
-      std::min(m_Burst, m_Ideal + absl::ToDoubleSeconds(Elapsed) * m_PerSecond);
-  if (m_Ideal < 1)
-    return false;
-  m_Ideal -= 1;
-  return true;
+void RateProbe::refuse(const app::RateDecision &Decision, bool IsWithinIdeal) {
+  ++(Decision.m_IsKeeperAway ? m_Tally.m_KeeperAway : m_Tally.m_OverRate);
+  m_Tally.m_Wrong += m_Used.level(m_Fleet.now()) >= 1 ? 1 : 0;
+  m_Tally.m_BesideIdeal += IsWithinIdeal ? 1 : 0;
 }
 
 } // namespace knapweedloft::fakefleet
--- a/tools/fleet/RateFigures.cpp
+++ b/tools/fleet/RateFigures.cpp
@@ -109,9 +109,12 @@
   int m_At = 0;
 };
 
+double inTenThousand(std::uint64_t Count, const RateTally &Tally) {
+  return 1e4 * static_cast<double>(Count) / static_cast<double>(Tally.m_Calls);
+}
+
 double wrongInTenThousand(const RateTally &Tally) {
-  return 1e4 * static_cast<double>(Tally.m_Wrong) /
-         static_cast<double>(Tally.m_Calls);
+  return inTenThousand(Tally.m_Wrong, Tally);
 }
 
 double grantedShare(const RateTally &Tally, const Limits &Rate,
@@ -131,6 +134,7 @@
       DaemonCount, policy::TokenBucket(Share, Now - absl::Hours(1)));
   policy::TokenBucket Ideal({Rate.m_PerSecond, Rate.m_Burst},
                             Now - absl::Hours(1));
+  policy::TokenBucket Used = Ideal;
   std::exponential_distribution<double> Gap(Rate.m_PerSecond * Load);
   RateTally Tally;
   for (absl::Time End = Now + Length; Now < End;
@@ -141,10 +145,13 @@
     std::uint64_t At = How == Demand::OneMoves ? Turn : Random();
     ++Tally.m_Calls;
     bool IsWithin = Ideal.tryTake(1, Now);
-    if (Buckets[At % DaemonCount].tryTake(1, Now))
+    if (Buckets[At % DaemonCount].tryTake(1, Now)) {
       ++Tally.m_Granted;
-    else
-      Tally.m_Wrong += IsWithin ? 1 : 0;
+      (void)Used.tryTake(1, Now);
+      continue;
+    }
+    Tally.m_Wrong += Used.level(Now) >= 1 ? 1 : 0;
+    Tally.m_BesideIdeal += IsWithin ? 1 : 0;
   }
   return Tally;
 }
@@ -152,12 +159,15 @@
 void weigh(std::uint64_t Seed, const Limits &Rate, Figures &Out) {
   Out.note(
       fmt::format("rate {:g}/s, burst {:g}", Rate.m_PerSecond, Rate.m_Burst));
-  Out.note(fmt::format("  {:<28} {:>22} {:>12} {:>10}", "way",
-                       "wrong in 10,000 at 90%", "5x: share", "asks/call"));
+  Out.note(fmt::format("  {:<28} {:>22} {:>12} {:>12} {:>10}", "way",
+                       "wrong in 10,000 at 90%", "beside ideal", "5x: share",
+                       "asks/call"));
   auto Row = [&](const std::string &Name, const RateTally &Moving, double Share,
                  double Asks) {
-    Out.note(fmt::format("  {:<28} {:>22.2f} {:>12.4f} {:>10.3f}", Name,
-                         wrongInTenThousand(Moving), Share, Asks));
+    Out.note(fmt::format("  {:<28} {:>22.2f} {:>12.2f} {:>12.4f} {:>10.3f}",
+                         Name, wrongInTenThousand(Moving),
+                         inTenThousand(Moving.m_BesideIdeal, Moving), Share,
+                         Asks));
   };
   Row("fixed equal shares", runFixedShares(Seed, Rate, Demand::OneMoves, 0.9),
       grantedShare(runFixedShares(Seed, Rate, Demand::Even, 5), Rate, Length),
@@ -188,6 +198,10 @@
   Moving.run(Demand::OneMoves, 0.9, Length);
   Out.atMost(Title + ": wrong in 10,000 at 90%",
              wrongInTenThousand(Moving.probe().tally()), 5);
+  const RateTally &Tally = Moving.probe().tally();
+  Out.note(fmt::format("  {}: refused {}, one bucket would have refused {}",
+                       Title, Tally.m_OverRate + Tally.m_KeeperAway,
+                       Tally.m_IdealRefused));
   RateRun Over(Seed, Rate, {});
   Over.run(Demand::Even, 5, Length);
   double Share = grantedShare(Over.probe().tally(), Rate, Length);
