Record forwards so that none runs twice and 'not run' is a proof

A query about a forward that was never seen closes the door for its id. What is forgotten stays closed by number: of each entry daemon the highest forgotten sequence is kept, so that a copy that sat in a buffer through an hour's pause is still refused.

--- /dev/null
+++ b/libs/policy/src/ForwardLedger.cpp
@@ -0,0 +1,104 @@
+#include "policy/ForwardLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::policy {
+
+ForwardEntry ForwardLedger::begin(const model::ForwardId &Id, absl::Time Now) {
+  expire(Now);
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end()) {
+    if (isForgotten(Id))
+      return ForwardEntry::Closed;
+    m_Entries.emplace(Id, Entry());
+    return ForwardEntry::Fresh;
+  }
+  switch (Found->second.m_State) {
+  case State::Running:
+    return ForwardEntry::Running;
+  case State::Finished:
+    return ForwardEntry::Finished;
+  case State::Closed:
+    break;
+  }
+  return ForwardEntry::Closed;
+}
+
+void ForwardLedger::finish(const model::ForwardId &Id, OutcomeId Outcome,
+                           std::size_t Bytes, absl::Time Now) {
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end() || Found->second.m_State != State::Running)
+    return;
+  Found->second = {State::Finished, Outcome, Bytes};
+  m_OutcomeBytes += Bytes;
+  m_Ended.push_back({Id, Now});
+  expire(Now);
+}
+
+ForwardFate ForwardLedger::query(const model::ForwardId &Id, absl::Time Now) {
+  expire(Now);
+  auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end()) {
+    if (isForgotten(Id))
+      return ForwardFate::Unknown;
+    m_Entries.emplace(Id, Entry{State::Closed});
+    m_Ended.push_back({Id, Now});
+    return ForwardFate::NotRun;
+  }
+  switch (Found->second.m_State) {
+  case State::Running:
+    return ForwardFate::Running;
+  case State::Finished:
+    return ForwardFate::Finished;
+  case State::Closed:
+    break;
+  }
+  return ForwardFate::NotRun;
+}
+
+OutcomeId ForwardLedger::outcomeOf(const model::ForwardId &Id) const {
+  auto Found = m_Entries.find(Id);
+  return Found == m_Entries.end() ? 0 : Found->second.m_Outcome;
+}
+
+std::vector<OutcomeId> ForwardLedger::takeEvicted() {
+  return std::exchange(m_Evicted, {});
+}
+
+bool ForwardLedger::isForgotten(const model::ForwardId &Id) const {
+  auto Found = m_Forgotten.find(Id.m_Entry);
+  return Found != m_Forgotten.end() && Id.m_Sequence <= Found->second;
+}
+
+void ForwardLedger::expire(absl::Time Now) {
+  while (!m_Ended.empty() &&
+         (m_Ended.size() > m_Settings.m_MaxEntries ||
+          Now - m_Ended.front().m_At > m_Settings.m_KeepFor))
+    forgetOldest();
+  // Under pressure the answers go first; that the forward ran is remembered.
+  while (m_OutcomeBytes > m_Settings.m_MaxOutcomeBytes &&
+         m_FirstKept < m_Ended.size())
+    evict(m_Entries.at(m_Ended[m_FirstKept++].m_Id));
+}
+
+void ForwardLedger::forgetOldest() {
+  const model::ForwardId Id = m_Ended.front().m_Id;
+  auto Found = m_Entries.find(Id);
+  evict(Found->second);
+  m_Entries.erase(Found);
+  std::uint64_t &Highest = m_Forgotten[Id.m_Entry];
+  Highest = std::max(Highest, Id.m_Sequence);
+  m_Ended.pop_front();
+  if (m_FirstKept > 0)
+    --m_FirstKept;
+}
+
+void ForwardLedger::evict(Entry &Held) {
+  m_OutcomeBytes -= std::exchange(Held.m_Bytes, 0);
+  OutcomeId Gone = std::exchange(Held.m_Outcome, 0);
+  if (Gone != 0)
+    m_Evicted.push_back(Gone);
+}
+
+} // namespace knapweedloft::policy
--- /dev/null
+++ b/libs/policy/tests/ForwardLedgerTest.cpp
@@ -0,0 +1,87 @@
+#include "policy/ForwardLedger.h"
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+
+namespace knapweedloft::policy {
+namespace {
+
+using model::ForwardId;
+using testing::ElementsAre;
+
+constexpr model::Incarnation Entry = 11;
+
+class ForwardLedgerTest : public testing::Test {
+protected:
+  absl::Time m_Now = absl::UnixEpoch();
+  ForwardLedger m_Ledger{{.m_KeepFor = absl::Seconds(60),
+                          .m_MaxOutcomeBytes = 100,
+                          .m_MaxEntries = 4}};
+
+  void run(const ForwardId &Id, OutcomeId Outcome, std::size_t Bytes) {
+    ASSERT_EQ(m_Ledger.begin(Id, m_Now), ForwardEntry::Fresh);
+    m_Ledger.finish(Id, Outcome, Bytes, m_Now);
+  }
+};
+
+TEST_F(ForwardLedgerTest, Begin_SecondCopy_IsNotFresh) {
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Fresh);
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Running);
+  m_Ledger.finish({Entry, 1}, 5, 10, m_Now);
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Finished);
+  EXPECT_EQ(m_Ledger.outcomeOf({Entry, 1}), 5U);
+}
+
+TEST_F(ForwardLedgerTest, Query_NeverSeen_ClosesTheDoor) {
+  EXPECT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::NotRun);
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Closed);
+  EXPECT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::NotRun);
+}
+
+TEST_F(ForwardLedgerTest, Begin_MarkExpiredWhileCopyWasUnderWay_StaysClosed) {
+  ASSERT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::NotRun);
+  // The daemon was paused for an hour with the copy in a socket buffer.
+  m_Now += absl::Hours(1);
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Closed);
+  EXPECT_EQ(m_Ledger.begin({Entry, 2}, m_Now), ForwardEntry::Fresh);
+}
+
+TEST_F(ForwardLedgerTest, Query_Forgotten_IsUnknownAndNeverNotRun) {
+  run({Entry, 1}, 1, 1);
+  m_Now += absl::Seconds(61);
+  EXPECT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::Unknown);
+  EXPECT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Closed);
+  EXPECT_THAT(m_Ledger.takeEvicted(), ElementsAre(1));
+}
+
+TEST_F(ForwardLedgerTest, Query_Running_IsRunningHoweverLongItTakes) {
+  ASSERT_EQ(m_Ledger.begin({Entry, 1}, m_Now), ForwardEntry::Fresh);
+  m_Now += absl::Hours(1);
+  EXPECT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::Running);
+}
+
+TEST_F(ForwardLedgerTest, Finish_MoreBytesThanKept_DropsOldestAnswerOnly) {
+  run({Entry, 1}, 1, 60);
+  run({Entry, 2}, 2, 60);
+  EXPECT_EQ(m_Ledger.query({Entry, 1}, m_Now), ForwardFate::Finished);
+  EXPECT_EQ(m_Ledger.outcomeOf({Entry, 1}), 0U);
+  EXPECT_EQ(m_Ledger.outcomeOf({Entry, 2}), 2U);
+  EXPECT_EQ(m_Ledger.outcomeBytes(), 60U);
+}
+
+TEST_F(ForwardLedgerTest, Finish_MoreEntriesThanKept_StaysBounded) {
+  for (std::uint64_t Sequence = 1; Sequence <= 100; ++Sequence)
+    run({Entry, Sequence}, Sequence, 1);
+  EXPECT_EQ(m_Ledger.entries(), 4U);
+  EXPECT_EQ(m_Ledger.takeEvicted().size(), 96U);
+  EXPECT_EQ(m_Ledger.begin({Entry, 50}, m_Now), ForwardEntry::Closed);
+}
+
+TEST_F(ForwardLedgerTest, Begin_OtherEntryDaemon_IsNotTouchedByForgetting) {
+  run({Entry, 9}, 1, 1);
+  m_Now += absl::Seconds(61);
+  EXPECT_EQ(m_Ledger.begin({Entry + 1, 1}, m_Now), ForwardEntry::Fresh);
+}
+
+} // namespace
+} // namespace knapweedloft::policy
