--- a/libs/http/include/http/HttpClient.h
+++ b/libs/http/include/http/HttpClient.h
@@ -24,6 +24,8 @@
   struct Options {
     std::size_t m_MaxBodyBytes = 1 << 20; ///< A larger answer is cut off.
     std::size_t m_MaxIdleConnections = 256;
+    /// More calls than this wait for one of the connections.
+    std::size_t m_MaxConnections = 1024;
     std::string m_ThreadName = "http-client";
   };
 
--- a/libs/http/src/ClientImpl.cpp
+++ b/libs/http/src/ClientImpl.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t EventsPerWait = 64;
 constexpr std::size_t MaxSpareCalls = 256;
+/// How late a queued call may find that its time is over.
+constexpr absl::Duration QueueCheckInterval = absl::Milliseconds(20);
 /// Kept connections idle for longer are not used again.
 constexpr long MaxIdleSeconds = 20;
 
@@ -134,7 +136,7 @@
       if (Work.m_Request.m_Method.empty() && !Work.m_OnDone)
         stop(Work.m_Id);
       else
-        start(std::move(Work));
+        accept(std::move(Work));
     }
   }
 }
@@ -152,9 +154,10 @@
 
 void HttpClient::Impl::start(Order Work) {
   std::unique_ptr<ClientCall> Call = makeCall();
+  const absl::Duration Left = Work.m_Timeout - (steadyNow() - Work.m_Asked);
   bool IsSendable =
-      Call->prepare(Work.m_Id, Work.m_Base, std::move(Work.m_Request),
-                    Work.m_Timeout, std::move(Work.m_OnDone), Work.m_Asked);
+      Call->prepare(Work.m_Id, Work.m_Base, std::move(Work.m_Request), Left,
+                    std::move(Work.m_OnDone), Work.m_Asked);
   if (!IsSendable) {
     end(std::move(Call), Failure::NotSent);
     return;
@@ -164,7 +167,53 @@
   curl_multi_add_handle(m_Multi, Handle);
 }
 
+void HttpClient::Impl::accept(Order Work) {
+  if (m_Calls.size() < m_Settings.m_MaxConnections)
+    start(std::move(Work));
+  else
+    m_Queue.push_back(std::move(Work));
+}
+
+void HttpClient::Impl::startQueued() {
+  while (!m_Queue.empty() && m_Calls.size() < m_Settings.m_MaxConnections) {
+    Order Work = std::move(m_Queue.front());
+    m_Queue.pop_front();
+    start(std::move(Work));
+  }
+}
+
+void HttpClient::Impl::dropExpired() {
+  const absl::Time Now = steadyNow();
+  std::deque<Order> Kept;
+  for (Order &Work : std::exchange(m_Queue, {})) {
+    if (Now - Work.m_Asked < Work.m_Timeout)
+      Kept.push_back(std::move(Work));
+    else
+      fail(Work, Failure::NotSent);
+  }
+  // A callback may have queued more; it is younger than what was kept.
+  for (Order &Work : m_Queue)
+    Kept.push_back(std::move(Work));
+  m_Queue = std::move(Kept);
+}
+
+void HttpClient::Impl::fail(Order &Work, Failure What) {
+  HttpResult Result;
+  Result.m_Failure = What;
+  Result.m_Latency = steadyNow() - Work.m_Asked;
+  Work.m_OnDone(std::move(Result));
+}
+
 void HttpClient::Impl::stop(CallId Id) {
+  auto Queued =
+      std::find_if(m_Queue.begin(), m_Queue.end(),
+                   [&](const Order &Work) { return Work.m_Id == Id; });
+  if (Queued != m_Queue.end()) {
+    Order Work = std::move(*Queued);
+    m_Queue.erase(Queued);
+    fail(Work, Failure::Cancelled);
+    return;
+  }
   auto Found = m_Calls.find(Id);
   if (Found == m_Calls.end())
     return;
@@ -180,35 +229,49 @@
     m_Spare.push_back(std::move(Call));
 }
 
-void HttpClient::Impl::wait() {
-  std::array<epoll_event, EventsPerWait> Events{};
-  int Timeout = -1;
+int HttpClient::Impl::waitMilliseconds() {
   {
     absl::MutexLock Lock(&m_Mutex);
     if (!m_Orders.empty())
-      Timeout = 0;
+      return 0;
   }
-  if (Timeout < 0 && m_TimerAt != absl::InfiniteFuture()) {
-    absl::Duration Left =
-        absl::Ceil(m_TimerAt - steadyNow(), absl::Milliseconds(1));
-    Timeout = static_cast<int>(
-        std::max<std::int64_t>(0, absl::ToInt64Milliseconds(Left)));
+  absl::Duration Left = m_TimerAt - steadyNow();
+  if (!m_Queue.empty())
+    Left = std::min(Left, QueueCheckInterval);
+  if (Left == absl::InfiniteDuration())
+    return -1;
+  return static_cast<int>(std::max<std::int64_t>(
+      0, absl::ToInt64Milliseconds(absl::Ceil(Left, absl::Milliseconds(1)))));
+}
+
+void HttpClient::Impl::wait() {
+  std::array<epoll_event, EventsPerWait> Events{};
+  int Count =
+      epoll_wait(m_Epoll, Events.data(), Events.size(), waitMilliseconds());
+  for (int Index = 0; Index < Count; ++Index)
+    onEvent(Events[Index].data.fd, Events[Index].events);
+  const absl::Time Now = steadyNow();
+  if (m_TimerAt <= Now) {
+    int Running = 0;
+    m_TimerAt = absl::InfiniteFuture();
+    curl_multi_socket_action(m_Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
   }
-  int Count = epoll_wait(m_Epoll, Events.data(), Events.size(), Timeout);
-  int Running = 0;
-  for (int Index = 0; Index < Count; ++Index) {
-    if (Events[Index].data.fd != m_Wake) {
-      curl_multi_socket_action(m_Multi, Events[Index].data.fd,
-                               curlEventsOf(Events[Index].events), &Running);
-      continue;
-    }
+  if (m_Queue.empty() || Now < m_NextQueueCheck)
+    return;
+  m_NextQueueCheck = Now + QueueCheckInterval;
+  dropExpired();
+}
+
+void HttpClient::Impl::onEvent(int Socket, std::uint32_t Events) {
+  if (Socket == m_Wake) {
     std::uint64_t Wakes = 0;
     [[maybe_unused]] ssize_t Read = read(m_Wake, &Wakes, sizeof Wakes);
-  }
-  if (m_TimerAt > steadyNow())
     return;
-  m_TimerAt = absl::InfiniteFuture();
-  curl_multi_socket_action(m_Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
+  }
+  int Running = 0;
+  curl_multi_socket_action(m_Multi, Socket, curlEventsOf(Events), &Running);
+  // libcurl walks its list of ended calls for each one taken out of it.
+  collect();
 }
 
 void HttpClient::Impl::collect() {
@@ -226,6 +289,7 @@
     m_Calls.erase(Found);
     Failure What = Call->failureOf(Code);
     end(std::move(Call), What);
+    startQueued();
   }
 }
 
--- a/libs/http/src/ClientImpl.h
+++ b/libs/http/src/ClientImpl.h
@@ -8,6 +8,7 @@
 #include "absl/synchronization/mutex.h"
 
 #include <atomic>
+#include <deque>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -46,11 +47,18 @@
   void push(Order Work);
   void run();
   void drainOrders();
+  /// Starts \p Work, or queues it while every connection is in use.
+  void accept(Order Work);
   void start(Order Work);
+  void startQueued();
+  void dropExpired();
   void stop(CallId Call);
   void wait();
+  void onEvent(int Socket, std::uint32_t Events);
+  [[nodiscard]] int waitMilliseconds();
   void collect();
   void end(std::unique_ptr<ClientCall> Call, Failure What);
+  static void fail(Order &Work, Failure What);
   [[nodiscard]] std::unique_ptr<ClientCall> makeCall();
 
   const Options m_Settings;
@@ -65,9 +73,11 @@
 
   // Of the client's thread alone.
   std::vector<Order> m_Taken;
+  std::deque<Order> m_Queue; ///< Waits for a connection.
   absl::flat_hash_map<CallId, std::unique_ptr<ClientCall>> m_Calls;
   std::vector<std::unique_ptr<ClientCall>> m_Spare;
   absl::Time m_TimerAt = absl::InfiniteFuture();
+  absl::Time m_NextQueueCheck = absl::InfinitePast();
   std::thread m_Thread;
 };
 
--- a/libs/http/tests/HttpClientTest.cpp
+++ b/libs/http/tests/HttpClientTest.cpp
@@ -112,6 +112,36 @@
   EXPECT_EQ(failureOf(*Second), Failure::None);
 }
 
+TEST_F(HttpClientTest, Send_MoreThanConnections_WaitsForOne) {
+  m_Client =
+      std::make_unique<HttpClient>(HttpClient::Options{.m_MaxConnections = 1});
+  auto First = send({"GET", "/1", {}, ""});
+  auto Second = send({"GET", "/2", {}, ""});
+  RawSocket Server = m_Listener.acceptOne();
+  EXPECT_THAT(Server.readUntil("\r\n\r\n"), HasSubstr("GET /1"));
+  EXPECT_FALSE(m_Listener.isReadable());
+  Server.sendAll(Whole);
+  EXPECT_EQ(failureOf(*First), Failure::None);
+  EXPECT_THAT(Server.readUntil("\r\n\r\n"), HasSubstr("GET /2"));
+  Server.sendAll(Whole);
+  EXPECT_EQ(failureOf(*Second), Failure::None);
+}
+
+TEST_F(HttpClientTest, Send_NoConnectionInTime_IsNotSent) {
+  m_Client =
+      std::make_unique<HttpClient>(HttpClient::Options{.m_MaxConnections = 1});
+  auto First = send({"GET", "/1", {}, ""});
+  auto Late = send({"GET", "/2", {}, ""}, absl::Milliseconds(30));
+  auto Stopped = send({"GET", "/3", {}, ""});
+  m_Client->cancel(Stopped->m_Id);
+  EXPECT_EQ(failureOf(*Late), Failure::NotSent);
+  EXPECT_EQ(failureOf(*Stopped), Failure::Cancelled);
+  RawSocket Server = m_Listener.acceptOne();
+  EXPECT_THAT(Server.readUntil("\r\n\r\n"), HasSubstr("GET /1"));
+  Server.sendAll(Whole);
+  EXPECT_EQ(failureOf(*First), Failure::None);
+}
+
 TEST_F(HttpClientTest, Connect_Refused_IsNotSent) {
   m_Listener.closeNow();
   EXPECT_EQ(failureOf(*send({"GET", "/", {}, ""})), Failure::NotSent);
