Wait for conditions in two tests instead of racing them

Cause: under repetition two tests were red: one counted an exchange whose last byte was out but whose end the server had not yet noted; one killed a shell whose child kept the pipe open.

--- a/libs/http/tests/HttpServerTest.cpp
+++ b/libs/http/tests/HttpServerTest.cpp
@@ -211,6 +211,9 @@
   RawSocket Caller = connectAndSend(PlainGet);
   take().answer({200, {}, "done"});
   EXPECT_THAT(Caller.readUntil("done"), HasSubstr("done"));
+  // The count of the second falls just after its last byte went out.
+  while (m_Server->pending() > 1)
+    absl::SleepFor(absl::Milliseconds(1));
   EXPECT_EQ(m_Server->pending(), 1U);
   EXPECT_GT(Slow.readUntil("\r\n\r\n").size(), 0U);
 }
--- a/tools/harness/tests/ProcessTest.cpp
+++ b/tools/harness/tests/ProcessTest.cpp
@@ -30,7 +30,7 @@
 }
 
 TEST(ProcessTest, Signal_Kill_IsInCode) {
-  Process Child = shell("sleep 1000");
+  Process Child = shell("exec sleep 1000");
   EXPECT_TRUE(Child.isRunning());
   Child.signal(SIGKILL);
   EXPECT_EQ(Child.wait(), 128 + SIGKILL);
