Start from a contact while the log is away; end the link thread first

Cause: a daemon that starts during an outage of the log knew nobody to ask for the state. Change: link.contacts in the settings names a few daemons; a daemon that knows no member links to them and takes their state. LinkNode::stop() ends the link thread before anything else is destroyed.

--- a/libs/app/include/app/Daemon.h
+++ b/libs/app/include/app/Daemon.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_APP_DAEMON_H
 
 #include "app/Settings.h"
+#include "model/Endpoint.h"
 
 #include <cstdint>
 #include <memory>
@@ -28,6 +29,11 @@
   /// \returns how many requests were still in flight at the limit.
   std::size_t stop();
 
+  /// \returns where it accepts links.
+  [[nodiscard]] model::Endpoint linkEndpoint() const;
+  /// \returns the port of the operators' listener.
+  [[nodiscard]] std::uint16_t apiPort() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/libs/app/include/app/Settings.h
+++ b/libs/app/include/app/Settings.h
@@ -2,11 +2,13 @@
 #define KNAPWEEDLOFT_APP_SETTINGS_H
 
 #include "app/LogLevel.h"
+#include "model/Endpoint.h"
 
 #include "absl/time/time.h"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace knapweedloft::app {
 
@@ -43,6 +45,8 @@
   absl::Duration m_SilentAfter = absl::Milliseconds(1500);
   absl::Duration m_ConnectTimeout = absl::Seconds(1);
   std::uint32_t m_MaxFrameBytes = 4 << 20;
+  /// Daemons to ask for the state where the log does not give it at the start.
+  std::vector<model::Endpoint> m_Contacts = {};
 };
 
 /// The target beside the daemon.
--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -41,6 +41,10 @@
   ~Impl();
 
   std::size_t stop();
+  [[nodiscard]] model::Endpoint linkEndpoint() const {
+    return m_Links->endpoint();
+  }
+  [[nodiscard]] std::uint16_t apiPort() const { return m_ApiServer->port(); }
 
 private:
   // DaemonSetup.cpp
@@ -73,6 +77,8 @@
   void onAdvance();
   void onLogSeen(const platform::LogFreshness &Seen);
   void wantLinks(absl::Time Now);
+  /// Links to the contacts of the settings while nobody else is known.
+  void wantContacts(absl::Time Now);
   /// Chooses between the log and peers as the source of records.
   void chooseSource(absl::Time Now);
   void updateShared(absl::Time Now);
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -19,8 +19,14 @@
 
 std::size_t Daemon::stop() { return m_Impl->stop(); }
 
+model::Endpoint Daemon::linkEndpoint() const { return m_Impl->linkEndpoint(); }
+
+std::uint16_t Daemon::apiPort() const { return m_Impl->apiPort(); }
+
 Daemon::Impl::~Impl() {
-  // Listeners first, then what feeds the link thread, then the thread itself.
+  // The link thread first, since it uses the others; what they post to it from
+  // then on is dropped.
+  m_Links->stop();
   m_ApiServer.reset();
   m_Api.reset();
   m_CallerServer.reset();
--- a/libs/app/src/DaemonTicks.cpp
+++ b/libs/app/src/DaemonTicks.cpp
@@ -84,6 +84,19 @@
     m_Peers->want(Peer, Now);
   for (const model::Member &Peer : m_Spread->wantedLinks())
     m_Peers->want(Peer, Now);
+  wantContacts(Now);
+}
+
+void Daemon::Impl::wantContacts(absl::Time Now) {
+  if (!m_Peers->links().empty())
+    return;
+  {
+    state::SnapshotStore::ReadGuard State(m_Replica.store());
+    if (!State->members().empty())
+      return;
+  }
+  for (const model::Endpoint &At : m_Settings.m_Link.m_Contacts)
+    m_Peers->want({.m_Link = At}, Now);
 }
 
 void Daemon::Impl::correctJoin(absl::Time Now) {
--- a/libs/app/src/SettingsFields.h
+++ b/libs/app/src/SettingsFields.h
@@ -12,7 +12,7 @@
 
 /// Shows every key of the settings to \p Visitor, which reads, prints or lists
 /// them. It has table(Name, IsOptional) and, for the keys of that table,
-/// name, text, secret, address, port, count, duration and level.
+/// name, text, secret, address, port, count, duration, endpoints and level.
 template <typename SettingsT, typename VisitorT>
 void visitSettings(SettingsT &Values, VisitorT &Visitor) {
   const absl::Duration Millisecond = absl::Milliseconds(1);
@@ -51,6 +51,7 @@
                    10 * Millisecond, absl::Minutes(1));
   Visitor.count("max_frame_bytes", Values.m_Link.m_MaxFrameBytes, 65536,
                 256 << 20);
+  Visitor.endpoints("contacts", Values.m_Link.m_Contacts);
 
   Visitor.table("target", Values.m_Target.m_Service.empty());
   Visitor.name("service", Values.m_Target.m_Service, Presence::Required);
--- a/libs/app/src/SettingsFile.cpp
+++ b/libs/app/src/SettingsFile.cpp
@@ -3,6 +3,7 @@
 #include "SettingsReader.h"
 
 #include "fmt/format.h"
+#include "fmt/ranges.h"
 
 #include <cerrno>
 #include <cstring>
@@ -73,6 +74,17 @@
                 absl::Duration) {
     line(Key, fmt::format("{}", absl::ToInt64Milliseconds(Value)));
   }
+  void endpoints(std::string_view Key,
+                 const std::vector<model::Endpoint> &Values) {
+    std::vector<std::string> Texts;
+    for (const model::Endpoint &Each : Values) {
+      const bool IsIpv6 = Each.m_Address.find(':') != std::string::npos;
+      const std::string Host =
+          IsIpv6 ? "[" + Each.m_Address + "]" : Each.m_Address;
+      Texts.push_back(fmt::format("\"{}:{}\"", Host, Each.m_Port));
+    }
+    line(Key, fmt::format("[{}]", fmt::join(Texts, ", ")));
+  }
   void level(std::string_view Key, LogLevel Value) {
     line(Key, fmt::format("\"{}\"", LogLevelNames.nameOf(Value)));
   }
--- a/libs/app/src/SettingsReader.cpp
+++ b/libs/app/src/SettingsReader.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace knapweedloft::app {
@@ -19,6 +21,9 @@
 constexpr std::size_t MinSecretLength = 8;
 constexpr std::size_t MaxSecretLength = 256;
 constexpr std::int64_t MaxPort = 65535;
+constexpr std::string_view AllowedEndpoints =
+    "at most 16 of \"ADDRESS:PORT\" with an IPv4 or [IPv6] number";
+constexpr std::size_t MaxEndpoints = 16;
 
 bool isNameCharacter(char Character) {
   bool IsLetter = Character >= 'a' && Character <= 'z';
@@ -44,6 +49,23 @@
          inet_pton(AF_INET6, Text.c_str(), &Parsed) == 1;
 }
 
+std::optional<model::Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  std::string Address = Text.substr(0, Colon);
+  if (Address.size() > 2 && Address.front() == '[' && Address.back() == ']')
+    Address = Address.substr(1, Address.size() - 2);
+  std::uint16_t Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data() + Colon + 1, End, Port);
+  const bool IsPort =
+      Parsed.ec == std::errc() && Parsed.ptr == End && Port != 0;
+  if (!IsPort || !isAddress(Address))
+    return std::nullopt;
+  return model::Endpoint{Address, Port};
+}
+
 } // namespace
 
 SettingsReader::SettingsReader(const toml::value &Root, std::string File)
@@ -165,6 +187,24 @@
     Value = absl::Milliseconds(Number);
 }
 
+void SettingsReader::endpoints(std::string_view Key,
+                               std::vector<model::Endpoint> &Values) {
+  const toml::value *Found = find(Key, Presence::Optional, AllowedEndpoints);
+  if (Found == nullptr)
+    return;
+  if (!Found->is_array() || Found->as_array().size() > MaxEndpoints)
+    fail(qualified(Key), "cannot be used", AllowedEndpoints);
+  Values.clear();
+  for (const toml::value &Each : Found->as_array()) {
+    std::optional<model::Endpoint> Parsed;
+    if (Each.is_string())
+      Parsed = parseEndpoint(Each.as_string().str);
+    if (!Parsed)
+      fail(qualified(Key), "not an endpoint", AllowedEndpoints);
+    Values.push_back(std::move(*Parsed));
+  }
+}
+
 void SettingsReader::level(std::string_view Key, LogLevel &Value) {
   std::string Allowed =
       fmt::format("{}", fmt::join(LogLevelNames.m_Names, ", "));
--- a/libs/app/src/SettingsReader.h
+++ b/libs/app/src/SettingsReader.h
@@ -28,6 +28,7 @@
              std::int64_t Most);
   void duration(std::string_view Key, absl::Duration &Value,
                 absl::Duration Least, absl::Duration Most);
+  void endpoints(std::string_view Key, std::vector<model::Endpoint> &Values);
   void level(std::string_view Key, LogLevel &Value);
 
   /// \throws SettingsError if the file has a table or key that was not shown.
--- a/libs/app/tests/CallerKeysTest.cpp
+++ b/libs/app/tests/CallerKeysTest.cpp
@@ -25,10 +25,10 @@
                      [](const std::string &, absl::Time, absl::Duration,
                         const auto &OnDone) { OnDone({.m_IsGranted = true}); },
                  .m_Submit =
-                     [](EntryRequest Request) {
+                     [](const EntryRequest &Request) {
                        Request.m_Answer({.m_Body = Request.m_Customer});
                      },
-                 .m_Announce = [](Announcement) {},
+                 .m_Announce = [](const Announcement &) {},
                  .m_IsStateFresh =
                      [this](absl::Time) { return m_IsFresh.load(); },
                  .m_OnRefusal = [](model::RefusalReason, const std::string &,
--- a/libs/app/tests/SettingsFileTest.cpp
+++ b/libs/app/tests/SettingsFileTest.cpp
@@ -62,6 +62,21 @@
   EXPECT_THAT(formatSettings(Values), Not(HasSubstr("hush")));
 }
 
+TEST(SettingsFileTest, Read_Contacts_TakesIpNumbersWithPortsOnly) {
+  auto Contacts = [](const std::string &List) {
+    return read(std::string(Least) + "[link]\ncontacts = " + List + "\n")
+        .m_Link.m_Contacts;
+  };
+  const std::vector<model::Endpoint> Expected = {{"10.0.0.5", 8082},
+                                                 {"::1", 9}};
+  EXPECT_EQ(Contacts("['10.0.0.5:8082', '[::1]:9']"), Expected);
+  for (const char *List : {"'10.0.0.5:1'", "['host:1']", "['10.0.0.5']",
+                           "['10.0.0.5:0']", "['10.0.0.5:99999']", "[7]"})
+    EXPECT_THAT(errorOf([&] { (void)Contacts(List); }),
+                HasSubstr("link.contacts"))
+        << List;
+}
+
 /// Collects the names of all keys.
 struct KeyLister {
   void table(std::string_view Name, bool = false) { m_Table = Name; }
@@ -83,6 +98,9 @@
                 absl::Duration) {
     add(Key);
   }
+  void endpoints(std::string_view Key, const std::vector<model::Endpoint> &) {
+    add(Key);
+  }
   void level(std::string_view Key, LogLevel) { add(Key); }
 
   std::string m_Table;
--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -71,6 +71,10 @@
   explicit LinkNode(Options Settings);
   ~LinkNode();
 
+  /// Ends the node's thread: no hook or task runs after it returns, and what
+  /// is posted or sent from then on is dropped. Not to be called by a hook.
+  void stop();
+
   /// \returns where this node accepts links.
   [[nodiscard]] const model::Endpoint &endpoint() const;
 
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -11,6 +11,8 @@
 
 LinkNode::~LinkNode() = default;
 
+void LinkNode::stop() { m_Impl->loop().stop(); }
+
 const model::Endpoint &LinkNode::endpoint() const { return m_Impl->endpoint(); }
 
 void LinkNode::connect(const model::Endpoint &To) {
--- a/libs/state/benchmarks/StateBenchmark.cpp
+++ b/libs/state/benchmarks/StateBenchmark.cpp
@@ -82,6 +82,7 @@
   StateReplica Replica;
   Replica.loadImage(foldOf(sizeOf(State)).image());
   std::vector<std::string> Changes;
+  Changes.reserve(1000);
   for (int Index = 0; Index < 1000; ++Index)
     Changes.push_back(changeRecord(
         "change-" + std::to_string(Index),
@@ -101,6 +102,7 @@
   StateReplica Replica;
   Replica.loadImage(foldOf(Size).image());
   std::vector<std::string> Joins;
+  Joins.reserve(1000);
   for (std::size_t Index = 0; Index < 1000; ++Index)
     Joins.push_back(memberRecord(Index % 500, 1000000 + Index, Size));
   std::size_t Index = 0;
--- a/libs/state/tests/SnapshotStoreTest.cpp
+++ b/libs/state/tests/SnapshotStoreTest.cpp
@@ -57,8 +57,10 @@
       Last = Offset;
     }
   };
+  constexpr int ReaderCount = 3;
   std::vector<std::thread> Readers;
-  for (int Count = 0; Count < 3; ++Count)
+  Readers.reserve(ReaderCount);
+  for (int Count = 0; Count < ReaderCount; ++Count)
     Readers.emplace_back(Read);
   for (int Count = 0; Count < Publishes; ++Count)
     m_Store.publish(next());
