Acknowledge a heartbeat with the next one; count the traffic of links

Cause: each heartbeat was answered by a message of its own, so an idle link cost four frames each half second. Change: the next heartbeat carries the sequence of the newest that came. Links count frames and bytes, for the capacity page.

--- a/libs/app/include/app/MetricsText.h
+++ b/libs/app/include/app/MetricsText.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_APP_METRICSTEXT_H
 
 #include "app/RequestMetrics.h"
+#include "link/LinkTraffic.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,7 @@
   double m_ShedLevel = 0;
   bool m_IsRamping = false;
   bool m_IsStateFresh = false;
+  link::LinkTraffic m_Traffic;
 };
 
 /// \returns the metrics in the Prometheus text format, version 0.0.4.
--- a/libs/app/src/DaemonApi.cpp
+++ b/libs/app/src/DaemonApi.cpp
@@ -40,6 +40,7 @@
     Gauges = m_Gauges;
   }
   Gauges.m_AppliedOffset = m_Replica.offset();
+  Gauges.m_Traffic = m_Links->traffic();
   Gauges.m_IsStateFresh = m_Spread->isTrusted(monotonicNow());
   return Gauges;
 }
--- a/libs/app/src/DaemonTicks.cpp
+++ b/libs/app/src/DaemonTicks.cpp
@@ -80,6 +80,9 @@
   if (m_IsStopping || Now < m_NextWant)
     return;
   m_NextWant = Now + WantInterval;
+  // Membership does not tell when a judgement changes; the targets of a
+  // service are few and looked at again with its next request.
+  m_Entry->onLivenessChange();
   for (const model::Member &Peer : m_Members->wantedLinks())
     m_Peers->want(Peer, Now);
   for (const model::Member &Peer : m_Spread->wantedLinks())
--- a/libs/app/src/MetricsText.cpp
+++ b/libs/app/src/MetricsText.cpp
@@ -108,6 +108,12 @@
   writeGauge(Out, "target_shed_level", Gauges.m_ShedLevel);
   writeGauge(Out, "target_is_ramping", Gauges.m_IsRamping ? 1 : 0);
   writeGauge(Out, "state_is_fresh", Gauges.m_IsStateFresh ? 1 : 0);
+  writeGauge(Out, "link_sent_bytes",
+             static_cast<double>(Gauges.m_Traffic.m_BytesSent));
+  writeGauge(Out, "link_sent_frames",
+             static_cast<double>(Gauges.m_Traffic.m_FramesSent));
+  writeGauge(Out, "link_received_bytes",
+             static_cast<double>(Gauges.m_Traffic.m_BytesReceived));
   return fmt::to_string(Out);
 }
 
--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_LINK_LINKNODE_H
 #define KNAPWEEDLOFT_LINK_LINKNODE_H
 
+#include "link/LinkTraffic.h"
 #include "link/generated/link_generated.h"
 #include "model/Endpoint.h"
 #include "model/Handle.h"
@@ -95,6 +96,9 @@
   /// Closes \p Link; its m_OnDown runs with LinkEnd::Local.
   void close(PeerHandle Link);
 
+  /// \returns what was sent and received so far on all links.
+  [[nodiscard]] LinkTraffic traffic() const;
+
   /// Runs \p Task on the node's thread, after \p Delay.
   void post(std::function<void()> Task,
             absl::Duration Delay = absl::ZeroDuration());
--- a/libs/link/src/Connection.h
+++ b/libs/link/src/Connection.h
@@ -41,6 +41,7 @@
   SilenceMonitor m_Monitor;
   absl::Time m_Opened;
   absl::Time m_NextBeat;
+  std::uint64_t m_LastBeat = 0; ///< Newest sequence that came from the peer.
   bool m_IsOpener = false;
   bool m_IsWriteBlocked = false;
   model::Endpoint m_To; ///< If m_IsOpener.
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -21,6 +21,8 @@
   m_Impl->loop().post([this, Link] { m_Impl->close(Link); });
 }
 
+LinkTraffic LinkNode::traffic() const { return m_Impl->traffic(); }
+
 void LinkNode::post(std::function<void()> Task, absl::Duration Delay) {
   m_Impl->loop().post(std::move(Task), Delay);
 }
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -42,6 +42,7 @@
   std::string Frame = encodeFrame(Envelope);
   if (Frame.size() > m_Settings.m_MaxFrameBytes + FrameBuffer::PrefixBytes)
     return false;
+  m_Traffic.countSent(Frame.size());
   SendQueue::Push Result = Queue->push(std::move(Frame));
   if (Result == SendQueue::Push::FlushDue)
     m_Loop.post([this, Link] { flush(Link); });
@@ -160,6 +161,7 @@
 
 void LinkNode::Impl::onFrame(Connection &Peer,
                              std::span<const std::uint8_t> Frame) {
+  m_Traffic.countReceived(Frame.size() + FrameBuffer::PrefixBytes);
   auto Envelope = decodeFrame(Frame);
   if (!Envelope)
     return end(Peer.m_Link, LinkEnd::Malformed);
@@ -186,12 +188,9 @@
 }
 
 void LinkNode::Impl::onMessage(Connection &Peer, wire::MessageUnion &Message) {
-  if (const wire::HeartbeatAckT *Ack = Message.AsHeartbeatAck())
-    return Peer.m_Monitor.onAcknowledged(Ack->sequence);
   if (const wire::HeartbeatT *Beat = Message.AsHeartbeat()) {
-    wire::HeartbeatAckT Ack;
-    Ack.sequence = Beat->sequence;
-    queue(Peer, Ack);
+    Peer.m_Monitor.onAcknowledged(Beat->acknowledged);
+    Peer.m_LastBeat = Beat->sequence;
   }
   if (m_Settings.m_Hooks.m_OnMessage)
     m_Settings.m_Hooks.m_OnMessage(Peer.m_Link, Message);
@@ -202,7 +201,9 @@
   wire::EnvelopeT Envelope;
   Envelope.message.Set(std::move(Message));
   PeerHandle Link = Peer.m_Link;
-  auto Result = Peer.m_Outgoing->push(encodeFrame(Envelope));
+  std::string Frame = encodeFrame(Envelope);
+  m_Traffic.countSent(Frame.size());
+  auto Result = Peer.m_Outgoing->push(std::move(Frame));
   if (Result == SendQueue::Push::FlushDue)
     m_Loop.post([this, Link] { flush(Link); });
 }
@@ -263,6 +264,7 @@
   if (m_Settings.m_Hooks.m_FillHeartbeat)
     m_Settings.m_Hooks.m_FillHeartbeat(Beat);
   Beat.sequence = Peer.m_Monitor.onHeartbeat(Now);
+  Beat.acknowledged = Peer.m_LastBeat;
   Beat.now_us = static_cast<std::uint64_t>(absl::ToUnixMicros(Now));
   Peer.m_NextBeat = Now + m_Settings.m_HeartbeatInterval;
   queue(Peer, Beat);
--- a/libs/link/src/LinkNodeImpl.h
+++ b/libs/link/src/LinkNodeImpl.h
@@ -4,6 +4,7 @@
 #include "Connection.h"
 #include "EventLoop.h"
 #include "LinkTable.h"
+#include "TrafficCounter.h"
 #include "link/LinkNode.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -31,6 +32,8 @@
   void open(const model::Endpoint &To);
   void close(PeerHandle Link) { end(Link, LinkEnd::Local); }
 
+  [[nodiscard]] LinkTraffic traffic() const { return m_Traffic.read(); }
+
 private:
   void onReady(std::uint64_t Token, std::uint32_t Events);
   void accept();
@@ -58,6 +61,7 @@
   EventLoop m_Loop;
   FileDescriptor m_Listener;
   LinkTable m_Table;
+  TrafficCounter m_Traffic;
   absl::flat_hash_map<PeerHandle, std::unique_ptr<Connection>> m_Connections;
   std::uint32_t m_NextIndex = 0;
 };
--- /dev/null
+++ b/tools/capacity/DaemonSlopes.h
@@ -0,0 +1,14 @@
+#ifndef KNAPWEEDLOFT_CAPACITY_DAEMONSLOPES_H
+#define KNAPWEEDLOFT_CAPACITY_DAEMONSLOPES_H
+
+#include "Sheet.h"
+
+namespace knapweedloft::capacity {
+
+/// Starts real daemons on this machine and measures, by their number, links,
+/// bytes, processor time and memory of a daemon that serves nobody.
+void measureDaemons(Sheet &Page);
+
+} // namespace knapweedloft::capacity
+
+#endif // KNAPWEEDLOFT_CAPACITY_DAEMONSLOPES_H
--- a/tools/capacity/Targets.h
+++ b/tools/capacity/Targets.h
@@ -14,6 +14,10 @@
 inline constexpr double ReplacementsADay = 390;
 inline constexpr double SecondsADay = 86400;
 
+/// Links of a daemon: membership and relay hold 18; the target calls three
+/// services of 19 members each and is called by as many.
+inline constexpr double LinksToCome = 18 + 2 * 3 * 19;
+
 inline constexpr double MemoryBytes = 32e6;
 inline constexpr double ControlBytesASecond = 17e3;
 inline constexpr double ControlCoreShare = 0.037;
