--- a/libs/app/src/AppliedReporter.cpp
+++ b/libs/app/src/AppliedReporter.cpp
@@ -6,7 +6,10 @@
 
 void AppliedReporter::onChild(const std::string &Name, AppliedSummary Sum,
                               absl::Time Now) {
-  m_Children[Name] = {std::move(Sum), Now};
+  if (Sum.m_Count == 0 && Sum.m_Behind.empty())
+    m_Children.erase(Name);
+  else
+    m_Children[Name] = {std::move(Sum), Now};
 }
 
 void AppliedReporter::onSite(const std::string &DataCenter, AppliedSummary Sum,
--- a/libs/app/src/AppliedReporter.h
+++ b/libs/app/src/AppliedReporter.h
@@ -18,11 +18,11 @@
   AppliedReporter(std::size_t MaxNamed, absl::Duration KeptFor)
       : m_MaxNamed(MaxNamed), m_KeptFor(KeptFor) {}
 
+  /// An empty sum says that \p Name reports elsewhere from now on.
   void onChild(const std::string &Name, AppliedSummary Sum, absl::Time Now);
   void onSite(const std::string &DataCenter, AppliedSummary Sum,
               absl::Time Now);
   void onFleet(AppliedSummary Sum, absl::Time Now);
-  void forgetChild(const std::string &Name) { m_Children.erase(Name); }
 
   /// \returns the sum of this daemon and all below it.
   [[nodiscard]] AppliedSummary subtree(const AppliedOffset &Own,
--- a/libs/app/src/Spread.cpp
+++ b/libs/app/src/Spread.cpp
@@ -30,7 +30,7 @@
 constexpr absl::Duration SelfHelpFor = absl::Seconds(10);
 
 /// Reports are forgotten after so many intervals.
-constexpr int ReportsKept = 3;
+constexpr int ReportsKept = 6;
 
 } // namespace
 
@@ -349,6 +349,9 @@
     m_ReportAt = Now + m_Settings.m_ReportInterval;
     std::string Parent = reportParent();
     AppliedSummary Subtree = m_Reporter.subtree(own(), Now);
+    std::string Former = std::exchange(m_ReportedTo, Parent);
+    if (Former != Parent && m_Peers.contains(Former))
+      sendReports(Former, {}); // Or this subtree would count twice.
     if (!Parent.empty())
       sendReports(Parent, Subtree);
     else if (m_Roles.isFollower())
@@ -395,6 +398,7 @@
   state::SnapshotPtr m_Next;
   absl::flat_hash_map<std::string, Peer> m_Peers; ///< With a link that is up.
   absl::flat_hash_map<std::string, absl::Time> m_SiteAwayAt;
+  std::string m_ReportedTo;
   bool m_IsLogAway = false;
   bool m_IsHelpingSelf = false;
   absl::Time m_StartedAt = absl::InfinitePast();
