Ask what became of a forward when its link goes down

A lost link used to end in 'unknown' at once. The entry side now opens another link and asks; the target side records every forward before the target sees it and keeps its outcome, so that the answer is collected, a run is waited for, or 'not run' is proved and another target tried. Any link of several that goes down counts, since what was under way on it may be lost. A refusal is recorded too: a second copy can never run. OnPeerDown_MayHaveRun still asserts the same, with the link kept away.

--- a/libs/app/include/app/EntrySide.h
+++ b/libs/app/include/app/EntrySide.h
@@ -8,6 +8,7 @@
 #include "app/WireConvert.h"
 #include "model/Member.h"
 #include "policy/AttemptBudget.h"
+#include "policy/FateResolver.h"
 #include "state/SnapshotStore.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -15,6 +16,7 @@
 #include "absl/random/random.h"
 
 #include <functional>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -32,6 +34,9 @@
     /// Sends to a member. \returns false if no link to it is up.
     std::function<bool(const model::Member &To, wire::ForwardT)> m_Forward;
     std::function<void(const model::Member &To, wire::CancelT)> m_Cancel;
+    /// \returns false if no link to the member is up.
+    std::function<bool(const model::Member &To, wire::FateQueryT)> m_Query;
+    std::function<bool(const model::Member &Who)> m_IsLinked;
     /// Asks for a link; onPeerUp() follows if it comes up.
     std::function<void(const model::Member &To)> m_WantLink;
     std::function<bool(const model::Member &Who)> m_IsAlive;
@@ -55,6 +60,9 @@
     absl::Duration m_LinkWait = absl::Seconds(1);
     /// How long past its deadline the target side's own answer is awaited.
     absl::Duration m_DeadlineGrace = absl::Milliseconds(50);
+    policy::FateResolver::Options m_Fate;
+    /// How long another link is waited for where a second run does no harm.
+    absl::Duration m_IdempotentLinkWait = absl::Milliseconds(250);
     policy::EarlyRefusal::Options m_EarlyRefusal;
     policy::RetryPolicy::Options m_Retries;
     Hooks m_Hooks;
@@ -66,7 +74,9 @@
   void submit(EntryRequest Request, absl::Time Now);
   void onAnswer(wire::AnswerT &Answer, absl::Time Now);
   void onPeerUp(const model::Member &Who, absl::Time Now);
-  /// No link to \p Who is left.
+  /// What became of a forward, by the side that could run it.
+  void onFate(const wire::FateAnswerT &Answer, absl::Time Now);
+  /// A link to \p Who is down; another may be left.
   void onPeerDown(const model::Member &Who, absl::Time Now);
   /// The set of members that are alive has changed.
   void onLivenessChange();
@@ -77,7 +87,13 @@
 private:
   using PendingId = std::uint64_t;
 
-  enum class Stage : std::uint8_t { Choosing, Parked, BackingOff, Sent };
+  enum class Stage : std::uint8_t {
+    Choosing,
+    Parked,
+    BackingOff,
+    Sent,
+    Asking ///< Sent, and its link went down since.
+  };
 
   struct Pending {
     EntryRequest m_Request;
@@ -92,6 +108,11 @@
     std::uint16_t m_HandedOver = 0; ///< Attempts given to that forward.
     absl::Time m_Sent;
     absl::Time m_ParkedSince = absl::InfiniteFuture();
+    std::optional<policy::FateResolver> m_Fate; ///< If it is Asking.
+
+    [[nodiscard]] bool isAtTarget() const {
+      return m_Stage == Stage::Sent || m_Stage == Stage::Asking;
+    }
   };
 
   struct Alarm {
@@ -131,6 +152,13 @@
   void setAlarm(PendingId Id, absl::Time When);
   void onAlarm(PendingId Id, absl::Time Now);
   void onHangUp(PendingId Id, absl::Time Now);
+  // EntryFate.cpp
+  void loseLink(PendingId Id, Pending &Held, absl::Time Now);
+  void resolve(PendingId Id, absl::Time Now);
+  [[nodiscard]] bool ask(const Pending &Held);
+  void endUnknown(PendingId Id, Pending &Held, absl::Time Now);
+  void retryNotRun(PendingId Id, Pending &Held, absl::Time Now);
+  void resolveAll(const model::Member &Who, absl::Time Now);
   void cancelForward(Pending &Under, absl::Time Now);
   void end(PendingId Id, const Ending &How, absl::Time Now);
   void succeed(PendingId Id, wire::AnswerT &Answer, absl::Time Now);
--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -9,6 +9,7 @@
 #include "model/Ran.h"
 #include "model/RefusalReason.h"
 #include "policy/Admission.h"
+#include "policy/ForwardLedger.h"
 #include "state/Snapshot.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -28,6 +29,7 @@
 public:
   struct Hooks {
     std::function<void(link::PeerHandle To, wire::AnswerT)> m_Answer;
+    std::function<void(link::PeerHandle To, wire::FateAnswerT)> m_Fate;
     using Done = std::function<void(http::HttpResult, absl::Time Now)>;
     /// Calls the target. The callback must arrive on the link thread.
     std::function<http::HttpClient::CallId(
@@ -41,6 +43,7 @@
   struct Options {
     model::Incarnation m_Self = 0;
     policy::Admission::Options m_Admission;
+    policy::ForwardLedger::Options m_Ledger;
     Hooks m_Hooks;
   };
 
@@ -52,6 +55,10 @@
   void onForward(link::PeerHandle From, wire::ForwardT &Message,
                  const state::Snapshot &State, absl::Time Now);
   void onCancel(const model::ForwardId &Id, absl::Time Now);
+  /// The entry side asks what became of a forward. After "not run" it never
+  /// runs; a run's answer goes to \p From from now on.
+  void onQuery(link::PeerHandle From, const wire::FateQueryT &Query,
+               absl::Time Now);
   void tick(absl::Time Now);
 
   /// Refuses new forwards from now on; those admitted go on.
@@ -76,6 +83,18 @@
   [[nodiscard]] model::RefusalReason check(const wire::ForwardT &Message,
                                            const state::Snapshot &State,
                                            absl::Time Now) const;
+  /// \returns whether the forward is new and recorded; answers it if not.
+  [[nodiscard]] bool record(link::PeerHandle From, const model::ForwardId &Id,
+                            absl::Time Now);
+  /// Keeps the answer for queries and sends it.
+  void settle(link::PeerHandle To, wire::AnswerT Answer, absl::Time Now);
+  void resend(link::PeerHandle To, const model::ForwardId &Id, absl::Time Now);
+  void dropEvicted();
+  [[nodiscard]] wire::AnswerT makeRefusal(const model::ForwardId &Id,
+                                          model::RefusalReason Reason,
+                                          model::Ran DidRun,
+                                          absl::Duration RetryAfter,
+                                          absl::Time Now) const;
   void refuse(link::PeerHandle To, const model::ForwardId &Id,
               model::RefusalReason Reason, model::Ran DidRun,
               absl::Duration RetryAfter, absl::Time Now);
@@ -89,6 +108,9 @@
   Options m_Options;
   ContextTable &m_Contexts;
   policy::Admission m_Admission;
+  policy::ForwardLedger m_Ledger;
+  absl::flat_hash_map<policy::OutcomeId, wire::AnswerT> m_Outcomes;
+  policy::OutcomeId m_LastOutcome = 0;
   std::string m_Service;
   std::string m_TargetBase; ///< Empty until the target announced itself.
   std::uint64_t m_TargetInstance = 0;
--- a/libs/app/src/DaemonLinks.cpp
+++ b/libs/app/src/DaemonLinks.cpp
@@ -35,12 +35,14 @@
   LinkLog.info(
       "Link is down.",
       {{"peer", Who.m_Name}, {"reason", link::LinkEndNames.nameOf(Reason)}});
-  if (!m_Peers->onDown(Link))
-    return;
+  bool IsLast = m_Peers->onDown(Link);
   absl::Time Now = monotonicNow();
+  // What was under way on this link may be lost even if another is up.
+  m_Entry->onPeerDown(Who, Now);
+  if (!IsLast)
+    return;
   m_Members->onPeerDown(Who.m_Name, Now);
   m_Spread->onPeerDown(Who.m_Name, Now);
-  m_Entry->onPeerDown(Who, Now);
 }
 
 link::PeerHandle Daemon::Impl::linkTo(const std::string &Name) {
@@ -81,6 +83,10 @@
     m_Entry->onAnswer(*Answer, Now);
   } else if (auto *Cancel = as<wire::CancelT>(Message)) {
     m_Target->onCancel(fromWire(Cancel->id), Now);
+  } else if (auto *Query = as<wire::FateQueryT>(Message)) {
+    m_Target->onQuery(From, *Query, Now);
+  } else if (auto *Fate = as<wire::FateAnswerT>(Message)) {
+    m_Entry->onFate(*Fate, Now);
   } else if (auto *Beat = as<wire::HeartbeatT>(Message)) {
     m_Spread->onHeartbeat(Life.m_Name, *Beat, Now);
   } else if (!m_Rates->onMessage(Life, Message, Now) &&
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -105,6 +105,10 @@
     auto Shared = std::make_shared<wire::AnswerT>(std::move(Answer));
     post([this, Shared] { m_Entry->onAnswer(*Shared, monotonicNow()); });
   };
+  Target.m_Hooks.m_Fate = [this](link::PeerHandle To,
+                                 wire::FateAnswerT Answer) {
+    m_Links->send(To, std::move(Answer));
+  };
   Target.m_Hooks.m_Call = [this](const std::string &Base,
                                  http::HttpRequest Request,
                                  absl::Duration Timeout,
@@ -139,6 +143,14 @@
       m_Target->onCancel(Id, monotonicNow());
     });
   };
+  Entry.m_Hooks.m_Query = [this](const model::Member &To,
+                                 wire::FateQueryT Query) {
+    link::PeerHandle Link = m_Peers->find(To.m_Name, To.m_Incarnation);
+    return Link.isValid() && m_Links->send(Link, std::move(Query));
+  };
+  Entry.m_Hooks.m_IsLinked = [this](const model::Member &Who) {
+    return m_Peers->find(Who.m_Name, Who.m_Incarnation).isValid();
+  };
   Entry.m_Hooks.m_WantLink = [this](const model::Member &To) {
     m_Peers->want(To, monotonicNow());
   };
--- /dev/null
+++ b/libs/app/src/EntryFate.cpp
@@ -0,0 +1,136 @@
+#include "app/EntrySide.h"
+
+#include <utility>
+
+namespace knapweedloft::app {
+namespace {
+
+using model::Ran;
+using model::RefusalReason;
+
+/// When to come back after an outcome that could not be learned.
+constexpr absl::Duration UnknownRetryAfter = absl::Seconds(1);
+
+policy::ForwardFate fromWire(wire::Fate Fate) {
+  switch (Fate) {
+  case wire::Fate::NotRun:
+    return policy::ForwardFate::NotRun;
+  case wire::Fate::Running:
+    return policy::ForwardFate::Running;
+  case wire::Fate::Finished:
+    return policy::ForwardFate::Finished;
+  default:
+    return policy::ForwardFate::Unknown;
+  }
+}
+
+} // namespace
+
+void EntrySide::onPeerDown(const model::Member &Who, absl::Time Now) {
+  std::vector<PendingId> Lost;
+  for (const auto &[Id, Held] : m_Pending)
+    if (Held.isAtTarget() && Held.m_To.m_Incarnation == Who.m_Incarnation)
+      Lost.push_back(Id);
+  for (PendingId Id : Lost) {
+    auto Found = m_Pending.find(Id);
+    if (Found != m_Pending.end())
+      loseLink(Id, Found->second, Now);
+  }
+}
+
+void EntrySide::loseLink(PendingId Id, Pending &Held, absl::Time Now) {
+  if (Held.m_Fate) {
+    Held.m_Fate->onLinkDown(Now);
+  } else {
+    policy::FateResolver::Options Options = m_Options.m_Fate;
+    if (Held.m_Request.m_Route.m_IsIdempotent)
+      Options.m_LinkWait = m_Options.m_IdempotentLinkWait;
+    Held.m_Fate.emplace(Options, Held.m_Request.m_Deadline, Now);
+    Held.m_Stage = Stage::Asking;
+    serviceOf(Held.m_Request.m_Route.m_Service, Now)
+        .m_Chooser.onLost(Held.m_Target, Now);
+  }
+  resolve(Id, Now);
+}
+
+void EntrySide::onFate(const wire::FateAnswerT &Answer, absl::Time Now) {
+  if (Answer.id.entry() != m_Options.m_Self.m_Incarnation)
+    return;
+  auto Found = m_BySequence.find(Answer.id.sequence());
+  if (Found == m_BySequence.end())
+    return;
+  PendingId Id = Found->second;
+  Pending &Held = m_Pending.at(Id);
+  if (!Held.m_Fate)
+    return;
+  Held.m_Fate->onFate(fromWire(Answer.fate));
+  resolve(Id, Now);
+}
+
+void EntrySide::resolveAll(const model::Member &Who, absl::Time Now) {
+  std::vector<PendingId> Asking;
+  for (auto &[Id, Held] : m_Pending) {
+    if (!Held.m_Fate || Held.m_To.m_Name != Who.m_Name)
+      continue;
+    if (Held.m_To.m_Incarnation != Who.m_Incarnation)
+      Held.m_Fate->onReplaced();
+    Asking.push_back(Id);
+  }
+  for (PendingId Id : Asking)
+    resolve(Id, Now);
+}
+
+void EntrySide::resolve(PendingId Id, absl::Time Now) {
+  auto Found = m_Pending.find(Id);
+  if (Found == m_Pending.end() || !Found->second.m_Fate)
+    return;
+  Pending &Held = Found->second;
+  switch (Held.m_Fate->next(m_Options.m_Hooks.m_IsLinked(Held.m_To), Now)) {
+  case policy::FateStep::Ask:
+    if (!ask(Held))
+      m_Options.m_Hooks.m_WantLink(Held.m_To);
+    break;
+  case policy::FateStep::OpenLink:
+    m_Options.m_Hooks.m_WantLink(Held.m_To);
+    break;
+  case policy::FateStep::Wait:
+    break;
+  case policy::FateStep::NotRun:
+    retryNotRun(Id, Held, Now);
+    return;
+  case policy::FateStep::Unknown:
+    endUnknown(Id, Held, Now);
+    return;
+  }
+  setAlarm(Id, Held.m_Fate->wakeAt());
+}
+
+bool EntrySide::ask(const Pending &Held) {
+  wire::FateQueryT Query;
+  Query.id = {m_Options.m_Self.m_Incarnation, Held.m_Sequence};
+  Query.to_incarnation = Held.m_To.m_Incarnation;
+  return m_Options.m_Hooks.m_Query(Held.m_To, std::move(Query));
+}
+
+void EntrySide::endUnknown(PendingId Id, Pending &Held, absl::Time Now) {
+  m_BySequence.erase(Held.m_Sequence);
+  Held.m_Fate.reset();
+  onRefused(Id,
+            {.m_Reason = RefusalReason::OutcomeUnknown,
+             .m_Ran = Ran::Unknown,
+             .m_RetryAfter = UnknownRetryAfter},
+            Now);
+}
+
+void EntrySide::retryNotRun(PendingId Id, Pending &Held, absl::Time Now) {
+  m_BySequence.erase(Held.m_Sequence);
+  Held.m_Fate.reset();
+  attemptsOf(Held).giveBack(Held.m_HandedOver);
+  onRefused(Id,
+            {.m_Reason = RefusalReason::NoTarget,
+             .m_Ran = Ran::No,
+             .m_RetryAfter = UnknownRetryAfter},
+            Now);
+}
+
+} // namespace knapweedloft::app
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -278,6 +278,7 @@
 }
 
 void EntrySide::onPeerUp(const model::Member &Who, absl::Time Now) {
+  resolveAll(Who, Now);
   auto Found = m_Services.find(Who.m_Service);
   if (Found == m_Services.end())
     return;
@@ -290,25 +291,6 @@
   }
 }
 
-void EntrySide::onPeerDown(const model::Member &Who, absl::Time Now) {
-  std::vector<PendingId> Lost;
-  for (const auto &[Id, Held] : m_Pending)
-    if (Held.m_Stage == Stage::Sent &&
-        Held.m_To.m_Incarnation == Who.m_Incarnation)
-      Lost.push_back(Id);
-  for (PendingId Id : Lost) {
-    Pending &Held = m_Pending.at(Id);
-    serviceOf(Held.m_Request.m_Route.m_Service, Now)
-        .m_Chooser.onLost(Held.m_Target, Now);
-    m_BySequence.erase(Held.m_Sequence);
-    onRefused(Id,
-              {.m_Reason = RefusalReason::OutcomeUnknown,
-               .m_Ran = Ran::Unknown,
-               .m_RetryAfter = DefaultRetryAfter},
-              Now);
-  }
-}
-
 void EntrySide::onLivenessChange() { ++m_LivenessVersion; }
 
 void EntrySide::onAnswer(wire::AnswerT &Answer, absl::Time Now) {
@@ -326,8 +308,10 @@
   bool IsFailure =
       Reason == RefusalReason::None ? Answer.status >= 500 : DidRun != Ran::No;
   policy::TargetFeedback Feedback = feedbackOf(Answer.load);
-  Service.m_Chooser.onAnswer(Held.m_Target, Feedback, !IsFailure,
-                             Now - Held.m_Sent, Now);
+  if (!Held.m_Fate)
+    Service.m_Chooser.onAnswer(Held.m_Target, Feedback, !IsFailure,
+                               Now - Held.m_Sent, Now);
+  Held.m_Fate.reset();
   Service.m_EarlyRefusal.observe(Feedback.m_ShedLevel, Now,
                                  customerIndex(Held.m_Request.m_Customer));
   // What did not run used no attempts.
@@ -403,7 +387,7 @@
   if (Found == m_Pending.end())
     return;
   Pending &Held = Found->second;
-  bool IsSent = Held.m_Stage == Stage::Sent;
+  bool IsSent = Held.isAtTarget();
   absl::Time Deadline = Held.m_Request.m_Deadline;
   if (Now >= (IsSent ? Deadline + m_Options.m_DeadlineGrace : Deadline)) {
     cancelForward(Held, Now);
@@ -413,7 +397,9 @@
         Now);
     return;
   }
-  if (!IsSent)
+  if (Held.m_Stage == Stage::Asking)
+    resolve(Id, Now);
+  else if (!IsSent)
     dispatch(Id, Now);
 }
 
@@ -421,7 +407,7 @@
   auto Found = m_Pending.find(Id);
   if (Found == m_Pending.end())
     return;
-  bool IsSent = Found->second.m_Stage == Stage::Sent;
+  bool IsSent = Found->second.isAtTarget();
   cancelForward(Found->second, Now);
   end(Id,
       {.m_Reason = RefusalReason::Cancelled,
@@ -430,11 +416,12 @@
 }
 
 void EntrySide::cancelForward(Pending &Under, absl::Time Now) {
-  if (Under.m_Stage != Stage::Sent)
+  if (!Under.isAtTarget())
     return;
   m_BySequence.erase(Under.m_Sequence);
-  serviceOf(Under.m_Request.m_Route.m_Service, Now)
-      .m_Chooser.onLost(Under.m_Target, Now);
+  if (!Under.m_Fate)
+    serviceOf(Under.m_Request.m_Route.m_Service, Now)
+        .m_Chooser.onLost(Under.m_Target, Now);
   wire::CancelT Cancel;
   Cancel.id = {m_Options.m_Self.m_Incarnation, Under.m_Sequence};
   m_Options.m_Hooks.m_Cancel(Under.m_To, std::move(Cancel));
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -62,7 +62,7 @@
 
 TargetSide::TargetSide(Options Settings, ContextTable &Contexts, absl::Time Now)
     : m_Options(std::move(Settings)), m_Contexts(Contexts),
-      m_Admission(m_Options.m_Admission, Now) {}
+      m_Admission(m_Options.m_Admission, Now), m_Ledger(m_Options.m_Ledger) {}
 
 void TargetSide::onAnnouncement(const Announcement &News, absl::Time Now) {
   std::string Base = toBaseUrl(News.m_At);
@@ -77,13 +77,19 @@
 void TargetSide::onForward(link::PeerHandle From, wire::ForwardT &Message,
                            const state::Snapshot &State, absl::Time Now) {
   model::ForwardId Id = fromWire(Message.id);
+  if (Message.to_incarnation != m_Options.m_Self) {
+    m_Options.m_Hooks.m_Answer(From,
+                               makeRefusal(Id, RefusalReason::WrongIncarnation,
+                                           Ran::No, ComeBackAfter, Now));
+    return;
+  }
+  if (!record(From, Id, Now))
+    return;
   RefusalReason Reason = check(Message, State, Now);
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ComeBackAfter, Now);
     return;
   }
-  if (m_Tickets.contains(Id))
-    return; // A second copy; the first is answered.
   policy::TicketId Ticket = ++m_LastTicket;
   Run Next;
   Next.m_Id = Id;
@@ -113,8 +119,6 @@
                                 const state::Snapshot &State,
                                 absl::Time Now) const {
   (void)Now;
-  if (Message.to_incarnation != m_Options.m_Self)
-    return RefusalReason::WrongIncarnation;
   if (m_IsStopping)
     return RefusalReason::Stopping;
   if (!m_IsServing || Message.service != m_Service)
@@ -141,14 +145,7 @@
 void TargetSide::refuse(link::PeerHandle To, const model::ForwardId &Id,
                         RefusalReason Reason, Ran DidRun,
                         absl::Duration RetryAfter, absl::Time Now) {
-  wire::AnswerT Answer;
-  Answer.id = toWire(Id);
-  Answer.refusal = static_cast<std::uint8_t>(Reason);
-  Answer.ran = static_cast<std::uint8_t>(DidRun);
-  Answer.retry_after_us =
-      static_cast<std::uint64_t>(absl::ToInt64Microseconds(RetryAfter));
-  Answer.load = load(Now);
-  m_Options.m_Hooks.m_Answer(To, std::move(Answer));
+  settle(To, makeRefusal(Id, Reason, DidRun, RetryAfter, Now), Now);
 }
 
 void TargetSide::drainAdmission(absl::Time Now) {
@@ -245,7 +242,7 @@
   Answer.load = load(Now);
   Answer.attempts_left = Done.m_AttemptsLeft;
   Answer.is_final = Done.m_HasFailedBelow;
-  m_Options.m_Hooks.m_Answer(Done.m_From, std::move(Answer));
+  settle(Done.m_From, std::move(Answer), Now);
 }
 
 void TargetSide::onCancel(const model::ForwardId &Id, absl::Time Now) {
@@ -259,8 +256,11 @@
     return; // Its result follows.
   }
   m_Admission.cancel(Ticket, Now);
+  link::PeerHandle From = Cancelled.m_From;
   m_Runs.erase(Ticket);
   m_Tickets.erase(Found);
+  refuse(From, Id, RefusalReason::Cancelled, Ran::No, absl::ZeroDuration(),
+         Now);
   drainAdmission(Now);
 }
 
--- a/libs/app/tests/EntrySideTest.cpp
+++ b/libs/app/tests/EntrySideTest.cpp
@@ -59,6 +59,14 @@
     Options.m_Hooks.m_Cancel = [this](const model::Member &, wire::CancelT) {
       ++m_Cancels;
     };
+    Options.m_Hooks.m_IsLinked = [this](const model::Member &) {
+      return m_IsLinked;
+    };
+    Options.m_Hooks.m_Query = [this](const model::Member &,
+                                     wire::FateQueryT Query) {
+      m_Queries.push_back(std::move(Query));
+      return m_IsLinked;
+    };
     Options.m_Hooks.m_WantLink = [this](const model::Member &) { ++m_Wanted; };
     Options.m_Hooks.m_IsAlive = [](const model::Member &) { return true; };
     Options.m_Hooks.m_Wake = [](absl::Time) {};
@@ -116,6 +124,34 @@
     m_Entry.onAnswer(Answer, m_Now);
   }
 
+  /// The link under the first forward goes down.
+  model::Member loseLink() {
+    m_IsLinked = false;
+    model::Member To;
+    To.m_Name = m_Sent[0].first;
+    To.m_Incarnation = To.m_Name == "a-1" ? 11 : 22;
+    To.m_Service = "orders";
+    m_Entry.onPeerDown(To, m_Now);
+    return To;
+  }
+
+  void tellFate(wire::Fate Fate) {
+    wire::FateAnswerT Answer;
+    Answer.id = m_Queries.back().id;
+    Answer.fate = Fate;
+    m_Entry.onFate(Answer, m_Now);
+  }
+
+  /// First attempts earn the edge its retries.
+  void earnRetries() {
+    for (int Earned = 0; Earned < 20; ++Earned) {
+      submit();
+      answer(m_Sent.back().second, RefusalReason::None, Ran::Yes);
+    }
+    m_Answers.clear();
+    m_Sent.clear();
+  }
+
   void runUntil(absl::Time End) {
     while (m_Now < End) {
       m_Now += absl::Milliseconds(5);
@@ -134,6 +170,7 @@
   ContextTable m_Contexts{[] { return std::uint64_t{7}; }};
   bool m_IsLinked = true;
   std::deque<std::pair<std::string, wire::ForwardT>> m_Sent;
+  std::deque<wire::FateQueryT> m_Queries;
   int m_Cancels = 0;
   int m_Wanted = 0;
   std::function<void(absl::Time)> m_HangUp;
@@ -180,12 +217,7 @@
 }
 
 TEST_F(EntrySideTest, OnAnswer_NotRunAndRefused_TriesAnotherTarget) {
-  // First attempts earn the edge its retries.
-  for (int Earned = 0; Earned < 20; ++Earned) {
-    submit();
-    answer(m_Sent.back().second, RefusalReason::None, Ran::Yes);
-  }
-  m_Answers.clear();
+  earnRetries();
   submit();
   std::string First = m_Sent.back().first;
   std::size_t Before = m_Sent.size();
@@ -199,16 +231,63 @@
 
 TEST_F(EntrySideTest, OnPeerDown_MayHaveRun_SaysUnknownAndDoesNotRetry) {
   submit();
-  model::Member To;
-  To.m_Name = m_Sent[0].first;
-  To.m_Incarnation = To.m_Name == "a-1" ? 11 : 22;
-  m_Entry.onPeerDown(To, m_Now);
+  loseLink();
   runUntil(m_Now + Timeout + absl::Seconds(1));
   EXPECT_EQ(m_Sent.size(), 1U);
   ASSERT_EQ(m_Answers.size(), 1U);
   EXPECT_EQ(problem()["ran"], "unknown");
 }
 
+TEST_F(EntrySideTest, OnPeerDown_AnotherLinkUp_AsksAndCollectsTheAnswer) {
+  submit();
+  model::Member To = loseLink();
+  EXPECT_GE(m_Wanted, 1);
+  EXPECT_TRUE(m_Queries.empty());
+  m_IsLinked = true;
+  m_Entry.onPeerUp(To, m_Now);
+  ASSERT_EQ(m_Queries.size(), 1U);
+  EXPECT_EQ(m_Queries[0].to_incarnation, To.m_Incarnation);
+  tellFate(wire::Fate::Running);
+  EXPECT_TRUE(m_Answers.empty());
+  answer(m_Sent[0].second, RefusalReason::None, Ran::Yes, "printed");
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Body, "printed");
+  EXPECT_EQ(m_Sent.size(), 1U);
+}
+
+TEST_F(EntrySideTest, OnFate_NotRun_RunsElsewhereUnderAnotherId) {
+  earnRetries();
+  submit();
+  model::Member To = loseLink();
+  m_IsLinked = true;
+  m_Entry.onPeerUp(To, m_Now);
+  tellFate(wire::Fate::NotRun);
+  runUntil(m_Now + absl::Milliseconds(500));
+  ASSERT_EQ(m_Sent.size(), 2U);
+  EXPECT_NE(m_Sent[0].first, m_Sent[1].first);
+  EXPECT_NE(m_Sent[0].second.id.sequence(), m_Sent[1].second.id.sequence());
+}
+
+TEST_F(EntrySideTest, OnFate_Unknown_SaysUnknownAtOnceAndRunsNothing) {
+  submit();
+  model::Member To = loseLink();
+  m_IsLinked = true;
+  m_Entry.onPeerUp(To, m_Now);
+  tellFate(wire::Fate::Unknown);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(problem()["ran"], "unknown");
+  EXPECT_EQ(m_Sent.size(), 1U);
+}
+
+TEST_F(EntrySideTest, OnPeerUp_DaemonWasReplaced_SaysUnknown) {
+  submit();
+  model::Member To = loseLink();
+  To.m_Incarnation = 77;
+  m_Entry.onPeerUp(To, m_Now);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(problem()["ran"], "unknown");
+}
+
 TEST_F(EntrySideTest, Tick_DeadlinePassesUnanswered_CancelsAndSaysUnknown) {
   submit();
   runUntil(m_Now + Timeout + absl::Seconds(1));
--- a/libs/app/tests/TargetSideTest.cpp
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -65,6 +65,10 @@
     Options.m_Hooks.m_CancelCall = [this](http::HttpClient::CallId Call) {
       m_Cancelled.push_back(Call);
     };
+    Options.m_Hooks.m_Fate = [this](link::PeerHandle,
+                                    wire::FateAnswerT Answer) {
+      m_Fates.push_back(Answer.fate);
+    };
     Options.m_Hooks.m_Wake = [](absl::Time) {};
     return Options;
   }
@@ -88,6 +92,13 @@
     m_Target.onForward(Entry, Message, *m_Replica.store().share(), m_Now);
   }
 
+  void query(std::uint64_t Sequence, model::Incarnation Life = Self) {
+    wire::FateQueryT Query;
+    Query.id = {1, Sequence};
+    Query.to_incarnation = Life;
+    m_Target.onQuery(Entry, Query, m_Now);
+  }
+
   void finish(http::HttpClient::CallId Call, http::Failure Failure,
               std::string Body = "") {
     http::HttpResult Result;
@@ -115,6 +126,7 @@
   std::vector<http::HttpRequest> m_Requests;
   std::vector<http::HttpClient::CallId> m_Cancelled;
   std::vector<wire::AnswerT> m_Answers;
+  std::vector<wire::Fate> m_Fates;
   TargetSide m_Target{options(), m_Contexts, m_Now};
 };
 
@@ -228,5 +240,48 @@
   EXPECT_EQ(toText(m_Answers[1].body), "done");
 }
 
+TEST_F(TargetSideTest, OnQuery_BeforeTheForward_NeverRunsIt) {
+  query(1);
+  ASSERT_EQ(m_Fates.size(), 1U);
+  EXPECT_EQ(m_Fates[0], wire::Fate::NotRun);
+  m_Now += absl::Hours(1);
+  send(forward(1));
+  EXPECT_TRUE(m_Requests.empty());
+  EXPECT_TRUE(m_Answers.empty());
+}
+
+TEST_F(TargetSideTest, OnQuery_Finished_SendsTheAnswerAgain) {
+  send(forward(1));
+  finish(1, http::Failure::None, "printed");
+  query(1);
+  EXPECT_EQ(m_Fates.at(0), wire::Fate::Finished);
+  ASSERT_EQ(m_Answers.size(), 2U);
+  EXPECT_EQ(toText(m_Answers[1].body), "printed");
+  EXPECT_EQ(m_Requests.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnQuery_Running_SaysSoAndAnswersOnce) {
+  send(forward(1));
+  query(1);
+  EXPECT_EQ(m_Fates.at(0), wire::Fate::Running);
+  finish(1, http::Failure::None, "printed");
+  EXPECT_EQ(m_Answers.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnQuery_OfFormerIncarnation_SaysUnknown) {
+  query(1, Self - 1);
+  EXPECT_EQ(m_Fates.at(0), wire::Fate::Unknown);
+}
+
+TEST_F(TargetSideTest, OnForward_RefusedThenSecondCopy_StaysRefused) {
+  announce(7, TargetState::Draining);
+  send(forward(1));
+  ASSERT_EQ(ran(0), Ran::No);
+  announce(7);
+  send(forward(1));
+  EXPECT_TRUE(m_Requests.empty());
+  EXPECT_EQ(ran(1), Ran::No);
+}
+
 } // namespace
 } // namespace knapweedloft::app
--- a/libs/policy/include/policy/FateResolver.h
+++ b/libs/policy/include/policy/FateResolver.h
@@ -40,6 +40,8 @@
     absl::Duration m_LinkWait = absl::Seconds(3);
     /// A query without an answer is repeated after this.
     absl::Duration m_AskAgain = absl::Milliseconds(500);
+    /// A link that did not come up is asked for again after this.
+    absl::Duration m_OpenAgain = absl::Milliseconds(100);
   };
 
   /// \p Deadline is the end of all waiting.
@@ -66,11 +68,11 @@
   Options m_Settings;
   absl::Time m_Deadline;
   absl::Time m_LinkBy;
+  absl::Time m_Opened = absl::InfinitePast();
   absl::Time m_Asked = absl::InfinitePast();
   absl::Time m_WakeAt;
   std::optional<ForwardFate> m_Fate;
   bool m_IsReplaced = false;
-  bool m_IsLinkWanted = false;
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/src/FateResolver.cpp
+++ b/libs/policy/src/FateResolver.cpp
@@ -13,7 +13,7 @@
 void FateResolver::onLinkDown(absl::Time Now) {
   m_LinkBy = std::min(m_Deadline, Now + m_Settings.m_LinkWait);
   m_Asked = absl::InfinitePast();
-  m_IsLinkWanted = false;
+  m_Opened = absl::InfinitePast();
   // That it runs was heard on the link that is gone: ask again.
   if (m_Fate == ForwardFate::Running || m_Fate == ForwardFate::Finished)
     m_Fate.reset();
@@ -27,10 +27,10 @@
   if (!IsLinkUp) {
     if (Now >= m_LinkBy)
       return FateStep::Unknown;
-    if (m_IsLinkWanted)
-      return waitUntil(m_LinkBy);
-    m_IsLinkWanted = true;
-    m_WakeAt = m_LinkBy;
+    if (Now < m_Opened + m_Settings.m_OpenAgain)
+      return waitUntil(std::min(m_LinkBy, m_Opened + m_Settings.m_OpenAgain));
+    m_Opened = Now;
+    m_WakeAt = std::min(m_LinkBy, Now + m_Settings.m_OpenAgain);
     return FateStep::OpenLink;
   }
   if (m_Fate)
--- a/libs/policy/tests/FateResolverTest.cpp
+++ b/libs/policy/tests/FateResolverTest.cpp
@@ -15,10 +15,11 @@
       m_Now};
 };
 
-TEST_F(FateResolverTest, Next_NoLink_OpensOneThenWaitsThenGivesUp) {
+TEST_F(FateResolverTest, Next_NoLink_OpensOneAgainAndAgainThenGivesUp) {
   EXPECT_EQ(m_Fate.next(false, m_Now), FateStep::OpenLink);
   EXPECT_EQ(m_Fate.next(false, m_Now), FateStep::Wait);
-  EXPECT_EQ(m_Fate.wakeAt(), m_Now + absl::Seconds(3));
+  EXPECT_EQ(m_Fate.wakeAt(), m_Now + absl::Milliseconds(100));
+  EXPECT_EQ(m_Fate.next(false, m_Fate.wakeAt()), FateStep::OpenLink);
   EXPECT_EQ(m_Fate.next(false, m_Now + absl::Seconds(3)), FateStep::Unknown);
 }
 
