--- /dev/null
+++ b/libs/policy/src/IdempotencyTable.cpp
@@ -0,0 +1,141 @@
+#include "policy/IdempotencyTable.h"
+
+#include <utility>
+
+namespace knapweedloft::policy {
+
+DedupeClaim IdempotencyTable::claim(const std::string &Name,
+                                    std::uint64_t RequestHash, absl::Time Now) {
+  expire(Now);
+  auto Found = m_Entries.find(Name);
+  if (Found == m_Entries.end()) {
+    if (m_Entries.size() >= m_Settings.m_MaxEntries)
+      return DedupeClaim::Full;
+    Entry &Fresh = m_Entries[Name];
+    Fresh.m_RequestHash = RequestHash;
+    Fresh.m_Changed = Now;
+    return DedupeClaim::Fresh;
+  }
+  if (Found->second.m_RequestHash != RequestHash)
+    return DedupeClaim::Mismatch;
+  switch (Found->second.m_State) {
+  case DedupeState::Running:
+    return DedupeClaim::Wait;
+  case DedupeState::Finished:
+    return DedupeClaim::Replay;
+  default:
+    return DedupeClaim::Unknown;
+  }
+}
+
+void IdempotencyTable::finish(const std::string &Name, OutcomeId Answer,
+                              std::size_t Bytes, absl::Time Now) {
+  auto Found = m_Entries.find(Name);
+  if (Found == m_Entries.end())
+    return;
+  change(Name, Found->second, DedupeState::Finished, Answer, Bytes, Now);
+  shrink();
+}
+
+void IdempotencyTable::lose(const std::string &Name, absl::Time Now) {
+  auto Found = m_Entries.find(Name);
+  if (Found != m_Entries.end())
+    change(Name, Found->second, DedupeState::Unknown, 0, 0, Now);
+}
+
+void IdempotencyTable::release(const std::string &Name) {
+  auto Found = m_Entries.find(Name);
+  if (Found == m_Entries.end() ||
+      Found->second.m_State == DedupeState::Finished ||
+      Found->second.m_State == DedupeState::Unknown)
+    return;
+  dropAnswer(Found->second);
+  m_Entries.erase(Found);
+}
+
+bool IdempotencyTable::adopt(const std::string &Name, std::uint64_t RequestHash,
+                             DedupeState State, OutcomeId Answer,
+                             std::size_t Bytes, absl::Time Now) {
+  expire(Now);
+  auto [Found, IsNew] = m_Entries.try_emplace(Name);
+  Entry &Held = Found->second;
+  if (IsNew) {
+    Held.m_RequestHash = RequestHash;
+    Held.m_State = DedupeState::Remote;
+  }
+  bool IsStart = State == DedupeState::Running || State == DedupeState::Remote;
+  // A local run tells its own end, and an answer is never taken back.
+  bool IsOpen = Held.m_State == DedupeState::Remote ||
+                Held.m_State == DedupeState::Unknown;
+  if (!IsNew && (IsStart || !IsOpen || Held.m_RequestHash != RequestHash))
+    return false;
+  change(Name, Held, IsStart ? DedupeState::Remote : State, Answer, Bytes, Now);
+  shrink();
+  return true;
+}
+
+const IdempotencyTable::Entry *
+IdempotencyTable::find(const std::string &Name) const {
+  auto Found = m_Entries.find(Name);
+  return Found == m_Entries.end() ? nullptr : &Found->second;
+}
+
+std::vector<std::string> IdempotencyTable::names() const {
+  std::vector<std::string> Names;
+  Names.reserve(m_Entries.size());
+  for (const auto &[Name, Held] : m_Entries)
+    Names.push_back(Name);
+  return Names;
+}
+
+std::vector<OutcomeId> IdempotencyTable::takeEvicted() {
+  return std::exchange(m_Evicted, {});
+}
+
+void IdempotencyTable::change(const std::string &Name, Entry &Held,
+                              DedupeState State, OutcomeId Answer,
+                              std::size_t Bytes, absl::Time Now) {
+  dropAnswer(Held);
+  Held.m_State = State;
+  Held.m_Answer = Answer;
+  Held.m_Bytes = Bytes;
+  Held.m_Changed = Now;
+  m_AnswerBytes += Bytes;
+  m_Changes.push_back({Name, Now});
+  if (Answer != 0)
+    m_Answered.push_back(Name);
+}
+
+void IdempotencyTable::dropAnswer(Entry &Held) {
+  m_AnswerBytes -= std::exchange(Held.m_Bytes, 0);
+  OutcomeId Gone = std::exchange(Held.m_Answer, 0);
+  if (Gone != 0)
+    m_Evicted.push_back(Gone);
+}
+
+void IdempotencyTable::expire(absl::Time Now) {
+  while (!m_Changes.empty() &&
+         Now - m_Changes.front().m_At > m_Settings.m_KeepFor) {
+    auto Found = m_Entries.find(m_Changes.front().m_Name);
+    if (Found != m_Entries.end() &&
+        Found->second.m_State != DedupeState::Running &&
+        Now - Found->second.m_Changed > m_Settings.m_KeepFor) {
+      dropAnswer(Found->second);
+      m_Entries.erase(Found);
+    }
+    m_Changes.pop_front();
+  }
+}
+
+void IdempotencyTable::shrink() {
+  while (m_AnswerBytes > m_Settings.m_MaxAnswerBytes && !m_Answered.empty()) {
+    auto Found = m_Entries.find(m_Answered.front());
+    if (Found != m_Entries.end() && Found->second.m_Answer != 0) {
+      dropAnswer(Found->second);
+      Found->second.m_State = DedupeState::Unknown;
+    }
+    m_Answered.pop_front();
+  }
+}
+
+} // namespace knapweedloft::policy
--- /dev/null
+++ b/libs/policy/tests/HomeChooserTest.cpp
@@ -0,0 +1,28 @@
+#include "policy/HomeChooser.h"
+
+#include "gtest/gtest.h"
+
+namespace knapweedloft::policy {
+namespace {
+
+class HomeChooserTest : public testing::Test {};
+
+TEST_F(HomeChooserTest, RankHomes_HomeGoes_SecondIsTheNewHome) {
+  const std::vector<std::string> Names = {"a", "b", "c", "d", "e"};
+  for (int Key = 0; Key < 100; ++Key) {
+    std::string Subject = std::to_string(Key);
+    auto Ranks = rankHomes(Subject, Names, 2);
+    ASSERT_EQ(Ranks.size(), 2U);
+    std::vector<std::string> Left = Names;
+    Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Ranks[0]));
+    EXPECT_EQ(Left[rankHomes(Subject, Left, 1).at(0)], Names[Ranks[1]]);
+  }
+}
+
+TEST_F(HomeChooserTest, RankHomes_FewerNamesThanAsked_ReturnsThose) {
+  EXPECT_EQ(rankHomes("k", {"a"}, 2).size(), 1U);
+  EXPECT_TRUE(rankHomes("k", {}, 2).empty());
+}
+
+} // namespace
+} // namespace knapweedloft::policy
