--- a/tools/harness/src/Site.cpp
+++ b/tools/harness/src/Site.cpp
@@ -112,8 +112,9 @@
   Started.m_Daemon = std::make_unique<Process>(
       std::vector<std::string>{programPath("knapweedloft"), "run", "--settings",
                                Started.m_SettingsPath});
-  Started.m_CallerPort = Started.m_Daemon->awaitPort("caller: Listening.");
-  Started.m_ApiPort = Started.m_Daemon->awaitPort("api: Listening.");
+  Started.m_CallerPort =
+      Started.m_Daemon->awaitPort("caller: Serving callers.");
+  Started.m_ApiPort = Started.m_Daemon->awaitPort("api: Serving operators.");
 }
 
 void Site::startTarget(std::size_t Index) {
