--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -49,6 +49,8 @@
   void makeRates();
   void makeLinks();
   void makeLog();
+  [[nodiscard]] std::unique_ptr<platform::Appender>
+  makeAppender(const std::string &ThreadName) const;
   void makeApi();
   void makeServers();
   void append(state::Entry Entry);
@@ -122,6 +124,8 @@
   std::unique_ptr<CallerHandler> m_Caller;
   std::unique_ptr<ResourceApi> m_Api;
   std::unique_ptr<platform::Appender> m_Appender;
+  /// Of its own, so that no claim waits behind the parts of an image.
+  std::unique_ptr<platform::Appender> m_ImageAppender;
   std::unique_ptr<platform::ImageWriter> m_Images;
   std::unique_ptr<http::HttpClient> m_Client;
   std::unique_ptr<link::LinkNode> m_Links;
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -63,12 +63,7 @@
                                    .m_Timeout = From.m_Log.m_Timeout})),
       m_Metrics({}), m_Contexts(randomBits) {
   makeSides();
-  m_Appender = std::make_unique<platform::Appender>(
-      platform::Appender::Options{.m_Log = m_Log,
-                                  .m_Stream = m_Settings.m_Log.m_Stream,
-                                  .m_Now = monotonicNow,
-                                  .m_Random = randomUnit,
-                                  .m_Threads = 1});
+  m_Appender = makeAppender("log-append");
   makeLinks();
   // The control components need the address that links are accepted at, and
   // belong to the link thread from their first moment on.
@@ -201,7 +196,9 @@
   Hooks.m_SendGrant = [this](const std::string &Name, wire::GrantT Grant) {
     return sendTo(Name, std::move(Grant));
   };
-  Hooks.m_Post = [this](std::function<void()> Task) { post(std::move(Task)); };
+  Hooks.m_Post = [this](std::function<void()> Task, absl::Duration Delay) {
+    m_Links->post(std::move(Task), Delay);
+  };
   Hooks.m_Claim = [this](state::KeeperClaim Claim) {
     append(std::move(Claim));
   };
@@ -252,11 +249,23 @@
                {{"address", Bound.m_Address}, {"port", Bound.m_Port}});
 }
 
+std::unique_ptr<platform::Appender>
+Daemon::Impl::makeAppender(const std::string &ThreadName) const {
+  return std::make_unique<platform::Appender>(
+      platform::Appender::Options{.m_Log = m_Log,
+                                  .m_Stream = m_Settings.m_Log.m_Stream,
+                                  .m_Now = monotonicNow,
+                                  .m_Random = randomUnit,
+                                  .m_Threads = 1,
+                                  .m_ThreadName = ThreadName});
+}
+
 void Daemon::Impl::makeLog() {
+  m_ImageAppender = makeAppender("image-append");
   m_Images = std::make_unique<platform::ImageWriter>(
       platform::ImageWriter::Options{.m_Replica = &m_Replica,
                                      .m_Feed = &m_Feed,
-                                     .m_Appender = m_Appender.get(),
+                                     .m_Appender = m_ImageAppender.get(),
                                      .m_Seed = m_Self.m_Incarnation});
   m_Replica.onAdvance([this](model::LogOffset) { onAdvance(); });
   platform::LogFollower::Options Options;
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -26,6 +26,7 @@
   m_CallerServer.reset();
   m_Follower.reset();
   m_Images.reset();
+  m_ImageAppender.reset();
   m_Appender.reset();
   m_Client.reset();
   m_Links.reset();
