Name in the demo what did not end with code 0

Cause: the demo said how many processes did not end with 0, not which.

Change: stopAll() names them with their codes.

--- a/tools/demo/Main.cpp
+++ b/tools/demo/Main.cpp
@@ -140,9 +140,9 @@
 
   void showStop() {
     fmt::print("\nPlanned stop\n");
-    const std::size_t Failed = m_Site.site().stopAll();
-    m_Checks.check(Failed == 0, "every daemon and target ends with code 0",
-                   fmt::format("{} did not", Failed));
+    const std::vector<std::string> Failures = m_Site.site().stopAll();
+    m_Checks.check(Failures.empty(), "every daemon and target ends with code 0",
+                   fmt::format("{}", fmt::join(Failures, ", ")));
   }
 
   demo::DemoSite m_Site{PerService};
--- a/tools/harness/include/harness/Site.h
+++ b/tools/harness/include/harness/Site.h
@@ -49,8 +49,8 @@
   void remove(const std::string &Path, std::size_t Index = 0);
 
   /// Ends every daemon and target with SIGTERM and waits for them.
-  /// \returns how many ended with another code than 0.
-  std::size_t stopAll();
+  /// \returns which ended with another code than 0.
+  std::vector<std::string> stopAll();
 
 private:
   std::string writeSettings(const NodeOptions &Options) const;
--- a/tools/harness/src/Site.cpp
+++ b/tools/harness/src/Site.cpp
@@ -39,15 +39,21 @@
   return std::move(Result.m_Response);
 }
 
-/// \returns how many ended with another code than 0.
-std::size_t stopProcesses(const std::vector<Process *> &Children) {
-  for (Process *Child : Children)
-    Child->signal(SIGTERM);
-  std::size_t Failed = 0;
-  for (Process *Child : Children)
-    if (Child->wait() != 0)
-      ++Failed;
-  return Failed;
+/// A process and what to call it.
+struct NamedProcess {
+  std::string m_Name;
+  Process *m_Child;
+};
+
+/// Adds to \p Failures those that ended with another code than 0.
+void stopProcesses(const std::vector<NamedProcess> &Children,
+                   std::vector<std::string> &Failures) {
+  for (const NamedProcess &Stopping : Children)
+    Stopping.m_Child->signal(SIGTERM);
+  for (const NamedProcess &Stopping : Children)
+    if (int Code = Stopping.m_Child->wait(); Code != 0)
+      Failures.push_back(
+          fmt::format("{} ended with {}", Stopping.m_Name, Code));
 }
 
 } // namespace
@@ -147,17 +153,21 @@
                            {.m_Method = "DELETE", .m_Path = "/v1/" + Path}));
 }
 
-std::size_t Site::stopAll() {
+std::vector<std::string> Site::stopAll() {
   // Daemons first: what is in flight still needs the targets.
-  std::vector<Process *> Daemons;
-  std::vector<Process *> Targets;
+  std::vector<NamedProcess> Daemons;
+  std::vector<NamedProcess> Targets;
   for (auto &Stopping : m_Nodes) {
+    const std::string &Name = Stopping->m_Options.m_Name;
     if (Stopping->m_Daemon)
-      Daemons.push_back(Stopping->m_Daemon.get());
+      Daemons.push_back({Name + " (daemon)", Stopping->m_Daemon.get()});
     if (Stopping->m_Target)
-      Targets.push_back(Stopping->m_Target.get());
+      Targets.push_back({Name + " (target)", Stopping->m_Target.get()});
   }
-  return stopProcesses(Daemons) + stopProcesses(Targets);
+  std::vector<std::string> Failures;
+  stopProcesses(Daemons, Failures);
+  stopProcesses(Targets, Failures);
+  return Failures;
 }
 
 } // namespace knapweedloft::harness
