--- a/libs/policy/include/policy/ConcurrencyLimit.h
+++ b/libs/policy/include/policy/ConcurrencyLimit.h
@@ -37,8 +37,8 @@
   /// \returns the requests that may run at once now.
   [[nodiscard]] double current() const;
 
-  /// \returns whether it grows from its initial value.
-  [[nodiscard]] bool isRamping() const { return m_IsRamping; }
+  /// \returns whether it has not yet found the slots since its start.
+  [[nodiscard]] bool isRamping() const { return m_IsCold; }
 
   /// \returns the mean latency of recent runs.
   [[nodiscard]] absl::Duration latency() const;
@@ -65,17 +65,25 @@
   void noteLatency(absl::Duration Latency);
   void growRamp();
   void checkRamp(const Sample &Latest);
+  [[nodiscard]] static double flatRate(const Sample &Before,
+                                       const Sample &Latest);
   void startPhase(Phase Next, absl::Time Now);
   void endPhase(absl::Time Now);
   void comparePhases(const Sample &Latest);
   void step(double Elasticity, double Gain);
+  void rise(double Error, double Gain);
+  void fall(double Error, double Gain);
+  void scale(double Change);
+  void startRamp();
+  void clearComparisons();
   void reduceOnOverload();
   [[nodiscard]] bool isMeasured(absl::Time Now) const;
   [[nodiscard]] double leastDepth() const;
 
   Options m_Settings;
   double m_High;
-  bool m_IsRamping = true;
+  bool m_IsCold = true;
+  bool m_IsGrowing = true; ///< With each success, as in the ramp.
   Phase m_Phase = Phase::High;
   double m_LatencySeconds = 0;
 
@@ -91,8 +99,9 @@
   double m_GainSum = 0;
   int m_Comparisons = 0;
   double m_Depth = 0.2; ///< Distance of the phases, as a share of the high.
-  double m_Haste = 1;   ///< Factor of the step after steps the same way.
-  double m_LastError = 0;
+  int m_Falls = 0;      ///< In a row.
+  double m_RiseEvidence = 0; ///< That more concurrency pays.
+  double m_RampFrom = 0;
   double m_BestRampLatency = 0;
 };
 
--- a/libs/policy/include/policy/EarlyRefusal.h
+++ b/libs/policy/include/policy/EarlyRefusal.h
@@ -23,7 +23,9 @@
     bool m_IsEnabled = true;
     /// Weight of a new level against the older ones.
     float m_Smoothing = 0.2F;
-    /// Without a new level it falls to half in this time.
+    /// Without a new level it stays for so long, then falls to half in each
+    /// half-life.
+    absl::Duration m_Hold = absl::Seconds(1);
     absl::Duration m_HalfLife = absl::Milliseconds(500);
     /// A request is let through if no level came for so long.
     absl::Duration m_ProbeInterval = absl::Milliseconds(200);
@@ -33,7 +35,10 @@
   explicit EarlyRefusal(const Options &Settings);
 
   /// Tells a level fed back with an answer to \p Customer, a dense index.
-  void observe(float ShedLevel, absl::Time Now, std::uint32_t Customer = 0);
+  /// \p Weight is the limit of the target it came from, so that a small or
+  /// cold target does not speak for the whole service.
+  void observe(float ShedLevel, absl::Time Now, std::uint32_t Customer = 0,
+               float Weight = 1);
 
   /// \returns nothing if the request may go on, else when to come back.
   [[nodiscard]] std::optional<absl::Duration>
@@ -52,6 +57,7 @@
 
   Options m_Settings;
   std::vector<Entry> m_Entries;
+  float m_MeanWeight = 0;
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/src/ConcurrencyLimit.cpp
+++ b/libs/policy/src/ConcurrencyLimit.cpp
@@ -10,12 +10,14 @@
 
 /// Growth for each success of the ramp: half as much again in each round trip.
 constexpr double RampGrowth = 0.5;
-/// The ramp ends where the latency is this many times the least seen in it.
+/// The ramp ends where the latency is this many times the least seen in it and
+/// the rate of success has grown with less than this elasticity.
 constexpr double RampLatencyRatio = 1.3;
+constexpr double RampElasticity = 0.7;
 /// Added to it, divided by the root of the count.
 constexpr double RampNoise = 1;
 /// Share of its concurrency that the ramp keeps at least when it ends.
-constexpr double MaxRampOvershoot = 0.6;
+constexpr double MaxRampOvershoot = 0.5;
 /// Share of the limit that must be in use for a phase to count.
 constexpr double UsedShare = 0.9;
 /// Elasticity of the rate of success at which the limit stays.
@@ -24,14 +26,22 @@
 constexpr double RiseGain = 0.4;
 /// Fall of it as a share of the distance between the phases, if the low phase
 /// lost nothing.
-constexpr double FallGain = 0.3;
-constexpr double MaxStep = 0.25;
-/// Steps in the same direction grow by this factor, up to a bound.
-constexpr double HasteGrowth = 1.4;
+constexpr double FallGain = 0.5;
+constexpr double MaxStep = 0.35;
+/// Sum of the damped errors of rises in a row from which the limit grows as in
+/// the ramp.
+constexpr double RampEvidence = 0.7;
+/// Limits below grow as in the ramp.
+constexpr double LeastCompared = 4;
+/// Falls in a row grow by this share of the first, up to a bound.
+constexpr double HasteGrowth = 1;
 constexpr double MaxHaste = 5;
-/// Elasticities beyond are noise, or conditions that changed meanwhile.
+/// Elasticities beyond are noise.
 constexpr double MinElasticity = -0.5;
 constexpr double MaxElasticity = 1.5;
+/// Elasticities so many standard deviations beyond 0 to 1 show that conditions
+/// changed between the phases.
+constexpr double OutlierNoise = 2;
 /// Variance of an elasticity at which a step is taken at half size.
 constexpr double HalfGainVariance = 0.15;
 /// Squared coefficient of variation assumed of the time between successes.
@@ -42,6 +52,7 @@
 constexpr double LatencySmoothing = 0.1;
 /// Successes for which a phase waits at least.
 constexpr double MinSuccesses = 32;
+constexpr double MinRampSuccesses = 16;
 /// Phases end at last after so many latencies.
 constexpr double MaxPhaseLatencies = 6;
 /// Below this limit the phases lie further apart, since counts are few.
@@ -51,8 +62,8 @@
 /// The low phase goes deeper while it loses nothing, since that shows more.
 constexpr double MaxDepth = 0.4;
 constexpr double DepthGrowth = 2;
-/// Haste of falls from which it goes deeper.
-constexpr double DepthHaste = 3;
+/// Falls in a row from which it goes deeper.
+constexpr int DepthFalls = 3;
 
 } // namespace
 
@@ -117,35 +128,47 @@
   double Seconds = absl::ToDoubleSeconds(Now - m_MeasureFrom);
   if (Seconds < m_LatencySeconds)
     return false;
-  double Enough = std::max(MinSuccesses, m_High / 2);
+  double Enough = m_IsGrowing ? std::max(MinRampSuccesses, m_High)
+                              : std::max(MinSuccesses, m_High / 2);
   return m_Successes + m_Overloads >= Enough ||
          Seconds > MaxPhaseLatencies * m_LatencySeconds;
 }
 
 void ConcurrencyLimit::growRamp() {
-  if (m_IsRamping && m_Running + 1 >= UsedShare * current())
+  if (m_IsGrowing && m_Running + 1 >= UsedShare * current())
     m_High = std::min(m_High + RampGrowth, m_Settings.m_Max);
 }
 
 void ConcurrencyLimit::checkRamp(const Sample &Latest) {
+  Sample Before = m_Previous;
+  m_Previous = Latest;
   if (Latest.m_Count < 1)
     return;
   double Latency = Latest.m_Concurrency / Latest.m_Rate;
   if (m_BestRampLatency == 0 || Latency < m_BestRampLatency)
     m_BestRampLatency = Latency;
   double Noise = RampNoise / std::sqrt(Latest.m_Count);
-  if (Latency < (RampLatencyRatio + Noise) * m_BestRampLatency)
+  bool IsSlower = Latency >= (RampLatencyRatio + Noise) * m_BestRampLatency;
+  bool IsFlat = Before.m_Count >= 1 && Latest.m_Rate < flatRate(Before, Latest);
+  if (!IsSlower || !IsFlat)
     return;
-  m_IsRamping = false;
+  double Least =
+      m_IsCold ? MaxRampOvershoot * Latest.m_Concurrency : m_RampFrom;
+  m_IsGrowing = m_IsCold = false;
+  m_Previous = {};
   double Knee = Latest.m_Rate * m_BestRampLatency;
-  double Least = MaxRampOvershoot * Latest.m_Concurrency;
   m_High = std::max({Knee, Least, m_Settings.m_Min});
 }
 
+double ConcurrencyLimit::flatRate(const Sample &Before, const Sample &Latest) {
+  double Growth = Latest.m_Concurrency / Before.m_Concurrency;
+  return Before.m_Rate * std::pow(Growth, RampElasticity);
+}
+
 void ConcurrencyLimit::startPhase(Phase Next, absl::Time Now) {
   m_Phase = Next;
   // The requests of the phase before are given time to end.
-  double Settle = m_IsRamping ? 0 : m_LatencySeconds;
+  double Settle = m_IsGrowing ? 0 : m_LatencySeconds;
   m_MeasureFrom = Now + absl::Seconds(Settle);
   m_RunningSeconds = 0;
   m_Successes = 0;
@@ -158,15 +181,17 @@
                 static_cast<double>(m_Successes)};
   bool IsUsed = Latest.m_Concurrency >= UsedShare * current() - 1;
   reduceOnOverload();
-  if (m_IsRamping) {
+  // Phases of so few requests do not differ enough to compare.
+  if (!m_IsGrowing && m_High < LeastCompared)
+    startRamp();
+  if (m_IsGrowing) {
     checkRamp(Latest);
     startPhase(Phase::High, Now);
     return;
   }
   if (!IsUsed) {
     m_Previous = {};
-    m_Comparisons = 0;
-    m_ElasticitySum = m_GainSum = 0;
+    clearComparisons();
     startPhase(Phase::High, Now);
     return;
   }
@@ -179,7 +204,7 @@
   double Runs = m_Successes + m_Overloads;
   if (m_Overloads <= OverloadShare * Runs)
     return;
-  m_IsRamping = false;
+  m_IsGrowing = m_IsCold = false;
   m_High = std::max(m_High * OverloadCut, m_Settings.m_Min);
 }
 
@@ -193,6 +218,11 @@
   double Variance = CountVariance *
                     (1 / Latest.m_Count + 1 / m_Previous.m_Count) /
                     (Contrast * Contrast);
+  double Noise = std::sqrt(Variance);
+  if (std::abs(Elasticity - 0.5) > 0.5 + OutlierNoise * Noise) {
+    clearComparisons();
+    return;
+  }
   m_ElasticitySum += std::clamp(Elasticity, MinElasticity, MaxElasticity);
   m_GainSum += 1 / (1 + Variance / HalfGainVariance);
   // A rise and a fall together: what drifts with time cancels out.
@@ -205,32 +235,60 @@
 
 void ConcurrencyLimit::step(double Elasticity, double Gain) {
   double Error = Elasticity - TargetElasticity;
-  bool IsSameWay = Error * m_LastError > 0;
-  m_Haste = IsSameWay ? std::min(m_Haste * HasteGrowth, MaxHaste) : 1;
-  m_LastError = Error;
-  double Contrast = -std::log(1 - m_Depth);
-  double Change = Error > 0 ? m_Haste * RiseGain * Error
-                            : FallGain * Contrast *
-                                  std::max(Error / TargetElasticity, -1.0);
-  Change = Gain * std::clamp(Change, -MaxStep, MaxStep);
-  m_High =
-      std::clamp(m_High * std::exp(Change), m_Settings.m_Min, m_Settings.m_Max);
   if (Error > 0)
-    m_Depth = leastDepth();
-  else if (m_Haste >= DepthHaste)
-    m_Depth = std::min(m_Depth * DepthGrowth, MaxDepth);
+    rise(Error, Gain);
+  else
+    fall(Error, Gain);
 }
 
-void ConcurrencyLimit::restart(absl::Time Now) {
-  integrate(m_Running, Now);
-  m_High = m_Settings.m_Initial;
-  m_IsRamping = true;
-  m_Haste = 1;
+void ConcurrencyLimit::rise(double Error, double Gain) {
+  m_Falls = 0;
+  m_RiseEvidence += Gain * Error;
   m_Depth = leastDepth();
+  if (m_RiseEvidence > RampEvidence) {
+    startRamp();
+    return;
+  }
+  scale(Gain * RiseGain * Error);
+}
+
+void ConcurrencyLimit::fall(double Error, double Gain) {
+  m_RiseEvidence = 0;
+  ++m_Falls;
+  double Contrast = -std::log(1 - m_Depth);
+  double Share = std::max(Error / TargetElasticity, -1.0);
+  double Haste = std::min(1.0 + m_Falls * HasteGrowth, MaxHaste);
+  scale(Haste * Gain * FallGain * Contrast * Share);
+  if (m_Falls >= DepthFalls)
+    m_Depth = std::min(m_Depth * DepthGrowth, MaxDepth);
+}
+
+void ConcurrencyLimit::scale(double Change) {
+  double Factor = std::exp(std::clamp(Change, -MaxStep, MaxStep));
+  m_High = std::clamp(m_High * Factor, m_Settings.m_Min, m_Settings.m_Max);
+}
+
+void ConcurrencyLimit::startRamp() {
+  m_IsGrowing = true;
+  m_RampFrom = m_High;
   m_BestRampLatency = 0;
   m_Previous = {};
+  clearComparisons();
+}
+
+void ConcurrencyLimit::clearComparisons() {
   m_Comparisons = 0;
   m_ElasticitySum = m_GainSum = 0;
+  m_Falls = 0;
+  m_RiseEvidence = 0;
+  m_Depth = leastDepth();
+}
+
+void ConcurrencyLimit::restart(absl::Time Now) {
+  integrate(m_Running, Now);
+  m_High = m_Settings.m_Initial;
+  m_IsCold = true;
+  startRamp();
   startPhase(Phase::High, Now);
 }
 
--- a/libs/policy/src/EarlyRefusal.cpp
+++ b/libs/policy/src/EarlyRefusal.cpp
@@ -8,6 +8,9 @@
 namespace knapweedloft::policy {
 namespace {
 
+constexpr float WeightSmoothing = 0.01F;
+constexpr float MaxSmoothing = 0.5F;
+
 /// \returns the share of a priority that a shed level sheds, 0 to 1.
 float shedShare(float Level, model::Priority Priority) {
   auto Before = static_cast<float>(model::PriorityCount - 1 -
@@ -23,18 +26,24 @@
   if (Customer >= m_Entries.size())
     return 0;
   const Entry &Known = m_Entries[Customer];
-  absl::Duration Age = std::max(Now - Known.m_Updated, absl::ZeroDuration());
+  absl::Duration Age =
+      std::max(Now - Known.m_Updated - m_Settings.m_Hold, absl::ZeroDuration());
   double HalfLives = absl::FDivDuration(Age, m_Settings.m_HalfLife);
   return Known.m_Level * static_cast<float>(std::exp2(-HalfLives));
 }
 
 void EarlyRefusal::observe(float ShedLevel, absl::Time Now,
-                           std::uint32_t Customer) {
+                           std::uint32_t Customer, float Weight) {
   if (Customer >= m_Entries.size())
     m_Entries.resize(Customer + 1);
   float Before = level(Now, Customer);
   Entry &Known = m_Entries[Customer];
-  Known.m_Level = Before + m_Settings.m_Smoothing * (ShedLevel - Before);
+  m_MeanWeight = m_MeanWeight == 0
+                     ? Weight
+                     : m_MeanWeight + WeightSmoothing * (Weight - m_MeanWeight);
+  float Relative = m_MeanWeight > 0 ? Weight / m_MeanWeight : 1;
+  float Share = std::min(m_Settings.m_Smoothing * Relative, MaxSmoothing);
+  Known.m_Level = Before + Share * (ShedLevel - Before);
   Known.m_Updated = Now;
 }
 
