Keep the limit of a ramp that is not in use

Cause: a ramp with free slots ended on any rise of the latency and cut the limit to half of what ran: at normal load limits of 54 fell to 11. Change: a phase is compared only if the limit at its start was in use. Proof: Current_DemandBelowLimitAndSlower_IsNotCut fails without the condition.

--- a/libs/policy/src/ConcurrencyLimit.cpp
+++ b/libs/policy/src/ConcurrencyLimit.cpp
@@ -167,6 +167,7 @@
 
 void ConcurrencyLimit::startPhase(Phase Next, absl::Time Now) {
   m_Phase = Next;
+  m_PhaseLimit = current();
   // The requests of the phase before are given time to end.
   double Settle = m_IsGrowing ? 0 : m_LatencySeconds;
   m_MeasureFrom = Now + absl::Seconds(Settle);
@@ -179,13 +180,17 @@
   double Seconds = absl::ToDoubleSeconds(Now - m_MeasureFrom);
   Sample Latest{m_RunningSeconds / Seconds, m_Successes / Seconds,
                 static_cast<double>(m_Successes)};
-  bool IsUsed = Latest.m_Concurrency >= UsedShare * current() - 1;
+  bool IsUsed = Latest.m_Concurrency >= UsedShare * m_PhaseLimit - 1;
   reduceOnOverload();
   // Phases of so few requests do not differ enough to compare.
   if (!m_IsGrowing && m_High < LeastCompared)
     startRamp();
   if (m_IsGrowing) {
-    checkRamp(Latest);
+    // Below the limit a change of latency says nothing about the slots.
+    if (IsUsed)
+      checkRamp(Latest);
+    else
+      m_Previous = {};
     startPhase(Phase::High, Now);
     return;
   }
--- a/libs/policy/tests/ConcurrencyLimitTest.cpp
+++ b/libs/policy/tests/ConcurrencyLimitTest.cpp
@@ -69,6 +69,16 @@
   EXPECT_LE(m_Limit.current(), 30);
 }
 
+TEST_F(ConcurrencyLimitTest, Current_DemandBelowLimitAndSlower_IsNotCut) {
+  m_Target.run(absl::Milliseconds(300));
+  double Before = m_Limit.current();
+  m_Target.setDemand(5);
+  m_Target.run(absl::Seconds(1));
+  m_Target.setService(absl::Milliseconds(150));
+  m_Target.run(absl::Seconds(5));
+  EXPECT_GE(m_Limit.current(), Before);
+}
+
 TEST_F(ConcurrencyLimitTest, Restart_AfterFullLoad_StartsSmallAndRamps) {
   m_Target.run(absl::Seconds(5));
   m_Target.loseAll();
