Ask for an operators' token where the API listens off loopback

Cause: settings could open the resource API to everyone on the network. Change: api.token is required unless api.address is on loopback. Conclusion: the new test fails without the check.

--- a/libs/app/src/SettingsFile.cpp
+++ b/libs/app/src/SettingsFile.cpp
@@ -31,6 +31,10 @@
   }
 }
 
+bool isLoopback(const std::string &Address) {
+  return Address.starts_with("127.") || Address == "::1";
+}
+
 /// Relations between keys.
 void checkTogether(const Settings &Values, const SettingsReader &Reader) {
   if (Values.m_Link.m_SilentAfter < 2 * Values.m_Link.m_HeartbeatInterval)
@@ -42,6 +46,9 @@
   if (Values.m_Link.m_MaxFrameBytes / 2 < Values.m_Caller.m_MaxBodyBytes)
     Reader.fail("caller.max_body_bytes", "too large",
                 "at most half of link.max_frame_bytes");
+  if (!isLoopback(Values.m_Api.m_Address) && Values.m_Api.m_Token.empty())
+    Reader.fail("api.token", "missing",
+                "a token, unless api.address is on loopback");
 }
 
 /// Prints every key for visitSettings().
--- a/libs/app/tests/SettingsFileTest.cpp
+++ b/libs/app/tests/SettingsFileTest.cpp
@@ -62,6 +62,17 @@
   EXPECT_THAT(formatSettings(Values), Not(HasSubstr("hush")));
 }
 
+TEST(SettingsFileTest, Read_ApiOffLoopbackWithoutToken_IsRefused) {
+  auto ApiWith = [](const std::string &Keys) {
+    return errorOf([&] { (void)read(std::string(Least) + "[api]\n" + Keys); });
+  };
+  EXPECT_THAT(ApiWith("address = '10.0.0.5'\n"), HasSubstr("api.token"));
+  EXPECT_THAT(ApiWith("address = '::'\n"), HasSubstr("api.token"));
+  EXPECT_EQ(ApiWith("address = '10.0.0.5'\ntoken = 'long-enough'\n"), "");
+  EXPECT_EQ(ApiWith("address = '127.0.0.2'\n"), "");
+  EXPECT_EQ(ApiWith("address = '::1'\n"), "");
+}
+
 TEST(SettingsFileTest, Read_Contacts_TakesIpNumbersWithPortsOnly) {
   auto Contacts = [](const std::string &List) {
     return read(std::string(Least) + "[link]\ncontacts = " + List + "\n")
