--- a/apps/knapweedloft/ApiClient.cpp
+++ b/apps/knapweedloft/ApiClient.cpp
@@ -121,8 +121,10 @@
                   IsDone.Notify();
                 });
   IsDone.WaitForNotification();
-  if (Result.m_Failure != http::Failure::None)
+  if (Result.m_Failure != http::Failure::None) {
+    m_MayHaveArrived |= Result.m_Failure != http::Failure::NotSent;
     return std::nullopt;
+  }
   return answerOf(Result.m_Response);
 }
 
--- a/apps/knapweedloft/ApiClient.h
+++ b/apps/knapweedloft/ApiClient.h
@@ -46,6 +46,9 @@
   std::optional<ApiAnswer> change(const http::HttpRequest &Request,
                                   absl::Time Deadline);
 
+  /// \returns whether a call without an answer may have reached a daemon.
+  [[nodiscard]] bool mayHaveArrived() const { return m_MayHaveArrived; }
+
 private:
   std::optional<ApiAnswer> callOne(const std::string &Base,
                                    const http::HttpRequest &Request,
@@ -54,6 +57,7 @@
   std::vector<std::string> m_Bases;
   std::string m_Token;
   std::size_t m_Current = 0; ///< The daemon that answered last.
+  bool m_MayHaveArrived = false;
   http::HttpClient m_Client;
 };
 
--- a/apps/knapweedloft/ApplyCommand.cpp
+++ b/apps/knapweedloft/ApplyCommand.cpp
@@ -85,8 +85,8 @@
     if (KeyText && !IsConditional)
       Request.m_Headers.push_back({"If-None-Match", "*"});
     auto Answer = m_Client.change(Request, m_Deadline);
-    const ExitCode Code =
-        reportAnswer(Answer, Input.m_Kind + " " + Input.m_Name);
+    const ExitCode Code = reportChange(
+        Answer, Request, Input.m_Kind + " " + Input.m_Name, m_Client);
     if (Code != ExitCode::Ok)
       return Code;
     m_Revision = std::max(m_Revision,
--- a/apps/knapweedloft/ChangeReport.cpp
+++ b/apps/knapweedloft/ChangeReport.cpp
@@ -37,9 +37,22 @@
   if (Answer->isSuccess())
     return ExitCode::Ok;
   fmt::print(stderr, "knapweedloft: {}: {}\n", What, Answer->reason());
-  if (Answer->m_Status == GatewayTimeout)
-    fmt::print(stderr, "repeat with: --change-id {}\n", Answer->m_ChangeId);
   return codeOf(Answer->m_Status);
 }
 
+ExitCode reportChange(const std::optional<ApiAnswer> &Answer,
+                      const http::HttpRequest &Change, const std::string &What,
+                      const ApiClient &Client) {
+  ExitCode Code = reportAnswer(Answer, What);
+  if (!Answer && Client.mayHaveArrived())
+    Code = ExitCode::NotInTime;
+  const std::string *ChangeId = http::findHeader(Change.m_Headers, "Change-Id");
+  if (Code == ExitCode::NotInTime && ChangeId != nullptr)
+    fmt::print(stderr,
+               "the change may come into force; repeat it with --change-id {} "
+               "to learn\n",
+               *ChangeId);
+  return Code;
+}
+
 } // namespace knapweedloft
--- a/apps/knapweedloft/ChangeReport.h
+++ b/apps/knapweedloft/ChangeReport.h
@@ -14,6 +14,13 @@
 [[nodiscard]] ExitCode reportAnswer(const std::optional<ApiAnswer> &Answer,
                                     const std::string &What);
 
+/// The same for \p Change, of which \p What is the name. Without an answer the
+/// change may come into force if it may have reached a daemon.
+[[nodiscard]] ExitCode reportChange(const std::optional<ApiAnswer> &Answer,
+                                    const http::HttpRequest &Change,
+                                    const std::string &What,
+                                    const ApiClient &Client);
+
 } // namespace knapweedloft
 
 #endif // KNAPWEEDLOFT_CHANGEREPORT_H
--- a/apps/knapweedloft/DeleteCommand.cpp
+++ b/apps/knapweedloft/DeleteCommand.cpp
@@ -28,12 +28,12 @@
   ApiClient Client(Options.m_Api);
   const absl::Time Deadline = app::monotonicNow() + Options.m_Api.timeout();
   const ResourceInput Input{.m_Kind = Options.m_Kind, .m_Name = Options.m_Name};
-  const auto Answer = Client.change({.m_Method = "DELETE",
-                                     .m_Path = Input.path(),
-                                     .m_Headers = headersOf(Options.m_Change)},
-                                    Deadline);
-  const ExitCode Code =
-      reportAnswer(Answer, Options.m_Kind + " " + Options.m_Name);
+  const http::HttpRequest Request{.m_Method = "DELETE",
+                                  .m_Path = Input.path(),
+                                  .m_Headers = headersOf(Options.m_Change)};
+  const auto Answer = Client.change(Request, Deadline);
+  const ExitCode Code = reportChange(
+      Answer, Request, Options.m_Kind + " " + Options.m_Name, Client);
   if (Code != ExitCode::Ok)
     return Code;
   const auto Revision = Answer->m_Body.value("revision", std::uint64_t{0});
