Run a keyed request once across daemons; put aside what kills targets

Requests with an Idempotency-Key go to the key's home by rendezvous hash; the start is stored at the second member before the target sees it, and what the second knows wins. Copies wait for the first one's answer or get it replayed, another body is refused, and what is lost stays 'unknown' for the window. Cut connections within 30 ms are judged together: a death makes suspects, which run one at a time; their answers are held for at most 150 ms until the service's members know, so that no resend outruns the news. The second death names the culprit, published as a quarantine. The half-way cut test waits for that judgement and asserts as before.

--- a/libs/app/include/app/EntrySide.h
+++ b/libs/app/include/app/EntrySide.h
@@ -137,6 +137,9 @@
   void dispatch(PendingId Id, absl::Time Now);
   /// \returns whether the key has been withdrawn since the request entered.
   [[nodiscard]] bool isKeyWithdrawn(const EntryRequest &Request) const;
+  /// Requests with an idempotency key go to the key's home only.
+  void dispatchHome(PendingId Id, Pending &Next, EntryService &Service,
+                    absl::Time Now);
   [[nodiscard]] bool forward(PendingId Id, Pending &Next, EntryService &Service,
                              policy::TargetHandle Target, absl::Time Now);
   [[nodiscard]] wire::ForwardT makeForward(const Pending &Next,
--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -3,17 +3,21 @@
 
 #include "app/Announcement.h"
 #include "app/ContextTable.h"
+#include "app/CutBatch.h"
+#include "app/DedupeHome.h"
 #include "app/WireConvert.h"
 #include "http/HttpClient.h"
 #include "link/LinkNode.h"
 #include "model/Ran.h"
 #include "model/RefusalReason.h"
 #include "policy/Admission.h"
+#include "policy/DeathWatch.h"
 #include "policy/ForwardLedger.h"
 #include "state/Snapshot.h"
 
 #include "absl/container/flat_hash_map.h"
 
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -36,6 +40,11 @@
         const std::string &Base, http::HttpRequest, absl::Duration, Done)>
         m_Call;
     std::function<void(http::HttpClient::CallId)> m_CancelCall;
+    /// Tells every other member of the service. \returns to how many it went;
+    /// each is to acknowledge. May be null, as the next.
+    std::function<std::size_t(const wire::SuspectsT &)> m_TellSuspects;
+    /// Publishes a quarantine.
+    std::function<void(model::Fingerprint)> m_PutAside;
     /// Asks for a tick() at \p When or soon after.
     std::function<void(absl::Time When)> m_Wake;
   };
@@ -44,6 +53,8 @@
     model::Incarnation m_Self = 0;
     policy::Admission::Options m_Admission;
     policy::ForwardLedger::Options m_Ledger;
+    policy::DeathWatch::Options m_Deaths;
+    DedupeHome::Options m_Dedupe;
     Hooks m_Hooks;
   };
 
@@ -59,12 +70,18 @@
   /// runs; a run's answer goes to \p From from now on.
   void onQuery(link::PeerHandle From, const wire::FateQueryT &Query,
                absl::Time Now);
+  /// What another daemon of the service learned of a death.
+  void onSuspects(const wire::SuspectsT &News, absl::Time Now);
+  void onSuspectsAck(std::uint64_t Sequence, absl::Time Now);
   void tick(absl::Time Now);
 
   /// Refuses new forwards from now on; those admitted go on.
   void stopIntake();
 
-  [[nodiscard]] std::size_t pending() const { return m_Runs.size(); }
+  [[nodiscard]] std::size_t pending() const {
+    return m_Runs.size() + m_Starting.size() + m_SuspectQueue.size();
+  }
+  [[nodiscard]] DedupeHome &dedupe() { return m_Dedupe; }
   [[nodiscard]] wire::Load load(absl::Time Now) const;
 
 private:
@@ -80,6 +97,36 @@
     bool m_HasFailedBelow = false;
   };
 
+  /// A copy of a request with an idempotency key, while the first runs.
+  struct Waiter {
+    model::ForwardId m_Id;
+    link::PeerHandle m_From;
+  };
+
+  // TargetKeys.cpp
+  void beginKeyed(Run Next, absl::Time Now);
+  void onStartStored(const model::ForwardId &Id, DedupeHome::Start How,
+                     absl::Time Now);
+  void replay(link::PeerHandle To, const model::ForwardId &Id,
+              const wire::AnswerT &Known, absl::Time Now);
+  void endKeyed(const wire::AnswerT &Answer, absl::Time Now);
+  std::vector<Waiter> takeWaiters(const std::string &Name);
+  /// The answer to a forward goes to \p From from now on.
+  void moveTo(const model::ForwardId &Id, link::PeerHandle From);
+
+  // TargetDeaths.cpp
+  [[nodiscard]] bool isPutAside(model::Fingerprint Print,
+                                const state::Snapshot &State, absl::Time Now);
+  void startSuspects(absl::Time Now);
+  void holdCut(const Run &Done, absl::Time Now);
+  void noteAlive(const Run &Done);
+  void judgeCuts(absl::Time Now);
+  void judge(CutBatch &Batch, absl::Time Now);
+  void learnDeath(CutBatch &Batch, absl::Time Now);
+
+  /// Lets it run now, or later if it is a suspect.
+  void passOn(Run Next, absl::Time Now);
+  void offer(Run Next, absl::Time Now);
   [[nodiscard]] model::RefusalReason check(const wire::ForwardT &Message,
                                            const state::Snapshot &State,
                                            absl::Time Now) const;
@@ -111,6 +158,14 @@
   policy::ForwardLedger m_Ledger;
   absl::flat_hash_map<policy::OutcomeId, wire::AnswerT> m_Outcomes;
   policy::OutcomeId m_LastOutcome = 0;
+  DedupeHome m_Dedupe;
+  absl::flat_hash_map<model::ForwardId, std::string> m_KeyNames;
+  absl::flat_hash_map<model::ForwardId, Run> m_Starting;
+  absl::flat_hash_map<std::string, std::vector<Waiter>> m_Waiters;
+  policy::DeathWatch m_Watch;
+  std::deque<Run> m_SuspectQueue;
+  std::deque<CutBatch> m_Cuts;
+  std::uint64_t m_LastNews = 0;
   std::string m_Service;
   std::string m_TargetBase; ///< Empty until the target announced itself.
   std::uint64_t m_TargetInstance = 0;
--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -29,6 +29,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace knapweedloft::app {
@@ -61,6 +62,12 @@
   void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
   [[nodiscard]] link::PeerHandle linkTo(const std::string &Name);
   [[nodiscard]] bool forwardTo(const model::Member &To, wire::ForwardT Message);
+  bool onSafetyMessage(link::PeerHandle From, link::wire::MessageUnion &Message,
+                       absl::Time Now);
+  std::size_t tellSuspects(const wire::SuspectsT &News);
+  void putAside(model::Fingerprint Print);
+  [[nodiscard]] std::optional<model::Member>
+  secondOf(const std::string &Name) const;
   void fillHeartbeat(link::wire::HeartbeatT &Beat);
 
   // DaemonTicks.cpp
--- a/libs/app/src/DaemonLinks.cpp
+++ b/libs/app/src/DaemonLinks.cpp
@@ -1,8 +1,11 @@
 #include "DaemonImpl.h"
 
 #include "app/Clock.h"
+#include "app/KeyHomes.h"
 #include "app/Log.h"
 
+#include "fmt/format.h"
+
 #include <utility>
 
 namespace knapweedloft::app {
@@ -87,6 +90,8 @@
     m_Target->onQuery(From, *Query, Now);
   } else if (auto *Fate = as<wire::FateAnswerT>(Message)) {
     m_Entry->onFate(*Fate, Now);
+  } else if (onSafetyMessage(From, Message, Now)) {
+    return;
   } else if (auto *Beat = as<wire::HeartbeatT>(Message)) {
     m_Spread->onHeartbeat(Life.m_Name, *Beat, Now);
   } else if (!m_Rates->onMessage(Life, Message, Now) &&
@@ -95,6 +100,73 @@
   }
 }
 
+bool Daemon::Impl::onSafetyMessage(link::PeerHandle From,
+                                   link::wire::MessageUnion &Message,
+                                   absl::Time Now) {
+  if (auto *Store = as<wire::DedupeStoreT>(Message)) {
+    m_Links->send(From, m_Target->dedupe().onStore(*Store, Now));
+  } else if (auto *Ack = as<wire::DedupeAckT>(Message)) {
+    m_Target->dedupe().onAck(*Ack, Now);
+  } else if (auto *News = as<wire::SuspectsT>(Message)) {
+    m_Target->onSuspects(*News, Now);
+    wire::SuspectsAckT Reply;
+    Reply.sequence = News->sequence;
+    m_Links->send(From, Reply);
+  } else if (auto *Heard = as<wire::SuspectsAckT>(Message)) {
+    m_Target->onSuspectsAck(Heard->sequence, Now);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::size_t Daemon::Impl::tellSuspects(const wire::SuspectsT &News) {
+  std::vector<model::Member> Peers;
+  {
+    state::SnapshotStore::ReadGuard State(m_Replica.store());
+    for (const model::Member *Who : State->membersOf(m_Self.m_Service))
+      if (Who->m_Name != m_Self.m_Name && m_Members->isAlive(Who->m_Name))
+        Peers.push_back(*Who);
+  }
+  std::size_t Told = 0;
+  for (const model::Member &Peer : Peers)
+    if (sendTo(Peer.m_Name, News))
+      ++Told;
+  return Told;
+}
+
+void Daemon::Impl::putAside(model::Fingerprint Print) {
+  model::Quarantine Aside;
+  Aside.m_Name = fmt::format("{:016x}", Print);
+  Aside.m_Fingerprint = Print;
+  Aside.m_Reason = "in flight at two deaths of a target";
+  Aside.m_Expires = wallNow() + policy::DeathWatch::Options().m_QuarantineFor;
+  LinkLog.warning("A request is put in quarantine.",
+                  {{"fingerprint", Aside.m_Name}});
+  state::ResourceChange Change;
+  Change.m_ChangeId =
+      fmt::format("quarantine-{}-{:x}-{}", Aside.m_Name, m_Self.m_Incarnation,
+                  absl::ToUnixMillis(Aside.m_Expires));
+  Change.m_Kind = model::ResourceKind::Quarantine;
+  Change.m_Name = Aside.m_Name;
+  Change.m_Resource = std::move(Aside);
+  append(std::move(Change));
+}
+
+std::optional<model::Member>
+Daemon::Impl::secondOf(const std::string &Name) const {
+  state::SnapshotStore::ReadGuard State(m_Replica.store());
+  auto Homes = homesOf(
+      Name, m_Self.m_Service, *State,
+      [this](const model::Member &Who) {
+        return Who.m_Name != m_Self.m_Name && m_Members->isAlive(Who.m_Name);
+      },
+      1);
+  if (Homes.empty())
+    return std::nullopt;
+  return Homes[0];
+}
+
 void Daemon::Impl::fillHeartbeat(link::wire::HeartbeatT &Beat) {
   absl::Time Now = monotonicNow();
   m_Spread->fillHeartbeat(Beat, Now);
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -124,6 +124,19 @@
   Target.m_Hooks.m_CancelCall = [this](http::HttpClient::CallId Call) {
     m_Client->cancel(Call);
   };
+  Target.m_Hooks.m_TellSuspects = [this](const wire::SuspectsT &News) {
+    return tellSuspects(News);
+  };
+  Target.m_Hooks.m_PutAside = [this](model::Fingerprint Print) {
+    putAside(Print);
+  };
+  Target.m_Dedupe.m_Hooks.m_Second = [this](const std::string &Name) {
+    return secondOf(Name);
+  };
+  Target.m_Dedupe.m_Hooks.m_Store = [this](const model::Member &To,
+                                           wire::DedupeStoreT Message) {
+    return sendTo(To.m_Name, std::move(Message));
+  };
   Target.m_Hooks.m_Wake = [this](absl::Time When) { scheduleTick(When); };
   m_Target = std::make_unique<TargetSide>(Target, m_Contexts, monotonicNow());
 
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -39,7 +39,10 @@
     m_Members->leave();
   });
   absl::SleepFor(NoticeTime);
-  post([this] { m_Target->stopIntake(); });
+  post([this] {
+    m_Target->stopIntake();
+    m_Target->dedupe().handOn();
+  });
   absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
   absl::SleepFor(PollInterval * 5);
   while (m_InFlight > 0 && monotonicNow() < Limit)
--- a/libs/app/src/EntryFate.cpp
+++ b/libs/app/src/EntryFate.cpp
@@ -1,5 +1,8 @@
 #include "app/EntrySide.h"
 
+#include "app/DedupeHome.h"
+#include "app/KeyHomes.h"
+
 #include <utility>
 
 namespace knapweedloft::app {
@@ -26,6 +29,30 @@
 
 } // namespace
 
+void EntrySide::dispatchHome(PendingId Id, Pending &Next, EntryService &Service,
+                             absl::Time Now) {
+  std::string Name = DedupeHome::nameOf(Next.m_Request.m_Customer,
+                                        Next.m_Request.m_IdempotencyKey);
+  std::vector<model::Member> Homes;
+  {
+    state::SnapshotStore::ReadGuard State(m_Store);
+    Homes = homesOf(Name, Next.m_Request.m_Route.m_Service, *State,
+                    m_Options.m_Hooks.m_IsAlive, 1);
+  }
+  std::optional<policy::TargetHandle> Target;
+  if (!Homes.empty())
+    Target = Service.m_Chooser.find(Homes[0].m_Incarnation);
+  if (!Target) {
+    end(Id,
+        {.m_Reason = RefusalReason::NoTarget,
+         .m_RetryAfter = UnknownRetryAfter},
+        Now);
+    return;
+  }
+  if (!forward(Id, Next, Service, *Target, Now))
+    park(Id, Next, Service, Now);
+}
+
 void EntrySide::onPeerDown(const model::Member &Who, absl::Time Now) {
   std::vector<PendingId> Lost;
   for (const auto &[Id, Held] : m_Pending)
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -151,6 +151,10 @@
     return;
   }
   EntryService &Service = serviceOf(Next.m_Request.m_Route.m_Service, Now);
+  if (!Next.m_Request.m_IdempotencyKey.empty()) {
+    dispatchHome(Id, Next, Service, Now);
+    return;
+  }
   std::vector<policy::TargetHandle> Excluded = Next.m_Excluded;
   bool IsLinkMissing = false;
   while (true) {
--- a/libs/app/src/TargetFate.cpp
+++ b/libs/app/src/TargetFate.cpp
@@ -42,7 +42,7 @@
   case policy::ForwardEntry::Fresh:
     return true;
   case policy::ForwardEntry::Running:
-    m_Runs.at(m_Tickets.at(Id)).m_From = From;
+    moveTo(Id, From);
     return false;
   case policy::ForwardEntry::Finished:
     resend(From, Id, Now);
@@ -66,7 +66,7 @@
   Answer.fate = toWire(Fate);
   m_Options.m_Hooks.m_Fate(From, std::move(Answer));
   if (Fate == policy::ForwardFate::Running)
-    m_Runs.at(m_Tickets.at(Id)).m_From = From;
+    moveTo(Id, From);
   if (Fate == policy::ForwardFate::Finished)
     resend(From, Id, Now);
 }
@@ -77,6 +77,7 @@
   m_Ledger.finish(fromWire(Answer.id), Outcome, bytesOf(Answer), Now);
   m_Outcomes.emplace(Outcome, Answer);
   dropEvicted();
+  endKeyed(Answer, Now);
   m_Options.m_Hooks.m_Answer(To, std::move(Answer));
 }
 
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -62,7 +62,8 @@
 
 TargetSide::TargetSide(Options Settings, ContextTable &Contexts, absl::Time Now)
     : m_Options(std::move(Settings)), m_Contexts(Contexts),
-      m_Admission(m_Options.m_Admission, Now), m_Ledger(m_Options.m_Ledger) {}
+      m_Admission(m_Options.m_Admission, Now), m_Ledger(m_Options.m_Ledger),
+      m_Dedupe(m_Options.m_Dedupe), m_Watch(m_Options.m_Deaths) {}
 
 void TargetSide::onAnnouncement(const Announcement &News, absl::Time Now) {
   std::string Base = toBaseUrl(News.m_At);
@@ -86,16 +87,37 @@
   if (!record(From, Id, Now))
     return;
   RefusalReason Reason = check(Message, State, Now);
+  if (Reason == RefusalReason::None &&
+      isPutAside(Message.fingerprint, State, Now))
+    Reason = RefusalReason::Quarantined;
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ComeBackAfter, Now);
     return;
   }
-  policy::TicketId Ticket = ++m_LastTicket;
   Run Next;
   Next.m_Id = Id;
   Next.m_From = From;
   Next.m_Deadline = Now + absl::Microseconds(Message.remaining_us);
   Next.m_Message = std::move(Message);
+  if (Next.m_Message.idempotency_key.empty())
+    passOn(std::move(Next), Now);
+  else
+    beginKeyed(std::move(Next), Now);
+}
+
+void TargetSide::passOn(Run Next, absl::Time Now) {
+  if (m_Watch.mayStart(Next.m_Message.fingerprint, Now))
+    offer(std::move(Next), Now);
+  else
+    m_SuspectQueue.push_back(std::move(Next));
+}
+
+void TargetSide::offer(Run Next, absl::Time Now) {
+  model::ForwardId Id = Next.m_Id;
+  link::PeerHandle From = Next.m_From;
+  model::Fingerprint Print = Next.m_Message.fingerprint;
+  m_Watch.start(Print, Now);
+  policy::TicketId Ticket = ++m_LastTicket;
   policy::Ticket Offer;
   Offer.m_Id = Ticket;
   Offer.m_Priority = static_cast<model::Priority>(Next.m_Message.priority);
@@ -108,6 +130,7 @@
   if (Decision.m_Verdict == policy::Verdict::Refused) {
     m_Tickets.erase(Id);
     m_Runs.erase(Ticket);
+    m_Watch.end(Print, false);
     refuse(From, Id, Decision.m_Reason, Ran::No, Decision.m_RetryAfter, Now);
   } else if (Decision.m_Verdict == policy::Verdict::Run) {
     start(Ticket, Now);
@@ -161,6 +184,7 @@
     Run Refused = std::move(Found->second);
     m_Runs.erase(Found);
     m_Tickets.erase(Refused.m_Id);
+    m_Watch.end(Refused.m_Message.fingerprint, false);
     refuse(Refused.m_From, Refused.m_Id, Refusal.m_Reason, Ran::No,
            Refusal.m_RetryAfter, Now);
   }
@@ -222,7 +246,16 @@
   }
   m_Contexts.close(Done.m_Context);
   m_Admission.finish(Ticket, Outcome, Result.m_Latency, Now);
-  answerResult(Done, Result, Now);
+  if (Result.m_Failure == http::Failure::Cut) {
+    holdCut(Done, Now);
+  } else {
+    bool IsAnswered = Result.m_Failure == http::Failure::None;
+    if (IsAnswered)
+      noteAlive(Done);
+    m_Watch.end(Done.m_Message.fingerprint, IsAnswered);
+    answerResult(Done, Result, Now);
+  }
+  startSuspects(Now);
   drainAdmission(Now);
 }
 
@@ -249,6 +282,9 @@
   auto Found = m_Tickets.find(Id);
   if (Found == m_Tickets.end())
     return;
+  // Its answer is for the caller's resend.
+  if (m_KeyNames.contains(Id))
+    return;
   policy::TicketId Ticket = Found->second;
   Run &Cancelled = m_Runs.at(Ticket);
   if (Cancelled.m_Started != absl::InfinitePast()) {
@@ -257,6 +293,7 @@
   }
   m_Admission.cancel(Ticket, Now);
   link::PeerHandle From = Cancelled.m_From;
+  m_Watch.end(Cancelled.m_Message.fingerprint, false);
   m_Runs.erase(Ticket);
   m_Tickets.erase(Found);
   refuse(From, Id, RefusalReason::Cancelled, Ran::No, absl::ZeroDuration(),
@@ -264,7 +301,12 @@
   drainAdmission(Now);
 }
 
-void TargetSide::tick(absl::Time Now) { drainAdmission(Now); }
+void TargetSide::tick(absl::Time Now) {
+  m_Dedupe.tick(Now);
+  judgeCuts(Now);
+  startSuspects(Now);
+  drainAdmission(Now);
+}
 
 void TargetSide::stopIntake() { m_IsStopping = true; }
 
--- a/libs/app/tests/TargetSideTest.cpp
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -69,6 +69,24 @@
                                     wire::FateAnswerT Answer) {
       m_Fates.push_back(Answer.fate);
     };
+    Options.m_Hooks.m_TellSuspects = [this](const wire::SuspectsT &News) {
+      m_News.push_back(News);
+      return m_Peers;
+    };
+    Options.m_Hooks.m_PutAside = [this](model::Fingerprint Print) {
+      m_Aside.push_back(Print);
+    };
+    Options.m_Dedupe.m_Hooks.m_Second =
+        [this](const std::string &) -> std::optional<model::Member> {
+      if (!m_HasSecond)
+        return std::nullopt;
+      return model::Member();
+    };
+    Options.m_Dedupe.m_Hooks.m_Store = [this](const model::Member &,
+                                              wire::DedupeStoreT Message) {
+      m_Stores.push_back(std::move(Message));
+      return true;
+    };
     Options.m_Hooks.m_Wake = [](absl::Time) {};
     return Options;
   }
@@ -92,6 +110,25 @@
     m_Target.onForward(Entry, Message, *m_Replica.store().share(), m_Now);
   }
 
+  static wire::ForwardT keyed(std::uint64_t Sequence,
+                              model::Fingerprint Print = 5) {
+    wire::ForwardT Message = forward(Sequence);
+    Message.idempotency_key = "k-1";
+    Message.fingerprint = Print;
+    return Message;
+  }
+
+  static wire::ForwardT printed(std::uint64_t Sequence) {
+    wire::ForwardT Message = forward(Sequence);
+    Message.fingerprint = Sequence;
+    return Message;
+  }
+
+  void pass(absl::Duration Time) {
+    m_Now += Time;
+    m_Target.tick(m_Now);
+  }
+
   void query(std::uint64_t Sequence, model::Incarnation Life = Self) {
     wire::FateQueryT Query;
     Query.id = {1, Sequence};
@@ -127,6 +164,11 @@
   std::vector<http::HttpClient::CallId> m_Cancelled;
   std::vector<wire::AnswerT> m_Answers;
   std::vector<wire::Fate> m_Fates;
+  std::vector<wire::SuspectsT> m_News;
+  std::size_t m_Peers = 0;
+  std::vector<model::Fingerprint> m_Aside;
+  bool m_HasSecond = false;
+  std::vector<wire::DedupeStoreT> m_Stores;
   TargetSide m_Target{options(), m_Contexts, m_Now};
 };
 
@@ -200,6 +242,7 @@
 TEST_F(TargetSideTest, OnResult_ConnectionBrokeHalfWay_IsNeverPassedAsWhole) {
   send(forward(1));
   finish(1, http::Failure::Cut, "half of it");
+  pass(absl::Milliseconds(200));
   EXPECT_EQ(reason(0), RefusalReason::BadAnswer);
   EXPECT_EQ(ran(0), Ran::Unknown);
   EXPECT_TRUE(m_Answers[0].body.empty());
@@ -283,5 +326,120 @@
   EXPECT_EQ(ran(1), Ran::No);
 }
 
+TEST_F(TargetSideTest, OnForward_SameKeyTwice_OneRunsBothGetItsAnswer) {
+  send(keyed(1));
+  send(keyed(2));
+  EXPECT_EQ(m_Requests.size(), 1U);
+  finish(1, http::Failure::None, "printed");
+  send(keyed(3));
+  EXPECT_EQ(m_Requests.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 3U);
+  for (const wire::AnswerT &Answer : m_Answers)
+    EXPECT_EQ(toText(Answer.body), "printed");
+  EXPECT_TRUE(m_Answers[2].is_replayed);
+}
+
+TEST_F(TargetSideTest, OnForward_SameKeyOtherRequest_IsMismatch) {
+  send(keyed(1));
+  send(keyed(2, 6));
+  EXPECT_EQ(reason(0), RefusalReason::IdempotencyMismatch);
+  EXPECT_EQ(m_Requests.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnForward_KeyedRunIsCut_ResendHearsUnknown) {
+  send(keyed(1));
+  finish(1, http::Failure::Cut);
+  pass(absl::Milliseconds(500));
+  send(keyed(2));
+  EXPECT_EQ(m_Requests.size(), 1U);
+  EXPECT_EQ(ran(1), Ran::Unknown);
+}
+
+TEST_F(TargetSideTest, OnForward_KeyNotYetStoredAtSecond_DoesNotRun) {
+  m_HasSecond = true;
+  send(keyed(1));
+  ASSERT_EQ(m_Stores.size(), 1U);
+  EXPECT_TRUE(m_Requests.empty());
+  wire::DedupeAckT Ack;
+  Ack.sequence = m_Stores[0].sequence;
+  m_Target.dedupe().onAck(Ack, m_Now);
+  EXPECT_EQ(m_Requests.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnForward_SecondDoesNotAnswer_IsRefusedAsNotRun) {
+  m_HasSecond = true;
+  send(keyed(1));
+  pass(absl::Seconds(1));
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(ran(0), Ran::No);
+  EXPECT_TRUE(m_Requests.empty());
+}
+
+TEST_F(TargetSideTest, OnForward_SecondKnowsTheKey_ItsAnswerIsReplayed) {
+  m_HasSecond = true;
+  send(keyed(1));
+  wire::DedupeAckT Ack;
+  Ack.sequence = m_Stores.at(0).sequence;
+  auto Entry = std::make_unique<wire::DedupeEntryT>(*m_Stores[0].entries[0]);
+  Entry->state = static_cast<std::uint8_t>(policy::DedupeState::Finished);
+  Entry->answer = std::make_unique<wire::AnswerT>();
+  Entry->answer->body = toBytes("from before");
+  Ack.entries.push_back(std::move(Entry));
+  m_Target.dedupe().onAck(Ack, m_Now);
+  EXPECT_TRUE(m_Requests.empty());
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(toText(m_Answers[0].body), "from before");
+}
+
+TEST_F(TargetSideTest, OnResult_TargetDiesTwiceUnderOneRequest_PutsItAside) {
+  send(printed(1));
+  send(printed(2));
+  finish(1, http::Failure::Cut);
+  finish(2, http::Failure::Cut);
+  pass(absl::Milliseconds(200));
+  ASSERT_EQ(m_News.size(), 1U);
+  EXPECT_EQ(m_News[0].suspects.size(), 2U);
+  // Both are sent again; the first runs alone and kills once more.
+  wire::ForwardT Again = printed(1);
+  Again.id = {1, 11};
+  send(std::move(Again));
+  wire::ForwardT Company = printed(2);
+  Company.id = {1, 12};
+  send(std::move(Company));
+  ASSERT_EQ(m_Requests.size(), 3U);
+  finish(3, http::Failure::Cut);
+  pass(absl::Milliseconds(200));
+  EXPECT_EQ(m_Aside, std::vector<model::Fingerprint>{1});
+  ASSERT_EQ(m_Requests.size(), 4U);
+  finish(4, http::Failure::None, "printed");
+  EXPECT_EQ(toText(m_Answers.back().body), "printed");
+  wire::ForwardT Third = printed(1);
+  Third.id = {1, 13};
+  send(std::move(Third));
+  EXPECT_EQ(m_Requests.size(), 4U);
+  EXPECT_EQ(reason(m_Answers.size() - 1), RefusalReason::Quarantined);
+}
+
+TEST_F(TargetSideTest, OnResult_TargetDies_AnswersWaitForPeersToKnow) {
+  m_Peers = 1;
+  send(printed(1));
+  finish(1, http::Failure::Cut);
+  pass(absl::Milliseconds(40));
+  ASSERT_EQ(m_News.size(), 1U);
+  EXPECT_TRUE(m_Answers.empty());
+  m_Target.onSuspectsAck(m_News[0].sequence, m_Now);
+  EXPECT_EQ(m_Answers.size(), 1U);
+}
+
+TEST_F(TargetSideTest, OnResult_OneConnectionBreaksOthersAnswer_IsNoDeath) {
+  send(printed(1));
+  send(printed(2));
+  finish(1, http::Failure::Cut);
+  finish(2, http::Failure::None, "printed");
+  pass(absl::Milliseconds(200));
+  EXPECT_TRUE(m_News.empty());
+  EXPECT_EQ(m_Answers.size(), 2U);
+}
+
 } // namespace
 } // namespace knapweedloft::app
