--- a/libs/app/src/DaemonTicks.cpp
+++ b/libs/app/src/DaemonTicks.cpp
@@ -80,10 +80,26 @@
   if (m_IsStopping || Now < m_NextWant)
     return;
   m_NextWant = Now + WantInterval;
+  // Membership does not tell when a judgement changes; the targets of a
+  // service are few and looked at again with its next request.
+  m_Entry->onLivenessChange();
   for (const model::Member &Peer : m_Members->wantedLinks())
     m_Peers->want(Peer, Now);
   for (const model::Member &Peer : m_Spread->wantedLinks())
     m_Peers->want(Peer, Now);
+  wantContacts(Now);
+}
+
+void Daemon::Impl::wantContacts(absl::Time Now) {
+  if (!m_Peers->links().empty())
+    return;
+  {
+    state::SnapshotStore::ReadGuard State(m_Replica.store());
+    if (!State->members().empty())
+      return;
+  }
+  for (const model::Endpoint &At : m_Settings.m_Link.m_Contacts)
+    m_Peers->want({.m_Link = At}, Now);
 }
 
 void Daemon::Impl::correctJoin(absl::Time Now) {
