--- a/libs/policy/include/policy/ConcurrencyLimit.h
+++ b/libs/policy/include/policy/ConcurrencyLimit.h
@@ -101,7 +101,7 @@
   double m_Depth = 0.2; ///< Distance of the phases, as a share of the high.
   int m_Falls = 0;      ///< In a row.
   double m_RiseEvidence = 0; ///< That more concurrency pays.
-  double m_PhaseLimit = 0; ///< At the start of the phase.
+  double m_PhaseLimit = 0;   ///< At the start of the phase.
   double m_RampFrom = 0;
   double m_BestRampLatency = 0;
 };
--- /dev/null
+++ b/tools/ledger/include/ledger/Callers.h
@@ -0,0 +1,60 @@
+#ifndef KNAPWEEDLOFT_LEDGER_CALLERS_H
+#define KNAPWEEDLOFT_LEDGER_CALLERS_H
+
+#include "http/HttpClient.h"
+#include "ledger/CallRecord.h"
+
+#include "absl/random/random.h"
+#include "absl/synchronization/mutex.h"
+
+#include <atomic>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::ledger {
+
+/// Sends calls through all daemons, a set number at once, and records how each
+/// ended. Keyed calls are sent again through other daemons until they have an
+/// answer; the others are sent again only where no connection was made.
+class Callers {
+public:
+  struct Plan {
+    std::uint64_t m_Seed = 1;
+    std::uint64_t m_Calls = 1000;
+    double m_PerSecond = 1500; ///< New calls, if those under way allow.
+    unsigned m_AtOnce = 64;
+    unsigned m_MaxSendings = 5;
+    std::string m_Key;
+    std::vector<std::string> m_Bases;
+  };
+
+  explicit Callers(Plan Settings);
+
+  /// Blocks until every call has ended.
+  void run();
+
+  [[nodiscard]] std::uint64_t ended() const { return m_Ended; }
+  [[nodiscard]] const std::vector<CallRecord> &records() const {
+    return m_Records;
+  }
+
+private:
+  void awaitEnded(std::uint64_t Count);
+  void send(std::size_t Index);
+  void onResult(std::size_t Index, const http::HttpResult &Result);
+  [[nodiscard]] http::HttpRequest requestFor(const CallRecord &Call) const;
+  [[nodiscard]] bool isSentAgain(const CallRecord &Call) const;
+
+  Plan m_Plan;
+  std::vector<CallRecord> m_Records;
+  absl::Mutex m_Mutex;
+  std::mt19937_64 m_Random ABSL_GUARDED_BY(m_Mutex);
+  std::atomic<std::uint64_t> m_Ended = 0;
+  http::HttpClient m_Client; ///< Last: its callbacks use the rest.
+};
+
+} // namespace knapweedloft::ledger
+
+#endif // KNAPWEEDLOFT_LEDGER_CALLERS_H
--- a/tools/target/Main.cpp
+++ b/tools/target/Main.cpp
@@ -59,6 +59,8 @@
                  "Path that it calls through its daemon for each request");
   App.add_option("--cold-ms", ColdMs, "Time in a cold start");
   App.add_option("--cold-slots", Settings.m_ColdSlots, "Slots until then");
+  App.add_option("--journal", Settings.m_Journal,
+                 "File that each start is appended to");
   App.add_option("--crash-on", Settings.m_CrashOn,
                  "Text in a request that ends the process");
   CLI11_PARSE(App, Count, Arguments);
--- a/tools/target/include/target/RunLedger.h
+++ b/tools/target/include/target/RunLedger.h
@@ -10,8 +10,16 @@
 namespace knapweedloft::target {
 
 /// What a target ran, by the call id that the load tool sends along.
+/// With a journal each start is also a line of a file, written before the
+/// request is worked on, so that it outlives a process that is killed.
 class RunLedger {
 public:
+  /// \p Journal is appended to; empty: none.
+  explicit RunLedger(const std::string &Journal = "");
+  ~RunLedger();
+  RunLedger(const RunLedger &) = delete;
+  RunLedger &operator=(const RunLedger &) = delete;
+
   void onStart(const std::string &CallId);
   void onEnd(const std::string &CallId);
   void onKeySeen();
@@ -25,6 +33,9 @@
     std::uint32_t m_Ends = 0;
   };
 
+  void writeLine(const std::string &Line);
+
+  int m_Journal = -1;
   mutable absl::Mutex m_Mutex;
   absl::flat_hash_map<std::string, Entry> m_Entries ABSL_GUARDED_BY(m_Mutex);
   std::uint64_t m_KeysSeen ABSL_GUARDED_BY(m_Mutex) = 0;
--- a/tools/target/include/target/TargetOptions.h
+++ b/tools/target/include/target/TargetOptions.h
@@ -20,6 +20,7 @@
   std::string m_Calls;  ///< Path called through the daemon; empty: none.
   absl::Duration m_ColdTime = absl::ZeroDuration();
   unsigned m_ColdSlots = 1; ///< Slots during the cold time after the start.
+  std::string m_Journal;    ///< File that starts are appended to, or empty.
   std::string m_CrashOn;    ///< Text that ends the process; empty: none.
 };
 
--- a/tools/target/src/TargetServer.cpp
+++ b/tools/target/src/TargetServer.cpp
@@ -67,6 +67,7 @@
     : m_Settings(std::move(Settings)),
       m_Instance(static_cast<std::uint64_t>(absl::ToUnixNanos(absl::Now()))),
       m_WorkMicroseconds(absl::ToInt64Microseconds(m_Settings.m_WorkTime)),
+      m_Ledger(m_Settings.m_Journal),
       m_Client({.m_MaxBodyBytes = MaxAnswerBytes}),
       m_Slots(m_Settings.m_ColdTime > absl::ZeroDuration()
                   ? m_Settings.m_ColdSlots
