--- a/tools/ledger/Main.cpp
+++ b/tools/ledger/Main.cpp
@@ -1,5 +1,6 @@
 #include "ledger/Callers.h"
 #include "ledger/FaultRun.h"
+#include "ledger/KillerRun.h"
 #include "ledger/LedgerSite.h"
 
 #include "absl/time/clock.h"
@@ -7,6 +8,7 @@
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <exception>
 #include <thread>
 
@@ -41,6 +43,46 @@
     fmt::print("  at fault: {}\n", Id);
 }
 
+/// One killer among a thousand ordinary calls in flight.
+int runKiller(Callers::Plan Plan) {
+  constexpr std::uint64_t MaxDeaths = 2;
+  constexpr unsigned InFlight = 1000;
+  constexpr unsigned Passes = 10;
+  LedgerSite Site;
+  Plan.m_Key = Site.key();
+  Plan.m_Bases = Site.bases();
+  Plan.m_AtOnce = InFlight;
+  Plan.m_Passes = Passes;
+  Callers Sending(Plan);
+  KillerRun Killer(Site);
+  std::atomic<bool> IsDone = false;
+  std::thread Load([&] {
+    Sending.run();
+    IsDone = true;
+  });
+  Killer.run([&] { return IsDone.load(); });
+  Load.join();
+  Verdict Joined = join(Sending.records(), Site.readBooks());
+  printVerdict(Joined);
+  bool IsListed = Killer.isListed();
+  printLine("times the killer was sent", Killer.sendings());
+  fmt::print("  {:<44} {:>9}  target {}  {}\n", "deaths of targets",
+             Killer.deaths(), MaxDeaths,
+             Killer.deaths() <= MaxDeaths ? "ok" : "short");
+  printCheck("ordinary sendings refused as quarantined", Sending.quarantined());
+  printCheck("ordinary idempotent calls never answered",
+             Sending.unansweredIdempotent());
+  bool Holds = Joined.holds() && Killer.deaths() <= MaxDeaths &&
+               Killer.isPutAside() && IsListed &&
+               Sending.quarantined() + Sending.unansweredIdempotent() == 0;
+  fmt::print("seed={} calls={} deaths={} sent={} put_aside={} listed={} "
+             "company_quarantined={} company_unanswered={} result={}\n",
+             Plan.m_Seed, Joined.m_Calls, Killer.deaths(), Killer.sendings(),
+             Killer.isPutAside(), IsListed, Sending.quarantined(),
+             Sending.unansweredIdempotent(), Holds ? "ok" : "short");
+  return Holds ? 0 : 1;
+}
+
 int run(const Callers::Plan &Wanted, bool IsRolling) {
   LedgerSite Site;
   Callers::Plan Plan = Wanted;
@@ -93,15 +135,18 @@
   CLI::App App{"Joins the ledgers of callers and targets under faults."};
   Callers::Plan Plan;
   bool IsRolling = false;
+  bool IsKiller = false;
   App.add_option("--seed", Plan.m_Seed, "Seed of calls and faults");
   App.add_option("--requests", Plan.m_Calls, "Calls to send");
   App.add_option("--at-once", Plan.m_AtOnce, "Calls under way at once");
   App.add_option("--per-second", Plan.m_PerSecond, "New calls a second");
   App.add_flag("--rolling", IsRolling,
                "Replace daemons by planned stops instead of faults");
+  App.add_flag("--killer", IsKiller,
+               "One request that ends targets among 1,000 in flight");
   CLI11_PARSE(App, Count, Arguments);
   try {
-    return run(Plan, IsRolling);
+    return IsKiller ? runKiller(Plan) : run(Plan, IsRolling);
   } catch (const std::exception &Error) {
     fmt::print(stderr, "error: {}\n", Error.what());
     return 2;
--- a/tools/ledger/include/ledger/Callers.h
+++ b/tools/ledger/include/ledger/Callers.h
@@ -26,6 +26,8 @@
     double m_PerSecond = 1500; ///< New calls, if those under way allow.
     unsigned m_AtOnce = 64;
     unsigned m_MaxSendings = 5;
+    /// Idempotent calls without an answer are sent again at the end so often.
+    unsigned m_Passes = 0;
     std::string m_Key;
     std::vector<std::string> m_Bases;
   };
@@ -36,11 +38,16 @@
   void run();
 
   [[nodiscard]] std::uint64_t ended() const { return m_Ended; }
+  /// \returns how many sendings were refused as quarantined.
+  [[nodiscard]] std::uint64_t quarantined() const { return m_Quarantined; }
+  /// \returns idempotent calls that never had their answer.
+  [[nodiscard]] std::uint64_t unansweredIdempotent() const;
   [[nodiscard]] const std::vector<CallRecord> &records() const {
     return m_Records;
   }
 
 private:
+  void sendUnansweredAgain();
   void awaitEnded(std::uint64_t Count);
   void send(std::size_t Index);
   void onResult(std::size_t Index, const http::HttpResult &Result);
@@ -52,6 +59,7 @@
   absl::Mutex m_Mutex;
   std::mt19937_64 m_Random ABSL_GUARDED_BY(m_Mutex);
   std::atomic<std::uint64_t> m_Ended = 0;
+  std::atomic<std::uint64_t> m_Quarantined = 0;
   http::HttpClient m_Client; ///< Last: its callbacks use the rest.
 };
 
--- a/tools/ledger/src/Callers.cpp
+++ b/tools/ledger/src/Callers.cpp
@@ -5,6 +5,7 @@
 #include "absl/time/clock.h"
 #include "fmt/format.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,6 +14,7 @@
 
 constexpr std::size_t AnswerBytes = 400;
 constexpr absl::Duration CallTimeout = absl::Seconds(8);
+constexpr const char *QuarantinedReason = R"("reason":"quarantined")";
 constexpr unsigned KeyedPercent = 20;
 constexpr unsigned IdempotentPercent = 20;
 
@@ -69,6 +71,30 @@
     send(Index);
   }
   awaitEnded(m_Records.size());
+  for (unsigned Pass = 0; Pass < m_Plan.m_Passes; ++Pass)
+    sendUnansweredAgain();
+}
+
+void Callers::sendUnansweredAgain() {
+  absl::Duration Interval = absl::Seconds(1 / m_Plan.m_PerSecond);
+  for (std::size_t Index = 0; Index < m_Records.size(); ++Index) {
+    const CallRecord &Call = m_Records[Index];
+    if (Call.m_Kind != CallKind::Idempotent ||
+        Call.m_Ends.back() == CallEnd::Whole)
+      continue;
+    absl::SleepFor(Interval);
+    --m_Ended;
+    send(Index);
+  }
+  awaitEnded(m_Records.size());
+}
+
+std::uint64_t Callers::unansweredIdempotent() const {
+  return std::count_if(m_Records.begin(), m_Records.end(),
+                       [](const CallRecord &Call) {
+                         return Call.m_Kind == CallKind::Idempotent &&
+                                Call.m_Ends.back() != CallEnd::Whole;
+                       });
 }
 
 void Callers::awaitEnded(std::uint64_t Count) {
@@ -118,6 +144,8 @@
 void Callers::onResult(std::size_t Index, const http::HttpResult &Result) {
   CallRecord &Call = m_Records[Index];
   Call.m_Ends.push_back(endOf(Call, Result));
+  if (Result.m_Response.m_Body.find(QuarantinedReason) != std::string::npos)
+    ++m_Quarantined;
   if (isSentAgain(Call)) {
     send(Index);
     return;
