Turn off Abseil's search for deadlock cycles and spare the client a wait

Cause: at 1000 calls a second, added p99 was 2.2 to 2.3 ms although the p50 was 0.3 ms. A profile of the entry daemon shows GraphCycles under each Mutex::Lock: Debian's Abseil is built with the search on, under one spin lock of the process whose waiters sleep.

Change: the programs set OnDeadlockCycle::kIgnore at their start. The HTTP client sends a call that was just added before it looks at its sockets. The bench ends its search for the highest rate by share of success and p99.

--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -9,6 +9,8 @@
 #include "WatchCommand.h"
 #include "app/SettingsError.h"
 
+#include "absl/synchronization/mutex.h"
+
 #include "CLI/CLI.hpp"
 #include "fmt/format.h"
 
@@ -60,6 +62,8 @@
 
 int main(int Count, char **Arguments) {
   using namespace knapweedloft;
+  // Debian's Abseil looks for deadlock cycles, under one lock of the process.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   try {
     return run(Count, Arguments);
   } catch (const Exit &Early) {
--- a/libs/http/src/ClientImpl.cpp
+++ b/libs/http/src/ClientImpl.cpp
@@ -118,6 +118,8 @@
 void HttpClient::Impl::run() {
   while (!m_IsStopping) {
     drainOrders();
+    // A call that was just added is due at once.
+    runTimer();
     collect();
     wait();
   }
@@ -250,18 +252,23 @@
       epoll_wait(m_Epoll, Events.data(), Events.size(), waitMilliseconds());
   for (int Index = 0; Index < Count; ++Index)
     onEvent(Events[Index].data.fd, Events[Index].events);
+  if (m_Queue.empty())
+    return;
   const absl::Time Now = steadyNow();
-  if (m_TimerAt <= Now) {
-    int Running = 0;
-    m_TimerAt = absl::InfiniteFuture();
-    curl_multi_socket_action(m_Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
-  }
-  if (m_Queue.empty() || Now < m_NextQueueCheck)
+  if (Now < m_NextQueueCheck)
     return;
   m_NextQueueCheck = Now + QueueCheckInterval;
   dropExpired();
 }
 
+void HttpClient::Impl::runTimer() {
+  if (m_TimerAt == absl::InfiniteFuture() || m_TimerAt > steadyNow())
+    return;
+  int Running = 0;
+  m_TimerAt = absl::InfiniteFuture();
+  curl_multi_socket_action(m_Multi, CURL_SOCKET_TIMEOUT, 0, &Running);
+}
+
 void HttpClient::Impl::onEvent(int Socket, std::uint32_t Events) {
   if (Socket == m_Wake) {
     std::uint64_t Wakes = 0;
--- a/libs/http/src/ClientImpl.h
+++ b/libs/http/src/ClientImpl.h
@@ -54,6 +54,7 @@
   void dropExpired();
   void stop(CallId Call);
   void wait();
+  void runTimer();
   void onEvent(int Socket, std::uint32_t Events);
   [[nodiscard]] int waitMilliseconds();
   void collect();
--- a/tools/bench/Main.cpp
+++ b/tools/bench/Main.cpp
@@ -3,6 +3,8 @@
 #include "bench/LoopbackFloor.h"
 #include "bench/MicroBenchmarks.h"
 
+#include "absl/synchronization/mutex.h"
+
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
@@ -22,9 +24,10 @@
 constexpr absl::Duration RoundTime = absl::Seconds(2);
 constexpr double AddedP99TargetUs = 400;
 constexpr double DecisionTargetNs = 1000;
-/// Less goodput than this share of what was sent ends the search for the
-/// highest rate.
+/// A rate is sustained if this share succeeds and the p99 stays below the
+/// limit.
 constexpr double SustainedShare = 0.99;
+constexpr absl::Duration SustainedP99 = absl::Milliseconds(50);
 constexpr double FirstRate = 2000;
 constexpr double RateStep = 1.5;
 constexpr double LastRate = 100000;
@@ -108,14 +111,12 @@
                  Succeeded / Cores);
       std::fflush(stdout);
       m_Kilobytes = std::max(m_Kilobytes, After.m_ResidentKilobytes);
-      if (Goodput > m_BestRate) {
-        m_BestRate = Goodput;
-        m_CallsPerCore = Succeeded / Cores;
-      }
       const auto Calls = static_cast<double>(Report.total().m_Calls);
       if (Succeeded < SustainedShare * Calls ||
-          Goodput < SustainedShare * Calls / absl::ToDoubleSeconds(RoundTime))
+          Report.latency(0.99) > SustainedP99)
         break;
+      m_BestRate = Goodput;
+      m_CallsPerCore = Succeeded / Cores;
     }
     fmt::print("  memory of the larger daemon: {} KB\n", m_Kilobytes);
   }
@@ -156,6 +157,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   CLI::App App{"What daemons cost, on real processes over loopback."};
   std::uint64_t Seed = 1;
   App.add_option("--seed", Seed, "Of the gaps between calls");
--- a/tools/caller/Main.cpp
+++ b/tools/caller/Main.cpp
@@ -1,5 +1,7 @@
 #include "caller/LoadRun.h"
 
+#include "absl/synchronization/mutex.h"
+
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
@@ -30,6 +32,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   CLI::App App{"Sends calls at a set rate and checks the answers."};
   caller::LoadPlan Plan;
   std::vector<std::string> To;
--- a/tools/target/Main.cpp
+++ b/tools/target/Main.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/time/clock.h"
 
+#include "absl/synchronization/mutex.h"
+
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
@@ -42,6 +44,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   CLI::App App{"Stand-in for a target of a service."};
   target::TargetOptions Settings;
   double WorkMs = absl::ToDoubleMilliseconds(Settings.m_WorkTime);
