--- a/libs/app/src/Spread.cpp
+++ b/libs/app/src/Spread.cpp
@@ -30,7 +30,7 @@
 constexpr absl::Duration SelfHelpFor = absl::Seconds(10);
 
 /// Reports are forgotten after so many intervals.
-constexpr int ReportsKept = 3;
+constexpr int ReportsKept = 6;
 
 } // namespace
 
@@ -140,6 +140,7 @@
     if (Now >= m_ReportAt)
       report(Now);
     helpSelf(Now);
+    widen(Now);
   }
 
   [[nodiscard]] bool isFollower() const {
@@ -149,9 +150,12 @@
   [[nodiscard]] std::vector<model::Member> wantedLinks() const {
     std::vector<std::string> Names = m_Roles.remoteLinks();
     std::size_t UpCount = 0;
+    std::size_t Tried = 0;
     for (const std::string &Name : m_Roles.parents()) {
       if (!m_Roles.isFollower() && UpCount >= SourceCount)
         break;
+      if (!m_Roles.isFollower() && Tried++ >= m_TryCount)
+        break;
       Names.push_back(Name);
       UpCount += m_Peers.contains(Name) ? 1 : 0;
     }
@@ -349,6 +353,9 @@
     m_ReportAt = Now + m_Settings.m_ReportInterval;
     std::string Parent = reportParent();
     AppliedSummary Subtree = m_Reporter.subtree(own(), Now);
+    std::string Former = std::exchange(m_ReportedTo, Parent);
+    if (Former != Parent && m_Peers.contains(Former))
+      sendReports(Former, {}); // Or this subtree would count twice.
     if (!Parent.empty())
       sendReports(Parent, Subtree);
     else if (m_Roles.isFollower())
@@ -365,6 +372,14 @@
     m_Hooks.m_Send(To, wrap(Sum.toWire()));
   }
 
+  /// Tries one more parent for each second in which too few are up.
+  void widen(absl::Time Now) {
+    if (sources().size() >= SourceCount || m_RolesAt > Now)
+      m_ShortAt = Now;
+    m_TryCount = SourceCount + static_cast<std::size_t>(
+                                   absl::ToInt64Seconds(Now - m_ShortAt));
+  }
+
   void helpSelf(absl::Time Now) {
     if (m_StartedAt == absl::InfinitePast())
       m_StartedAt = Now;
@@ -395,12 +410,15 @@
   state::SnapshotPtr m_Next;
   absl::flat_hash_map<std::string, Peer> m_Peers; ///< With a link that is up.
   absl::flat_hash_map<std::string, absl::Time> m_SiteAwayAt;
+  std::string m_ReportedTo;
   bool m_IsLogAway = false;
   bool m_IsHelpingSelf = false;
   absl::Time m_StartedAt = absl::InfinitePast();
   absl::Time m_HelpUntil = absl::InfinitePast();
   absl::Time m_RolesAt = absl::InfinitePast();
   absl::Time m_RenewAt = absl::InfinitePast();
+  std::size_t m_TryCount = SourceCount;
+  absl::Time m_ShortAt = absl::InfiniteFuture();
   absl::Time m_AskAt = absl::InfinitePast();
   absl::Time m_ReportAt = absl::InfinitePast();
 };
