Damp the limit alike in both directions

Cause: noise raised the limit by up to 5% a step and lowered it by 1%, so that under lasting overload a target of 40 slots reached a limit of 220, and what waited inside it held slots of the services above. Change: rises and falls follow the same line; a ramp that starts again in vain leaves nine tenths of the limit.

--- a/libs/policy/include/policy/ConcurrencyLimit.h
+++ b/libs/policy/include/policy/ConcurrencyLimit.h
@@ -67,6 +67,8 @@
   void checkRamp(const Sample &Latest);
   [[nodiscard]] static double flatRate(const Sample &Before,
                                        const Sample &Latest);
+  [[nodiscard]] static double coldLimit(double Knee, const Sample &Latest);
+  [[nodiscard]] double grownLimit(double Knee) const;
   void startPhase(Phase Next, absl::Time Now);
   void endPhase(absl::Time Now);
   void comparePhases(const Sample &Latest);
@@ -101,7 +103,7 @@
   double m_Depth = 0.2; ///< Distance of the phases, as a share of the high.
   int m_Falls = 0;      ///< In a row.
   double m_RiseEvidence = 0; ///< That more concurrency pays.
-  double m_PhaseLimit = 0; ///< At the start of the phase.
+  double m_PhaseLimit = 0;   ///< At the start of the phase.
   double m_RampFrom = 0;
   double m_BestRampLatency = 0;
 };
--- a/libs/policy/src/ConcurrencyLimit.cpp
+++ b/libs/policy/src/ConcurrencyLimit.cpp
@@ -18,15 +18,19 @@
 constexpr double RampNoise = 1;
 /// Share of its concurrency that the ramp keeps at least when it ends.
 constexpr double MaxRampOvershoot = 0.5;
+/// A ramp that starts again must raise the limit by this factor, else the limit
+/// is cut to a share of what it was.
+constexpr double GrowthThatPays = 1.2;
+constexpr double GrowthInVain = 0.9;
 /// Share of the limit that must be in use for a phase to count.
 constexpr double UsedShare = 0.9;
 /// Elasticity of the rate of success at which the limit stays.
-constexpr double TargetElasticity = 0.15;
+constexpr double TargetElasticity = 0.1;
 /// Rise of the logarithm of the limit for each unit of elasticity.
 constexpr double RiseGain = 0.4;
 /// Fall of it as a share of the distance between the phases, if the low phase
 /// lost nothing.
-constexpr double FallGain = 0.5;
+constexpr double FallGain = 0.3;
 constexpr double MaxStep = 0.35;
 /// Sum of the damped errors of rises in a row from which the limit grows as in
 /// the ramp.
@@ -37,7 +41,7 @@
 constexpr double HasteGrowth = 1;
 constexpr double MaxHaste = 5;
 /// Elasticities beyond are noise.
-constexpr double MinElasticity = -0.5;
+constexpr double MinElasticity = -1.2;
 constexpr double MaxElasticity = 1.5;
 /// Elasticities so many standard deviations beyond 0 to 1 show that conditions
 /// changed between the phases.
@@ -152,12 +156,20 @@
   bool IsFlat = Before.m_Count >= 1 && Latest.m_Rate < flatRate(Before, Latest);
   if (!IsSlower || !IsFlat)
     return;
-  double Least =
-      m_IsCold ? MaxRampOvershoot * Latest.m_Concurrency : m_RampFrom;
+  double Knee = Latest.m_Rate * m_BestRampLatency;
+  m_High = std::max(m_IsCold ? coldLimit(Knee, Latest) : grownLimit(Knee),
+                    m_Settings.m_Min);
   m_IsGrowing = m_IsCold = false;
   m_Previous = {};
-  double Knee = Latest.m_Rate * m_BestRampLatency;
-  m_High = std::max({Knee, Least, m_Settings.m_Min});
+}
+
+double ConcurrencyLimit::coldLimit(double Knee, const Sample &Latest) {
+  return std::max(Knee, MaxRampOvershoot * Latest.m_Concurrency);
+}
+
+double ConcurrencyLimit::grownLimit(double Knee) const {
+  // Growth that paid little was noise; the limit may well have been too high.
+  return Knee > GrowthThatPays * m_RampFrom ? Knee : GrowthInVain * m_RampFrom;
 }
 
 double ConcurrencyLimit::flatRate(const Sample &Before, const Sample &Latest) {
@@ -263,7 +275,7 @@
   double Contrast = -std::log(1 - m_Depth);
   double Share = std::max(Error / TargetElasticity, -1.0);
   double Haste = std::min(1.0 + m_Falls * HasteGrowth, MaxHaste);
-  scale(Haste * Gain * FallGain * Contrast * Share);
+  scale(Gain * (RiseGain * Error + Haste * FallGain * Contrast * Share));
   if (m_Falls >= DepthFalls)
     m_Depth = std::min(m_Depth * DepthGrowth, MaxDepth);
 }
--- a/tools/faults/Hop.cpp
+++ b/tools/faults/Hop.cpp
@@ -270,6 +270,9 @@
   if (Gone.m_GiveUpBelow)
     Gone.m_GiveUpBelow();
   bool IsLate = Now >= Gone.m_Work.m_Deadline;
+  auto Lost =
+      IsLate ? policy::RunOutcome::Timeout : policy::RunOutcome::Cancelled;
+  ++m_Site.m_Ends[m_Service][static_cast<std::size_t>(Lost)];
   m_Gate.finish(
       Id, IsLate ? policy::RunOutcome::Timeout : policy::RunOutcome::Cancelled,
       Now - Gone.m_Began, Now);
@@ -331,6 +334,7 @@
     End.m_Ran = model::Ran::Unknown;
     End.m_Reason = model::RefusalReason::OutcomeUnknown;
   }
+  ++m_Site.m_Ends[m_Service][static_cast<std::size_t>(Outcome)];
   m_Gate.finish(Id, Outcome, Now - Found->second.m_Began, Now);
   answer(Id, End);
   pump();
--- a/tools/faults/Meter.cpp
+++ b/tools/faults/Meter.cpp
@@ -1,5 +1,7 @@
 #include "Meter.h"
 
+#include "fmt/format.h"
+
 #include <algorithm>
 
 namespace knapweedloft::faults {
@@ -87,6 +89,21 @@
   return Worst;
 }
 
+std::string Meter::byRoute(absl::Time From, absl::Time Until) const {
+  std::string Text;
+  for (std::size_t Route = 0; Route < m_Routes; ++Route) {
+    double Served = 0;
+    double Ideal = 0;
+    for (std::size_t Index = bucketOf(From); Index < bucketOf(Until); ++Index) {
+      Ideal += m_Ideal[Index * m_Routes + Route];
+      for (std::size_t Customer = 0; Customer < m_Customers; ++Customer)
+        Served += m_Served[(Index * m_Routes + Route) * m_Customers + Customer];
+    }
+    Text += fmt::format("{:.0f}/{:.0f} ", Served, Ideal);
+  }
+  return Text;
+}
+
 double Meter::wronglyRefused() const {
   if (m_Entitled == 0)
     return 0;
--- a/tools/faults/Meter.h
+++ b/tools/faults/Meter.h
@@ -6,6 +6,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace knapweedloft::faults {
@@ -35,6 +36,8 @@
   [[nodiscard]] double worstServed(const Deployment &Site, absl::Time From,
                                    absl::Time Until) const;
   [[nodiscard]] double wronglyRefused() const;
+  /// \returns served/ideal of each route, for the trace.
+  [[nodiscard]] std::string byRoute(absl::Time From, absl::Time Until) const;
 
 private:
   [[nodiscard]] std::size_t bucketOf(absl::Time Now) const;
--- a/tools/faults/Site.cpp
+++ b/tools/faults/Site.cpp
@@ -10,7 +10,8 @@
 } // namespace
 
 Site::Site(Deployment Spec, Mechanisms InUse, std::uint64_t Seed)
-    : m_Spec(std::move(Spec)), m_InUse(InUse), m_Random(Seed) {
+    : m_Spec(std::move(Spec)), m_InUse(InUse), m_Random(Seed),
+      m_Ends(m_Spec.m_Services.size()) {
   for (std::size_t Service = 0; Service < m_Spec.m_Services.size(); ++Service)
     for (std::size_t Index = 0; Index < m_Spec.m_Services[Service].m_Targets;
          ++Index)
--- a/tools/faults/Site.h
+++ b/tools/faults/Site.h
@@ -6,6 +6,9 @@
 #include "FakeTarget.h"
 #include "Mechanism.h"
 
+#include "policy/RunOutcome.h"
+
+#include <array>
 #include <memory>
 #include <random>
 #include <vector>
@@ -28,6 +31,9 @@
   EventQueue m_Events;
   std::vector<std::unique_ptr<Hop>> m_Hops;
   std::uint64_t m_NextId = 1;
+  /// How runs ended, by service; for the trace.
+  std::vector<std::array<std::uint64_t, policy::RunOutcomeNames.m_Names.size()>>
+      m_Ends;
   std::uint64_t m_Forwards = 0; ///< Sent to target sides, in all.
 };
 
--- a/tools/faults/Trial.cpp
+++ b/tools/faults/Trial.cpp
@@ -172,7 +172,11 @@
     fmt::print(" {}:{:.0f}/{}+{}@{:.1f}", One->service(), Load.m_Limit,
                Load.m_InFlight, Load.m_Queued, Load.m_ShedLevel);
   }
-  fmt::print("\n");
+  for (auto &Ends : m_Site.m_Ends) {
+    fmt::print(" | {}", fmt::join(Ends, " "));
+    Ends.fill(0);
+  }
+  fmt::print(" | {}\n", m_Meter.byRoute(From, Now));
   m_Site.m_Events.after(absl::Seconds(1), [this] { trace(); });
 }
 
