--- a/libs/policy/include/policy/ConcurrencyLimit.h
+++ b/libs/policy/include/policy/ConcurrencyLimit.h
@@ -67,6 +67,8 @@
   void checkRamp(const Sample &Latest);
   [[nodiscard]] static double flatRate(const Sample &Before,
                                        const Sample &Latest);
+  [[nodiscard]] static double coldLimit(double Knee, const Sample &Latest);
+  [[nodiscard]] double grownLimit(double Knee) const;
   void startPhase(Phase Next, absl::Time Now);
   void endPhase(absl::Time Now);
   void comparePhases(const Sample &Latest);
