Slow the heartbeats of links that only carry requests; read with less memory

Change: a link that neither membership nor the relay tree uses beats half as often, three beats in four bare, and is silent after twice the time; a link is brisk if either end wants it so. A read begins with 2 KB and doubles while reads fill it.

--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -24,6 +24,7 @@
 #include "state/Record.h"
 #include "state/StateReplica.h"
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 
@@ -84,6 +85,7 @@
   void onAdvance();
   void onLogSeen(const platform::LogFreshness &Seen);
   void wantLinks(absl::Time Now);
+  void setPaces(const absl::flat_hash_set<std::string> &Control);
   /// Links to the contacts of the settings while nobody else is known.
   void wantContacts(absl::Time Now);
   /// Chooses between the log and peers as the source of records.
--- a/libs/app/src/DaemonTicks.cpp
+++ b/libs/app/src/DaemonTicks.cpp
@@ -3,7 +3,10 @@
 #include "app/Clock.h"
 #include "state/RecordCodec.h"
 
+#include "absl/container/flat_hash_set.h"
+
 #include <algorithm>
+#include <string>
 
 namespace knapweedloft::app {
 namespace {
@@ -83,13 +86,29 @@
   // Membership does not tell when a judgement changes; the targets of a
   // service are few and looked at again with its next request.
   m_Entry->onLivenessChange();
-  for (const model::Member &Peer : m_Members->wantedLinks())
-    m_Peers->want(Peer, Now);
-  for (const model::Member &Peer : m_Spread->wantedLinks())
-    m_Peers->want(Peer, Now);
+  absl::flat_hash_set<std::string> Control;
+  for (const auto &Wanted :
+       {m_Members->wantedLinks(), m_Spread->wantedLinks()}) {
+    for (const model::Member &Peer : Wanted) {
+      m_Peers->want(Peer, Now);
+      Control.insert(Peer.m_Name);
+    }
+  }
+  setPaces(Control);
   wantContacts(Now);
 }
 
+void Daemon::Impl::setPaces(const absl::flat_hash_set<std::string> &Control) {
+  // Links that only carry requests are many, and brisk heartbeats on all of
+  // them would cost more than everything else.
+  for (link::PeerHandle Link : m_Peers->links()) {
+    const model::Member *Peer = m_Peers->memberOf(Link);
+    bool IsControl = Peer && Control.contains(Peer->m_Name);
+    m_Links->setPace(Link, IsControl ? link::LinkPace::Brisk
+                                     : link::LinkPace::Relaxed);
+  }
+}
+
 void Daemon::Impl::wantContacts(absl::Time Now) {
   if (!m_Peers->links().empty())
     return;
--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_LINK_LINKNODE_H
 #define KNAPWEEDLOFT_LINK_LINKNODE_H
 
+#include "link/LinkPace.h"
 #include "link/LinkTraffic.h"
 #include "link/generated/link_generated.h"
 #include "model/Endpoint.h"
@@ -97,6 +98,10 @@
     return sendEnvelope(Link, Envelope);
   }
 
+  /// Sets how often heartbeats go over \p Link; brisk unless set. A relaxed
+  /// link counts as silent after twice m_SilentAfter.
+  void setPace(PeerHandle Link, LinkPace Pace);
+
   /// Closes \p Link; its m_OnDown runs with LinkEnd::Local.
   void close(PeerHandle Link);
 
--- a/libs/link/src/Connection.h
+++ b/libs/link/src/Connection.h
@@ -30,6 +30,10 @@
         m_Outgoing(std::make_shared<SendQueue>(MaxQueuedBytes)),
         m_Monitor(SilentAfter, Now), m_Opened(Now), m_NextBeat(Now) {}
 
+  [[nodiscard]] bool isRelaxed() const {
+    return m_OwnPace == LinkPace::Relaxed && m_PeerPace == LinkPace::Relaxed;
+  }
+
   /// The largest frame taken from a peer that has not said Hello.
   static constexpr std::size_t MaxGreetingBytes = 4096;
 
@@ -41,7 +45,10 @@
   SilenceMonitor m_Monitor;
   absl::Time m_Opened;
   absl::Time m_NextBeat;
-  std::uint64_t m_LastBeat = 0; ///< Newest sequence that came from the peer.
+  std::uint64_t m_LastBeat = 0;  ///< Newest sequence that came from the peer.
+  std::uint64_t m_BeatCount = 0; ///< Sent on this link.
+  LinkPace m_OwnPace = LinkPace::Brisk;
+  LinkPace m_PeerPace = LinkPace::Brisk;
   bool m_IsOpener = false;
   bool m_IsWriteBlocked = false;
   model::Endpoint m_To; ///< If m_IsOpener.
--- a/libs/link/src/FrameBuffer.cpp
+++ b/libs/link/src/FrameBuffer.cpp
@@ -1,12 +1,13 @@
 #include "FrameBuffer.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace knapweedloft::link {
 namespace {
 
 /// Above it the buffer is given back once it is empty.
-constexpr std::size_t KeptBytes = 256 * 1024;
+constexpr std::size_t KeptBytes = std::size_t{8} * 1024;
 
 std::size_t lengthAt(const std::uint8_t *Prefix) {
   return Prefix[0] | std::size_t(Prefix[1]) << 8 |
@@ -21,16 +22,20 @@
     m_End -= m_Begin;
     m_Begin = 0;
   }
-  if (m_End == 0 && m_Bytes.size() > KeptBytes) {
+  if (m_End == 0 && m_ReadBytes == MinReadBytes && m_Bytes.size() > KeptBytes) {
     m_Bytes = {};
     m_Aligned = {};
   }
-  if (m_Bytes.size() < m_End + ReadBytes)
-    m_Bytes.resize(m_End + ReadBytes);
-  return {m_Bytes.data() + m_End, ReadBytes};
+  if (m_Bytes.size() < m_End + m_ReadBytes)
+    m_Bytes.resize(m_End + m_ReadBytes);
+  return {m_Bytes.data() + m_End, m_ReadBytes};
 }
 
-void FrameBuffer::commit(std::size_t Bytes) { m_End += Bytes; }
+void FrameBuffer::commit(std::size_t Bytes) {
+  m_End += Bytes;
+  m_ReadBytes = Bytes == m_ReadBytes ? std::min(2 * m_ReadBytes, MaxReadBytes)
+                                     : std::max(m_ReadBytes / 2, MinReadBytes);
+}
 
 FrameBuffer::Result FrameBuffer::next(std::span<const std::uint8_t> &Frame) {
   if (m_End - m_Begin < PrefixBytes)
--- a/libs/link/src/FrameBuffer.h
+++ b/libs/link/src/FrameBuffer.h
@@ -22,7 +22,10 @@
   enum class Result : std::uint8_t { Frame, NeedMore, Oversize };
 
   static constexpr std::size_t PrefixBytes = 4;
-  static constexpr std::size_t ReadBytes = std::size_t{64} * 1024;
+  /// A read begins with the least space and doubles it while reads fill it, so
+  /// that thousands of idle links cost little memory.
+  static constexpr std::size_t MinReadBytes = std::size_t{2} * 1024;
+  static constexpr std::size_t MaxReadBytes = std::size_t{64} * 1024;
 
   explicit FrameBuffer(std::size_t MaxFrameBytes)
       : m_MaxFrameBytes(MaxFrameBytes) {}
@@ -30,8 +33,8 @@
   /// Limits the frames from here on.
   void setMaxFrameBytes(std::size_t Bytes) { m_MaxFrameBytes = Bytes; }
 
-  /// \returns space to read into, ReadBytes long. Frames handed out before
-  /// are no longer valid.
+  /// \returns space to read into. Frames handed out before are no longer
+  /// valid.
   std::span<std::uint8_t> room();
 
   /// Takes over \p Bytes that were written into room().
@@ -43,6 +46,7 @@
 
 private:
   std::size_t m_MaxFrameBytes;
+  std::size_t m_ReadBytes = MinReadBytes;
   std::vector<std::uint8_t> m_Bytes;
   std::size_t m_Begin = 0;
   std::size_t m_End = 0;
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -19,6 +19,10 @@
   m_Impl->loop().post([this, To] { m_Impl->open(To); });
 }
 
+void LinkNode::setPace(PeerHandle Link, LinkPace Pace) {
+  m_Impl->loop().post([this, Link, Pace] { m_Impl->setPace(Link, Pace); });
+}
+
 void LinkNode::close(PeerHandle Link) {
   m_Impl->loop().post([this, Link] { m_Impl->close(Link); });
 }
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -17,6 +17,10 @@
 /// How long the listener rests when the process is out of descriptors.
 constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
 constexpr int MaxAcceptsARound = 64;
+/// Heartbeats of a relaxed link come this much later.
+constexpr int RelaxedFactor = 2;
+/// Of a relaxed link's heartbeats, every so many carry more than the bare need.
+constexpr std::uint64_t BeatsAFullOne = 4;
 /// Frames of one link are handled for this long at most in a round.
 constexpr int MaxReadsARound = 4;
 
@@ -191,6 +195,10 @@
   if (const wire::HeartbeatT *Beat = Message.AsHeartbeat()) {
     Peer.m_Monitor.onAcknowledged(Beat->acknowledged);
     Peer.m_LastBeat = Beat->sequence;
+    Peer.m_PeerPace = Beat->is_relaxed ? LinkPace::Relaxed : LinkPace::Brisk;
+    applyPace(Peer);
+    if (Beat->is_bare)
+      return;
   }
   if (m_Settings.m_Hooks.m_OnMessage)
     m_Settings.m_Hooks.m_OnMessage(Peer.m_Link, Message);
@@ -259,14 +267,37 @@
               std::max(Next - Now, absl::Milliseconds(1)));
 }
 
+void LinkNode::Impl::setPace(PeerHandle Link, LinkPace Pace) {
+  Connection *Peer = find(Link);
+  if (!Peer || Peer->m_OwnPace == Pace)
+    return;
+  Peer->m_OwnPace = Pace;
+  applyPace(*Peer);
+}
+
+void LinkNode::Impl::applyPace(Connection &Peer) {
+  // The limit is raised as soon as this end is content with less, since the
+  // other end may slow down before it is known here.
+  bool IsContent = Peer.m_OwnPace == LinkPace::Relaxed;
+  Peer.m_Monitor.setLimit(m_Settings.m_SilentAfter *
+                          (IsContent ? RelaxedFactor : 1));
+  if (!Peer.isRelaxed())
+    Peer.m_NextBeat = std::min(Peer.m_NextBeat,
+                               monotonicNow() + m_Settings.m_HeartbeatInterval);
+}
+
 void LinkNode::Impl::beat(Connection &Peer, absl::Time Now) {
   wire::HeartbeatT Beat;
-  if (m_Settings.m_Hooks.m_FillHeartbeat)
+  bool IsRelaxed = Peer.isRelaxed();
+  Beat.is_relaxed = Peer.m_OwnPace == LinkPace::Relaxed;
+  Beat.is_bare = IsRelaxed && Peer.m_BeatCount++ % BeatsAFullOne != 0;
+  if (m_Settings.m_Hooks.m_FillHeartbeat && !Beat.is_bare)
     m_Settings.m_Hooks.m_FillHeartbeat(Beat);
   Beat.sequence = Peer.m_Monitor.onHeartbeat(Now);
   Beat.acknowledged = Peer.m_LastBeat;
   Beat.now_us = static_cast<std::uint64_t>(absl::ToUnixMicros(Now));
-  Peer.m_NextBeat = Now + m_Settings.m_HeartbeatInterval;
+  Peer.m_NextBeat =
+      Now + m_Settings.m_HeartbeatInterval * (IsRelaxed ? RelaxedFactor : 1);
   queue(Peer, Beat);
 }
 
--- a/libs/link/src/LinkNodeImpl.h
+++ b/libs/link/src/LinkNodeImpl.h
@@ -32,6 +32,8 @@
   void open(const model::Endpoint &To);
   void close(PeerHandle Link) { end(Link, LinkEnd::Local); }
 
+  void setPace(PeerHandle Link, LinkPace Pace);
+
   [[nodiscard]] LinkTraffic traffic() const { return m_Traffic.read(); }
 
 private:
@@ -53,6 +55,7 @@
   void endUnlessUp(PeerHandle Link);
   void tick(PeerHandle Link);
   void beat(Connection &Peer, absl::Time Now);
+  void applyPace(Connection &Peer);
   void end(PeerHandle Link, LinkEnd Reason);
 
   [[nodiscard]] Connection *find(PeerHandle Link);
--- a/libs/link/src/SilenceMonitor.h
+++ b/libs/link/src/SilenceMonitor.h
@@ -16,6 +16,8 @@
   SilenceMonitor(absl::Duration Limit, absl::Time Now)
       : m_Limit(Limit), m_LastReceived(Now) {}
 
+  void setLimit(absl::Duration Limit) { m_Limit = Limit; }
+
   void onReceived(absl::Time Now) { m_LastReceived = Now; }
 
   /// \returns the sequence of the heartbeat that goes out now.
--- a/libs/link/tests/TestPeer.h
+++ b/libs/link/tests/TestPeer.h
@@ -78,6 +78,13 @@
     return m_Beats.back();
   }
 
+  /// Waits for heartbeat number \p Index that was handed on.
+  wire::HeartbeatT waitHeartbeat(std::size_t Index) {
+    absl::MutexLock Lock(&m_Mutex);
+    await([&] { return m_Beats.size() > Index; });
+    return m_Beats[Index];
+  }
+
   bool sendForward(std::uint64_t Sequence, std::size_t BodyBytes) {
     wire::ForwardT Forward;
     Forward.id = wire::ForwardId(1, Sequence);
