--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -29,6 +29,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace knapweedloft::app {
@@ -41,6 +42,10 @@
   ~Impl();
 
   std::size_t stop();
+  [[nodiscard]] model::Endpoint linkEndpoint() const {
+    return m_Links->endpoint();
+  }
+  [[nodiscard]] std::uint16_t apiPort() const { return m_ApiServer->port(); }
 
 private:
   // DaemonSetup.cpp
@@ -61,6 +66,12 @@
   void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
   [[nodiscard]] link::PeerHandle linkTo(const std::string &Name);
   [[nodiscard]] bool forwardTo(const model::Member &To, wire::ForwardT Message);
+  bool onSafetyMessage(link::PeerHandle From, link::wire::MessageUnion &Message,
+                       absl::Time Now);
+  std::size_t tellSuspects(const wire::SuspectsT &News);
+  void putAside(model::Fingerprint Print);
+  [[nodiscard]] std::optional<model::Member>
+  secondOf(const std::string &Name) const;
   void fillHeartbeat(link::wire::HeartbeatT &Beat);
 
   // DaemonTicks.cpp
@@ -73,6 +84,8 @@
   void onAdvance();
   void onLogSeen(const platform::LogFreshness &Seen);
   void wantLinks(absl::Time Now);
+  /// Links to the contacts of the settings while nobody else is known.
+  void wantContacts(absl::Time Now);
   /// Chooses between the log and peers as the source of records.
   void chooseSource(absl::Time Now);
   void updateShared(absl::Time Now);
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -19,8 +19,14 @@
 
 std::size_t Daemon::stop() { return m_Impl->stop(); }
 
+model::Endpoint Daemon::linkEndpoint() const { return m_Impl->linkEndpoint(); }
+
+std::uint16_t Daemon::apiPort() const { return m_Impl->apiPort(); }
+
 Daemon::Impl::~Impl() {
-  // Listeners first, then what feeds the link thread, then the thread itself.
+  // The link thread first, since it uses the others; what they post to it from
+  // then on is dropped.
+  m_Links->stop();
   m_ApiServer.reset();
   m_Api.reset();
   m_CallerServer.reset();
@@ -39,7 +45,10 @@
     m_Members->leave();
   });
   absl::SleepFor(NoticeTime);
-  post([this] { m_Target->stopIntake(); });
+  post([this] {
+    m_Target->stopIntake();
+    m_Target->dedupe().handOn();
+  });
   absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
   absl::SleepFor(PollInterval * 5);
   while (m_InFlight > 0 && monotonicNow() < Limit)
--- a/libs/app/src/SettingsFile.cpp
+++ b/libs/app/src/SettingsFile.cpp
@@ -3,6 +3,7 @@
 #include "SettingsReader.h"
 
 #include "fmt/format.h"
+#include "fmt/ranges.h"
 
 #include <cerrno>
 #include <cstring>
@@ -30,6 +31,10 @@
   }
 }
 
+bool isLoopback(const std::string &Address) {
+  return Address.starts_with("127.") || Address == "::1";
+}
+
 /// Relations between keys.
 void checkTogether(const Settings &Values, const SettingsReader &Reader) {
   if (Values.m_Link.m_SilentAfter < 2 * Values.m_Link.m_HeartbeatInterval)
@@ -41,6 +46,9 @@
   if (Values.m_Link.m_MaxFrameBytes / 2 < Values.m_Caller.m_MaxBodyBytes)
     Reader.fail("caller.max_body_bytes", "too large",
                 "at most half of link.max_frame_bytes");
+  if (!isLoopback(Values.m_Api.m_Address) && Values.m_Api.m_Token.empty())
+    Reader.fail("api.token", "missing",
+                "a token, unless api.address is on loopback");
 }
 
 /// Prints every key for visitSettings().
@@ -73,6 +81,17 @@
                 absl::Duration) {
     line(Key, fmt::format("{}", absl::ToInt64Milliseconds(Value)));
   }
+  void endpoints(std::string_view Key,
+                 const std::vector<model::Endpoint> &Values) {
+    std::vector<std::string> Texts;
+    for (const model::Endpoint &Each : Values) {
+      const bool IsIpv6 = Each.m_Address.find(':') != std::string::npos;
+      const std::string Host =
+          IsIpv6 ? "[" + Each.m_Address + "]" : Each.m_Address;
+      Texts.push_back(fmt::format("\"{}:{}\"", Host, Each.m_Port));
+    }
+    line(Key, fmt::format("[{}]", fmt::join(Texts, ", ")));
+  }
   void level(std::string_view Key, LogLevel Value) {
     line(Key, fmt::format("\"{}\"", LogLevelNames.nameOf(Value)));
   }
--- a/libs/app/tests/SettingsFileTest.cpp
+++ b/libs/app/tests/SettingsFileTest.cpp
@@ -62,6 +62,32 @@
   EXPECT_THAT(formatSettings(Values), Not(HasSubstr("hush")));
 }
 
+TEST(SettingsFileTest, Read_ApiOffLoopbackWithoutToken_IsRefused) {
+  auto ApiWith = [](const std::string &Keys) {
+    return errorOf([&] { (void)read(std::string(Least) + "[api]\n" + Keys); });
+  };
+  EXPECT_THAT(ApiWith("address = '10.0.0.5'\n"), HasSubstr("api.token"));
+  EXPECT_THAT(ApiWith("address = '::'\n"), HasSubstr("api.token"));
+  EXPECT_EQ(ApiWith("address = '10.0.0.5'\ntoken = 'long-enough'\n"), "");
+  EXPECT_EQ(ApiWith("address = '127.0.0.2'\n"), "");
+  EXPECT_EQ(ApiWith("address = '::1'\n"), "");
+}
+
+TEST(SettingsFileTest, Read_Contacts_TakesIpNumbersWithPortsOnly) {
+  auto Contacts = [](const std::string &List) {
+    return read(std::string(Least) + "[link]\ncontacts = " + List + "\n")
+        .m_Link.m_Contacts;
+  };
+  const std::vector<model::Endpoint> Expected = {{"10.0.0.5", 8082},
+                                                 {"::1", 9}};
+  EXPECT_EQ(Contacts("['10.0.0.5:8082', '[::1]:9']"), Expected);
+  for (const char *List : {"'10.0.0.5:1'", "['host:1']", "['10.0.0.5']",
+                           "['10.0.0.5:0']", "['10.0.0.5:99999']", "[7]"})
+    EXPECT_THAT(errorOf([&] { (void)Contacts(List); }),
+                HasSubstr("link.contacts"))
+        << List;
+}
+
 /// Collects the names of all keys.
 struct KeyLister {
   void table(std::string_view Name, bool = false) { m_Table = Name; }
@@ -83,6 +109,9 @@
                 absl::Duration) {
     add(Key);
   }
+  void endpoints(std::string_view Key, const std::vector<model::Endpoint> &) {
+    add(Key);
+  }
   void level(std::string_view Key, LogLevel) { add(Key); }
 
   std::string m_Table;
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -11,6 +11,8 @@
 
 LinkNode::~LinkNode() = default;
 
+void LinkNode::stop() { m_Impl->loop().stop(); }
+
 const model::Endpoint &LinkNode::endpoint() const { return m_Impl->endpoint(); }
 
 void LinkNode::connect(const model::Endpoint &To) {
@@ -21,6 +23,8 @@
   m_Impl->loop().post([this, Link] { m_Impl->close(Link); });
 }
 
+LinkTraffic LinkNode::traffic() const { return m_Impl->traffic(); }
+
 void LinkNode::post(std::function<void()> Task, absl::Duration Delay) {
   m_Impl->loop().post(std::move(Task), Delay);
 }
--- a/tools/target/Main.cpp
+++ b/tools/target/Main.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/time/clock.h"
 
+#include "absl/synchronization/mutex.h"
+
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
@@ -42,6 +44,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   CLI::App App{"Stand-in for a target of a service."};
   target::TargetOptions Settings;
   double WorkMs = absl::ToDoubleMilliseconds(Settings.m_WorkTime);
@@ -59,6 +62,8 @@
                  "Path that it calls through its daemon for each request");
   App.add_option("--cold-ms", ColdMs, "Time in a cold start");
   App.add_option("--cold-slots", Settings.m_ColdSlots, "Slots until then");
+  App.add_option("--journal", Settings.m_Journal,
+                 "File that each start is appended to");
   App.add_option("--crash-on", Settings.m_CrashOn,
                  "Text in a request that ends the process");
   CLI11_PARSE(App, Count, Arguments);
