Keep the memory of a key through two replacements in a row

The second member was chosen by liveness: with the home replaced and the second paused, a third that knew nothing stored the start. The second is now chosen by the log alone, so that the start is refused as not run while the second is away; memory is handed on when members change; and a key is not judged on a state older than its entry side's.

--- a/libs/app/include/app/DedupeHome.h
+++ b/libs/app/include/app/DedupeHome.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace knapweedloft::app {
 
@@ -66,7 +67,8 @@
                                          absl::Time Now);
   void onAck(wire::DedupeAckT &Message, absl::Time Now);
   void tick(absl::Time Now);
-  /// Sends all that is remembered to its seconds, before this daemon leaves.
+  /// Sends all that is remembered to its seconds, over the next ticks: when
+  /// members have changed, and before this daemon leaves.
   void handOn();
 
 private:
@@ -82,6 +84,7 @@
   void adopt(wire::DedupeEntryT &Entry, absl::Time Now, bool &IsTaken);
   bool tell(const std::string &Name, policy::DedupeState State,
             std::uint64_t Sequence);
+  void handOnSome();
   void complete(std::uint64_t Sequence, Start How, absl::Time Now);
   policy::OutcomeId keep(const wire::AnswerT &Answer);
   void dropEvicted();
@@ -92,6 +95,7 @@
   policy::OutcomeId m_LastAnswer = 0;
   absl::flat_hash_map<std::uint64_t, Pending> m_Pending;
   std::uint64_t m_LastSequence = 0;
+  std::vector<std::string> m_ToHandOn;
 };
 
 } // namespace knapweedloft::app
--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -31,6 +31,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace knapweedloft::app {
 
@@ -69,6 +71,8 @@
   bool onSafetyMessage(link::PeerHandle From, link::wire::MessageUnion &Message,
                        absl::Time Now);
   std::size_t tellSuspects(const wire::SuspectsT &News);
+  /// Gives the memory of keys to those that are their seconds now.
+  void handOnIfMembersChanged(const state::Snapshot &State);
   void putAside(model::Fingerprint Print);
   [[nodiscard]] std::optional<model::Member>
   secondOf(const std::string &Name) const;
@@ -129,6 +133,7 @@
   std::unique_ptr<Spread> m_Spread;
   std::unique_ptr<Membership> m_Members;
   std::unique_ptr<RateService> m_Rates;
+  std::vector<std::pair<std::string, model::Incarnation>> m_ServiceMembers;
   absl::BitGen m_Random;
   absl::Time m_NextTick = absl::InfiniteFuture();
   absl::Time m_NextJoin = absl::InfinitePast();
--- a/libs/app/src/DaemonLinks.cpp
+++ b/libs/app/src/DaemonLinks.cpp
@@ -153,14 +153,24 @@
   append(std::move(Change));
 }
 
+void Daemon::Impl::handOnIfMembersChanged(const state::Snapshot &State) {
+  std::vector<std::pair<std::string, model::Incarnation>> Members;
+  for (const model::Member *Who : State.membersOf(m_Self.m_Service))
+    Members.emplace_back(Who->m_Name, Who->m_Incarnation);
+  if (Members == m_ServiceMembers)
+    return;
+  m_ServiceMembers = std::move(Members);
+  m_Target->dedupe().handOn();
+}
+
 std::optional<model::Member>
 Daemon::Impl::secondOf(const std::string &Name) const {
   state::SnapshotStore::ReadGuard State(m_Replica.store());
+  // By the log alone: a second that is slow or suspect may hold the only
+  // memory of a key, and another one would not know.
   auto Homes = homesOf(
       Name, m_Self.m_Service, *State,
-      [this](const model::Member &Who) {
-        return Who.m_Name != m_Self.m_Name && m_Members->isAlive(Who.m_Name);
-      },
+      [this](const model::Member &Who) { return Who.m_Name != m_Self.m_Name; },
       1);
   if (Homes.empty())
     return std::nullopt;
--- a/libs/app/src/DaemonTicks.cpp
+++ b/libs/app/src/DaemonTicks.cpp
@@ -132,6 +132,7 @@
     state::SnapshotPtr State = m_Replica.store().share();
     m_Members->onSnapshot(State, Now);
     m_Spread->onSnapshot(State, Now);
+    handOnIfMembersChanged(*State);
     m_Rates->onSnapshot(Now);
   });
 }
--- a/libs/app/src/DedupeHome.cpp
+++ b/libs/app/src/DedupeHome.cpp
@@ -3,6 +3,7 @@
 #include "model/Ran.h"
 #include "model/RefusalReason.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,8 @@
 
 using policy::DedupeState;
 
+/// Entries handed on in one tick.
+constexpr std::size_t HandOnBatch = 1000;
 /// Between customer and key: a byte that no header value holds.
 constexpr char Separator = '\n';
 
@@ -169,6 +172,7 @@
 }
 
 void DedupeHome::tick(absl::Time Now) {
+  handOnSome();
   std::vector<std::uint64_t> Late;
   for (auto &[Sequence, Waiting] : m_Pending) {
     if (Now >= Waiting.m_Until)
@@ -180,9 +184,17 @@
     complete(Sequence, Start::Refused, Now);
 }
 
-void DedupeHome::handOn() {
-  for (const std::string &Name : m_Table.names())
-    tell(Name, m_Table.find(Name)->m_State, 0);
+void DedupeHome::handOn() { m_ToHandOn = m_Table.names(); }
+
+void DedupeHome::handOnSome() {
+  for (std::size_t Left = std::min(m_ToHandOn.size(), HandOnBatch); Left > 0;
+       --Left) {
+    const std::string &Name = m_ToHandOn.back();
+    const policy::IdempotencyTable::Entry *Held = m_Table.find(Name);
+    if (Held && !tell(Name, Held->m_State, 0))
+      return; // Its second has no link yet; the next tick tries again.
+    m_ToHandOn.pop_back();
+  }
 }
 
 policy::OutcomeId DedupeHome::keep(const wire::AnswerT &Answer) {
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -90,6 +90,10 @@
   if (Reason == RefusalReason::None &&
       isPutAside(Message.fingerprint, State, Now))
     Reason = RefusalReason::Quarantined;
+  // Only from that state on are the key's home and second the same here.
+  if (Reason == RefusalReason::None && !Message.idempotency_key.empty() &&
+      State.offset() < Message.state_offset)
+    Reason = RefusalReason::Overloaded;
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ComeBackAfter, Now);
     return;
--- a/tools/ledger/Main.cpp
+++ b/tools/ledger/Main.cpp
@@ -10,6 +10,8 @@
 
 #include <atomic>
 #include <exception>
+#include <map>
+#include <string>
 #include <thread>
 
 namespace {
@@ -43,6 +45,11 @@
     fmt::print("  at fault: {}\n", Id);
 }
 
+void printReasons(const std::map<std::string, std::uint64_t> &Reasons) {
+  for (const auto &[Reason, Count] : Reasons)
+    printLine("refused as " + Reason, Count);
+}
+
 /// One killer among a thousand ordinary calls in flight.
 int runKiller(Callers::Plan Plan) {
   constexpr std::uint64_t MaxDeaths = 2;
@@ -64,21 +71,24 @@
   Load.join();
   Verdict Joined = join(Sending.records(), Site.readBooks());
   printVerdict(Joined);
+  auto Reasons = Sending.reasons();
+  std::uint64_t Quarantined = Reasons["quarantined"];
+  printReasons(Reasons);
   bool IsListed = Killer.isListed();
   printLine("times the killer was sent", Killer.sendings());
   fmt::print("  {:<44} {:>9}  target {}  {}\n", "deaths of targets",
              Killer.deaths(), MaxDeaths,
              Killer.deaths() <= MaxDeaths ? "ok" : "short");
-  printCheck("ordinary sendings refused as quarantined", Sending.quarantined());
+  printCheck("ordinary sendings refused as quarantined", Quarantined);
   printCheck("ordinary idempotent calls never answered",
              Sending.unansweredIdempotent());
   bool Holds = Joined.holds() && Killer.deaths() <= MaxDeaths &&
                Killer.isPutAside() && IsListed &&
-               Sending.quarantined() + Sending.unansweredIdempotent() == 0;
+               Quarantined + Sending.unansweredIdempotent() == 0;
   fmt::print("seed={} calls={} deaths={} sent={} put_aside={} listed={} "
              "company_quarantined={} company_unanswered={} result={}\n",
              Plan.m_Seed, Joined.m_Calls, Killer.deaths(), Killer.sendings(),
-             Killer.isPutAside(), IsListed, Sending.quarantined(),
+             Killer.isPutAside(), IsListed, Quarantined,
              Sending.unansweredIdempotent(), Holds ? "ok" : "short");
   return Holds ? 0 : 1;
 }
@@ -102,6 +112,7 @@
   double Seconds = absl::ToDoubleSeconds(absl::Now() - Begun);
   Verdict Joined = join(Sending.records(), Site.readBooks());
   printVerdict(Joined);
+  printReasons(Sending.reasons());
   bool Holds = Joined.holds();
   auto Ended = [&](CallEnd End) {
     return Joined.m_Ends[static_cast<std::size_t>(End)];
--- a/tools/ledger/include/ledger/CallRecord.h
+++ b/tools/ledger/include/ledger/CallRecord.h
@@ -16,6 +16,9 @@
   Idempotent ///< May run again.
 };
 
+inline constexpr model::NameTable<CallKind, 3> CallKindNames{
+    {"plain", "keyed", "idempotent"}};
+
 /// How one sending of a call ended for its caller.
 enum class CallEnd : std::uint8_t {
   Whole,   ///< The whole answer to this call.
--- a/tools/ledger/include/ledger/Callers.h
+++ b/tools/ledger/include/ledger/Callers.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -38,8 +39,8 @@
   void run();
 
   [[nodiscard]] std::uint64_t ended() const { return m_Ended; }
-  /// \returns how many sendings were refused as quarantined.
-  [[nodiscard]] std::uint64_t quarantined() const { return m_Quarantined; }
+  /// \returns sendings that were refused, by reason; after run().
+  [[nodiscard]] std::map<std::string, std::uint64_t> reasons();
   /// \returns idempotent calls that never had their answer.
   [[nodiscard]] std::uint64_t unansweredIdempotent() const;
   [[nodiscard]] const std::vector<CallRecord> &records() const {
@@ -50,6 +51,7 @@
   void sendUnansweredAgain();
   void awaitEnded(std::uint64_t Count);
   void send(std::size_t Index);
+  void noteReason(const http::HttpResult &Result);
   void onResult(std::size_t Index, const http::HttpResult &Result);
   [[nodiscard]] http::HttpRequest requestFor(const CallRecord &Call) const;
   [[nodiscard]] bool isSentAgain(const CallRecord &Call) const;
@@ -59,7 +61,7 @@
   absl::Mutex m_Mutex;
   std::mt19937_64 m_Random ABSL_GUARDED_BY(m_Mutex);
   std::atomic<std::uint64_t> m_Ended = 0;
-  std::atomic<std::uint64_t> m_Quarantined = 0;
+  std::map<std::string, std::uint64_t> m_Reasons ABSL_GUARDED_BY(m_Mutex);
   http::HttpClient m_Client; ///< Last: its callbacks use the rest.
 };
 
--- a/tools/ledger/include/ledger/Verdict.h
+++ b/tools/ledger/include/ledger/Verdict.h
@@ -33,7 +33,7 @@
   std::uint64_t m_FalseNotRun = 0;   ///< Every sending "not run", but a start.
   std::uint64_t m_Wrong = 0;         ///< Not its own whole answer.
   std::uint64_t m_KeysSeen = 0;      ///< Callers' keys shown to a target.
-  std::vector<std::string> m_Examples; ///< Call ids of the first faults.
+  std::vector<std::string> m_Examples; ///< The first faults.
 
   [[nodiscard]] bool holds() const {
     return m_Doubled + m_AnsweredUnrun + m_FalseNotRun + m_Wrong + m_KeysSeen ==
--- a/tools/ledger/src/Callers.cpp
+++ b/tools/ledger/src/Callers.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::size_t AnswerBytes = 400;
 constexpr absl::Duration CallTimeout = absl::Seconds(8);
-constexpr const char *QuarantinedReason = R"("reason":"quarantined")";
 constexpr unsigned KeyedPercent = 20;
 constexpr unsigned IdempotentPercent = 20;
 
@@ -89,6 +88,22 @@
   awaitEnded(m_Records.size());
 }
 
+std::map<std::string, std::uint64_t> Callers::reasons() {
+  absl::MutexLock Lock(&m_Mutex);
+  return m_Reasons;
+}
+
+void Callers::noteReason(const http::HttpResult &Result) {
+  if (Result.m_Failure != http::Failure::None ||
+      Result.m_Response.m_Status == 200)
+    return;
+  auto Problem =
+      nlohmann::json::parse(Result.m_Response.m_Body, nullptr, false);
+  absl::MutexLock Lock(&m_Mutex);
+  if (Problem.is_object())
+    ++m_Reasons[Problem.value("reason", "none")];
+}
+
 std::uint64_t Callers::unansweredIdempotent() const {
   return std::count_if(m_Records.begin(), m_Records.end(),
                        [](const CallRecord &Call) {
@@ -144,8 +159,7 @@
 void Callers::onResult(std::size_t Index, const http::HttpResult &Result) {
   CallRecord &Call = m_Records[Index];
   Call.m_Ends.push_back(endOf(Call, Result));
-  if (Result.m_Response.m_Body.find(QuarantinedReason) != std::string::npos)
-    ++m_Quarantined;
+  noteReason(Result);
   if (isSentAgain(Call)) {
     send(Index);
     return;
--- a/tools/ledger/src/Verdict.cpp
+++ b/tools/ledger/src/Verdict.cpp
@@ -1,5 +1,7 @@
 #include "ledger/Verdict.h"
 
+#include "fmt/format.h"
+
 #include <algorithm>
 #include <fstream>
 #include <string_view>
@@ -24,6 +26,14 @@
          });
 }
 
+std::string describe(const CallRecord &Call, std::uint32_t Starts) {
+  std::string Text = fmt::format("{} {} starts={} ends=", Call.m_Id,
+                                 CallKindNames.nameOf(Call.m_Kind), Starts);
+  for (CallEnd End : Call.m_Ends)
+    Text += fmt::format("{},", CallEndNames.nameOf(End));
+  return Text;
+}
+
 } // namespace
 
 void TargetBook::read(const std::string &Path) {
@@ -58,7 +68,7 @@
     Joined.m_Wrong += IsWrong ? 1 : 0;
     if ((IsDoubled || IsUnrun || IsFalse || IsWrong) &&
         Joined.m_Examples.size() < MaxExamples)
-      Joined.m_Examples.push_back(Call.m_Id);
+      Joined.m_Examples.push_back(describe(Call, Starts));
   }
   return Joined;
 }
