--- a/libs/policy/include/policy/AttemptBudget.h
+++ b/libs/policy/include/policy/AttemptBudget.h
@@ -9,13 +9,16 @@
 /// to a hop below is taken from this one, so that the sum never grows.
 ///
 /// \code
-///   AttemptBudget Left(3);
+///   AttemptBudget Left(AttemptBudget::OfRequest);
 ///   Wire.attempts_left = Left.handOver();  // with each forward
 ///   if (Left.tryTake())                    // before each retry
 ///     retry();
 /// \endcode
 class AttemptBudget {
 public:
+  /// Retries of a new request: halved at each hop, it leaves one to the fifth.
+  static constexpr std::uint16_t OfRequest = 16;
+
   explicit AttemptBudget(std::uint16_t Retries) : m_Left(Retries) {}
 
   [[nodiscard]] std::uint16_t left() const { return m_Left; }
--- a/libs/policy/include/policy/DownstreamGuard.h
+++ b/libs/policy/include/policy/DownstreamGuard.h
@@ -41,8 +41,9 @@
 private:
   struct Entry {
     double m_Pass = 1;
-    double m_Ended = 0;   ///< In this window.
-    double m_Refused = 0; ///< Of them, below.
+    double m_Ended = 0;     ///< In this window.
+    double m_Refused = 0;   ///< Of them, below.
+    bool m_WasClean = true; ///< No refusals in the window before.
     absl::Time m_Since = absl::InfinitePast();
   };
 
--- a/libs/policy/src/DownstreamGuard.cpp
+++ b/libs/policy/src/DownstreamGuard.cpp
@@ -9,8 +9,9 @@
 
 /// Let through beyond what went through below.
 constexpr double Headroom = 1.05;
-/// Growth in a window without refusals.
-constexpr double Growth = 1.5;
+/// Growth in a window without refusals, and in those that follow it.
+constexpr double FirstGrowth = 1.1;
+constexpr double SteadyGrowth = 1.6;
 /// Share of refusals that counts as none.
 constexpr double NoRefusals = 0.01;
 /// Always let through, to learn.
@@ -41,7 +42,10 @@
   if (Own.m_Ended < EnoughEnds && Open < MaxWindows * m_Settings.m_Window)
     return;
   double Refused = Own.m_Ended > 0 ? Own.m_Refused / Own.m_Ended : 0;
-  double Factor = Refused <= NoRefusals ? Growth : (1 - Refused) * Headroom;
+  bool IsClean = Refused <= NoRefusals;
+  double Growth = Own.m_WasClean ? SteadyGrowth : FirstGrowth;
+  double Factor = IsClean ? Growth : (1 - Refused) * Headroom;
+  Own.m_WasClean = IsClean;
   Own.m_Pass = std::clamp(Own.m_Pass * Factor, LeastPass, 1.0);
   Own.m_Ended = Own.m_Refused = 0;
   Own.m_Since = Now;
--- a/tools/faults/Trial.cpp
+++ b/tools/faults/Trial.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/random/distributions.h"
 #include "fmt/format.h"
+#include "policy/AttemptBudget.h"
 
 #include <algorithm>
 
@@ -16,7 +17,6 @@
 constexpr std::uint32_t GreedyCustomer = 1;
 constexpr double StormLoad = 1.5 / BaseUtilization;
 constexpr double LoadAfterStorm = 0.8 / BaseUtilization;
-constexpr std::uint16_t RetriesOfRequest = 3;
 constexpr absl::Duration AttemptTimeout = absl::Seconds(2);
 constexpr absl::Duration Patience = absl::Seconds(4);
 constexpr absl::Duration LeastResend = absl::Milliseconds(50);
@@ -110,7 +110,7 @@
   Request.m_Route = Own->m_Route;
   Request.m_Customer = Own->m_Customer;
   Request.m_Deadline = std::min(Now + AttemptTimeout, Own->m_GiveUp);
-  Request.m_Retries = RetriesOfRequest;
+  Request.m_Retries = policy::AttemptBudget::OfRequest;
   std::size_t Entry =
       absl::Uniform<std::size_t>(m_Site.m_Random, 0, m_Site.m_Hops.size());
   (void)m_Site.m_Hops[Entry]->submit(
