Compare phases only once the running have settled to the limit

Cause: after a cut the requests in excess still ran, and a ramp that started then took them for its own growth: a target of 40 slots reached a limit of 227 in the retry storm of the co-operative. Change: a phase in which more ran than its limit allows is dropped; the least share let through by the downstream guard is 0.002 in place of 0.02.

--- a/libs/policy/src/ConcurrencyLimit.cpp
+++ b/libs/policy/src/ConcurrencyLimit.cpp
@@ -24,6 +24,9 @@
 constexpr double GrowthInVain = 0.9;
 /// Share of the limit that must be in use for a phase to count.
 constexpr double UsedShare = 0.9;
+/// A phase counts if no more ran than this many times its limit at its start.
+constexpr double PhaseSettled = 1.1;
+constexpr double RampSettled = 1.6;
 /// Elasticity of the rate of success at which the limit stays.
 constexpr double TargetElasticity = 0.1;
 /// Rise of the logarithm of the limit for each unit of elasticity.
@@ -193,7 +196,17 @@
   Sample Latest{m_RunningSeconds / Seconds, m_Successes / Seconds,
                 static_cast<double>(m_Successes)};
   bool IsUsed = Latest.m_Concurrency >= UsedShare * m_PhaseLimit - 1;
+  double MostSettled =
+      (m_IsGrowing ? RampSettled : PhaseSettled) * (m_PhaseLimit + 1);
+  bool IsSettled = Latest.m_Concurrency <= MostSettled;
   reduceOnOverload();
+  if (!IsSettled) {
+    // Requests from before the limit was cut still run.
+    m_Previous = {};
+    clearComparisons();
+    startPhase(Phase::High, Now);
+    return;
+  }
   // Phases of so few requests do not differ enough to compare.
   if (!m_IsGrowing && m_High < LeastCompared)
     startRamp();
--- a/libs/policy/src/DownstreamGuard.cpp
+++ b/libs/policy/src/DownstreamGuard.cpp
@@ -15,7 +15,7 @@
 /// Share of refusals that counts as none.
 constexpr double NoRefusals = 0.01;
 /// Always let through, to learn.
-constexpr double LeastPass = 0.02;
+constexpr double LeastPass = 0.002;
 /// A window is kept open for so many ends, up to some windows.
 constexpr double EnoughEnds = 10;
 constexpr int MaxWindows = 4;
