--- a/tools/capacity/DaemonSlopes.cpp
+++ b/tools/capacity/DaemonSlopes.cpp
@@ -1,5 +1,6 @@
 #include "DaemonSlopes.h"
 
+#include "LinkSlopes.h"
 #include "Targets.h"
 #include "harness/HttpCall.h"
 #include "harness/Site.h"
@@ -96,7 +97,7 @@
 
 } // namespace
 
-void measureDaemons(Sheet &Page) {
+void measureDaemons(Sheet &Page, double StateMemory) {
   std::vector<Sample> BytesByLinks;
   std::vector<Sample> CoreByLinks;
   std::vector<Sample> ResidentByLinks;
@@ -113,9 +114,19 @@
   LinearFit Bytes = Page.slope("daemon.bytes_s", "links", BytesByLinks);
   LinearFit Core = Page.slope("daemon.core", "links", CoreByLinks);
   LinearFit Resident = Page.slope("daemon.resident", "links", ResidentByLinks);
-  Page.row("daemon.bytes", Bytes.at(LinksToCome), "B/s", ControlBytesASecond);
-  Page.row("daemon.core_share", Core.at(LinksToCome), "core", ControlCoreShare);
-  Page.row("daemon.resident_empty_state", Resident.at(LinksToCome), "B",
+  LinkCost Relaxed = measureLinks(Page, link::LinkPace::Relaxed);
+  double RequestBytes = Relaxed.m_Bytes.m_Slope * RequestLinks;
+  Page.note("daemon.bytes.control", Bytes.at(ControlLinks), "B/s");
+  Page.note("daemon.bytes.request_links", RequestBytes, "B/s");
+  Page.row("daemon.bytes", Bytes.at(ControlLinks) + RequestBytes, "B/s",
+           ControlBytesASecond);
+  Page.row("daemon.core_share", Core.at(ControlLinks + RequestLinks), "core",
+           ControlCoreShare);
+  // The memory of a link is measured at both ends together.
+  double RequestMemory = Relaxed.m_Memory.m_Slope / 2 * RequestLinks;
+  Page.note("daemon.memory.request_links", RequestMemory, "B");
+  Page.row("daemon.memory",
+           Resident.at(ControlLinks) + RequestMemory + StateMemory, "B",
            MemoryBytes);
 }
 
--- a/tools/capacity/DaemonSlopes.h
+++ b/tools/capacity/DaemonSlopes.h
@@ -7,7 +7,8 @@
 
 /// Starts real daemons on this machine and measures, by their number, links,
 /// bytes, processor time and memory of a daemon that serves nobody.
-void measureDaemons(Sheet &Page);
+/// \p StateMemory is what the state takes at the size to come, in bytes.
+void measureDaemons(Sheet &Page, double StateMemory);
 
 } // namespace knapweedloft::capacity
 
--- a/tools/capacity/Main.cpp
+++ b/tools/capacity/Main.cpp
@@ -15,17 +15,17 @@
   std::uint64_t Seed = 1;
   Program.add_option("--seed", Seed, "Seed of the fake fleet's chance");
   std::string Only;
-  Program.add_option("--only", Only, "Measure one part only")
-      ->check(CLI::IsMember({"state", "control", "daemons"}));
+  Program
+      .add_option("--only", Only, "Beside the state, measure this part only")
+      ->check(CLI::IsMember({"control", "daemons"}));
   CLI11_PARSE(Program, Count, Arguments);
   try {
     knapweedloft::capacity::Sheet Page;
-    if (Only.empty() || Only == "state")
-      knapweedloft::capacity::measureState(Page);
+    double StateMemory = knapweedloft::capacity::measureState(Page);
     if (Only.empty() || Only == "control")
       knapweedloft::capacity::measureControl(Page, Seed);
     if (Only.empty() || Only == "daemons")
-      knapweedloft::capacity::measureDaemons(Page);
+      knapweedloft::capacity::measureDaemons(Page, StateMemory);
     fmt::print("capacity seed={} rows={} short={}\n", Seed, Page.rows(),
                Page.shortRows());
     return Page.shortRows() == 0 ? 0 : 1;
--- a/tools/capacity/StateSlopes.cpp
+++ b/tools/capacity/StateSlopes.cpp
@@ -103,7 +103,7 @@
 
 } // namespace
 
-void measureState(Sheet &Page) {
+double measureState(Sheet &Page) {
   constexpr int FixedCustomers = 500;
   constexpr int FixedMembers = 500;
   std::vector<Sample> Bytes;
@@ -145,6 +145,7 @@
   Page.row("state.core_share", ChangeSeconds * Changes, "core",
            ControlCoreShare);
   Page.note("state.load_image", LoadLine.at(Members), "s");
+  return StateBytes;
 }
 
 } // namespace knapweedloft::capacity
--- a/tools/capacity/StateSlopes.h
+++ b/tools/capacity/StateSlopes.h
@@ -7,7 +7,8 @@
 
 /// Measures what the state costs by members and by customers: memory, image,
 /// time of a change and of a start from an image. Needs no other process.
-void measureState(Sheet &Page);
+/// \returns the memory of the state at the size to come, in bytes.
+double measureState(Sheet &Page);
 
 } // namespace knapweedloft::capacity
 
--- a/tools/capacity/Targets.h
+++ b/tools/capacity/Targets.h
@@ -14,9 +14,11 @@
 inline constexpr double ReplacementsADay = 390;
 inline constexpr double SecondsADay = 86400;
 
-/// Links of a daemon: membership and relay hold 18; the target calls three
-/// services of 19 members each and is called by as many.
-inline constexpr double LinksToCome = 18 + 2 * 3 * 19;
+/// Links of a daemon that membership and the relay tree use, of a busy one.
+inline constexpr double ControlLinks = 24;
+/// Links of a daemon that carry requests only: its target calls three services
+/// of 19 members each and is called by as many.
+inline constexpr double RequestLinks = 2 * 3 * 19;
 
 inline constexpr double MemoryBytes = 32e6;
 inline constexpr double ControlBytesASecond = 17e3;
