--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -24,12 +24,16 @@
 #include "state/Record.h"
 #include "state/StateReplica.h"
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace knapweedloft::app {
 
@@ -65,6 +69,14 @@
   void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
   [[nodiscard]] link::PeerHandle linkTo(const std::string &Name);
   [[nodiscard]] bool forwardTo(const model::Member &To, wire::ForwardT Message);
+  bool onSafetyMessage(link::PeerHandle From, link::wire::MessageUnion &Message,
+                       absl::Time Now);
+  std::size_t tellSuspects(const wire::SuspectsT &News);
+  /// Gives the memory of keys to those that are their seconds now.
+  void handOnIfMembersChanged(const state::Snapshot &State);
+  void putAside(model::Fingerprint Print);
+  [[nodiscard]] std::optional<model::Member>
+  secondOf(const std::string &Name) const;
   void fillHeartbeat(link::wire::HeartbeatT &Beat);
 
   // DaemonTicks.cpp
@@ -77,6 +89,7 @@
   void onAdvance();
   void onLogSeen(const platform::LogFreshness &Seen);
   void wantLinks(absl::Time Now);
+  void setPaces(const absl::flat_hash_set<std::string> &Control);
   /// Links to the contacts of the settings while nobody else is known.
   void wantContacts(absl::Time Now);
   /// Chooses between the log and peers as the source of records.
@@ -122,6 +135,7 @@
   std::unique_ptr<Spread> m_Spread;
   std::unique_ptr<Membership> m_Members;
   std::unique_ptr<RateService> m_Rates;
+  std::vector<std::pair<std::string, model::Incarnation>> m_ServiceMembers;
   absl::BitGen m_Random;
   absl::Time m_NextTick = absl::InfiniteFuture();
   absl::Time m_NextJoin = absl::InfinitePast();
