Stop callers' intake first at a planned stop, and lose no backlog

The listener now closes at the start of the stop, after its backlog was taken over, and answers say 'Connection: close' while everything is still served. A daemon that has no fresh state refuses unknown paths as state-stale, not 404.

--- a/libs/app/src/CallerHandler.cpp
+++ b/libs/app/src/CallerHandler.cpp
@@ -86,8 +86,10 @@
   const http::HttpRequest &Http = *Request.m_Http;
   state::SnapshotStore::ReadGuard State(m_Store);
   const model::Route *Route = State->findRoute(Http.m_Method, Http.m_Path);
+  // A daemon that has yet to learn the state does not know the routes.
   if (!Route)
-    return RefusalReason::UnknownRoute;
+    return m_Options.m_Hooks.m_IsStateFresh(Now) ? RefusalReason::UnknownRoute
+                                                 : RefusalReason::StateStale;
   Request.m_Route = *Route;
   absl::Duration Timeout = std::min(Route->m_Timeout, m_Options.m_MaxTimeout);
   if (auto Asked = requestedTimeout(Http.m_Headers))
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -40,6 +40,8 @@
 
 std::size_t Daemon::Impl::stop() {
   m_IsStopping = true;
+  // From here on answers tell callers to reconnect, to another daemon.
+  m_CallerServer->quiesce();
   post([this] {
     m_Rates->stopKeeping();
     m_Members->leave();
@@ -53,7 +55,6 @@
   absl::SleepFor(PollInterval * 5);
   while (m_InFlight > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
-  m_CallerServer->quiesce();
   while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
   return m_InFlight;
--- a/libs/http/src/ServerImpl.h
+++ b/libs/http/src/ServerImpl.h
@@ -23,6 +23,8 @@
   [[nodiscard]] std::uint16_t port() const { return m_Port; }
   [[nodiscard]] std::size_t pending() const { return m_Pending; }
   void quiesce();
+  /// Serves the connections that wait to be accepted.
+  void takeBacklog(int Listener);
 
 private:
   /// What a connection keeps between its requests.
--- a/libs/http/src/ServerSetup.cpp
+++ b/libs/http/src/ServerSetup.cpp
@@ -94,12 +94,29 @@
   MHD_stop_daemon(m_Daemon);
 }
 
+void HttpServer::Impl::takeBacklog(int Listener) {
+  // Closing the listener would reset callers that have connected and may have
+  // sent, but were not accepted yet.
+  while (true) {
+    sockaddr_storage Peer{};
+    socklen_t Size = sizeof(Peer);
+    int Socket = accept4(Listener, reinterpret_cast<sockaddr *>(&Peer), &Size,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Socket < 0)
+      return;
+    MHD_add_connection(m_Daemon, Socket, reinterpret_cast<sockaddr *>(&Peer),
+                       Size);
+  }
+}
+
 void HttpServer::Impl::quiesce() {
   if (m_IsQuiesced.exchange(true))
     return;
   MHD_socket Listener = MHD_quiesce_daemon(m_Daemon);
-  if (Listener != MHD_INVALID_SOCKET)
-    close(Listener);
+  if (Listener == MHD_INVALID_SOCKET)
+    return;
+  takeBacklog(Listener);
+  close(Listener);
 }
 
 void HttpServer::Impl::onConnection(void *Self, MHD_Connection *Connection,
--- a/tools/ledger/Main.cpp
+++ b/tools/ledger/Main.cpp
@@ -56,7 +56,7 @@
   constexpr unsigned InFlight = 1000;
   constexpr unsigned Passes = 10;
   LedgerSite Site;
-  Plan.m_Key = Site.key();
+  Plan.m_Authorization = Site.authorization();
   Plan.m_Bases = Site.bases();
   Plan.m_AtOnce = InFlight;
   Plan.m_Passes = Passes;
@@ -94,9 +94,9 @@
 }
 
 int run(const Callers::Plan &Wanted, bool IsRolling) {
-  LedgerSite Site;
+  LedgerSite Site(IsRolling);
   Callers::Plan Plan = Wanted;
-  Plan.m_Key = Site.key();
+  Plan.m_Authorization = Site.authorization();
   Plan.m_Bases = Site.bases();
   Callers Sending(Plan);
   FaultRun Faults(Site, Plan.m_Seed);
--- a/tools/ledger/include/ledger/Callers.h
+++ b/tools/ledger/include/ledger/Callers.h
@@ -29,7 +29,7 @@
     unsigned m_MaxSendings = 5;
     /// Idempotent calls without an answer are sent again at the end so often.
     unsigned m_Passes = 0;
-    std::string m_Key;
+    http::HeaderList m_Authorization;
     std::vector<std::string> m_Bases;
   };
 
--- a/tools/ledger/include/ledger/LedgerSite.h
+++ b/tools/ledger/include/ledger/LedgerSite.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_LEDGER_LEDGERSITE_H
 
 #include "harness/Site.h"
+#include "http/HttpMessage.h"
 #include "ledger/Verdict.h"
 
 #include <cstdint>
@@ -14,7 +15,8 @@
 /// The daemons' ports for callers outlive their processes.
 class LedgerSite {
 public:
-  LedgerSite();
+  /// \p IsOpen: the routes need no key, and no rate is kept.
+  explicit LedgerSite(bool IsOpen = false);
   ~LedgerSite();
 
   [[nodiscard]] harness::Site &site() { return m_Site; }
@@ -23,6 +25,9 @@
   }
   [[nodiscard]] const std::string &key() const { return m_Key; }
 
+  /// \returns the headers that show the key; none on open routes.
+  [[nodiscard]] http::HeaderList authorization() const;
+
   /// Starts the daemon of node \p Index again, on its former port.
   void restartDaemon(std::size_t Index);
   void restartTarget(std::size_t Index);
@@ -33,6 +38,8 @@
   [[nodiscard]] TargetBook readBooks() const;
 
 private:
+  void putRoute(const std::string &Name, bool IsIdempotent, bool IsOpen);
+  void makeKey();
   void addNode(const std::string &Name, const std::string &DataCenter);
 
   std::string m_Folder;
--- a/tools/ledger/src/Callers.cpp
+++ b/tools/ledger/src/Callers.cpp
@@ -123,10 +123,10 @@
   bool IsIdempotent = Call.m_Kind == CallKind::Idempotent;
   Request.m_Method = IsIdempotent ? "GET" : "POST";
   Request.m_Path = (IsIdempotent ? "/catalogue/" : "/orders/") + Call.m_Id;
-  Request.m_Headers = {
-      {"Authorization", "Bearer " + m_Plan.m_Key},
-      {std::string(harness::CallIdHeader), Call.m_Id},
-      {std::string(harness::AnswerBytesHeader), std::to_string(AnswerBytes)}};
+  Request.m_Headers = m_Plan.m_Authorization;
+  Request.m_Headers.push_back({std::string(harness::CallIdHeader), Call.m_Id});
+  Request.m_Headers.push_back(
+      {std::string(harness::AnswerBytesHeader), std::to_string(AnswerBytes)});
   if (Call.m_Kind == CallKind::Keyed)
     Request.m_Headers.push_back({"Idempotency-Key", Call.m_Id});
   if (!IsIdempotent)
--- a/tools/ledger/src/LedgerSite.cpp
+++ b/tools/ledger/src/LedgerSite.cpp
@@ -38,17 +38,29 @@
 
 } // namespace
 
-LedgerSite::LedgerSite() : m_Folder(makeFolder()) {
+LedgerSite::LedgerSite(bool IsOpen) : m_Folder(makeFolder()) {
   for (const char *DataCenter : {"cesis", "sigulda"})
     for (int Index = 1; Index <= 2; ++Index)
       addNode(fmt::format("press-{}-{}", DataCenter, Index), DataCenter);
   m_Site.put("customers/ledger", "{}");
   m_Site.put("rates/ledger", R"({"per_second": 100000, "burst": 100000})");
-  m_Site.put("routes/orders",
-             R"({"path_prefix": "/orders/", "service": "orders"})");
-  m_Site.put(
-      "routes/catalogue",
-      R"({"path_prefix": "/catalogue/", "service": "orders", "idempotent": true})");
+  putRoute("orders", false, IsOpen);
+  putRoute("catalogue", true, IsOpen);
+  if (!IsOpen)
+    makeKey();
+  awaitServing();
+}
+
+void LedgerSite::putRoute(const std::string &Name, bool IsIdempotent,
+                          bool IsOpen) {
+  nlohmann::json Route = {{"path_prefix", "/" + Name + "/"},
+                          {"service", "orders"},
+                          {"idempotent", IsIdempotent},
+                          {"open", IsOpen}};
+  m_Site.put("routes/" + Name, Route.dump());
+}
+
+void LedgerSite::makeKey() {
   harness::ProgramResult Made = harness::runProgram(
       {"knapweedloft", "apply", "keys", "ledger-1", "customer=ledger",
        "--output", "json", "--api",
@@ -57,7 +69,6 @@
     throw harness::HarnessError("no key: " + Made.m_Errors);
   m_Key =
       nlohmann::json::parse(Made.m_Output).at(0).at("key").get<std::string>();
-  awaitServing();
 }
 
 LedgerSite::~LedgerSite() {
@@ -91,14 +102,19 @@
   m_Site.startTarget(Index);
 }
 
+http::HeaderList LedgerSite::authorization() const {
+  if (m_Key.empty())
+    return {};
+  return {{"Authorization", "Bearer " + m_Key}};
+}
+
 void LedgerSite::awaitServing() {
   for (std::size_t Index = 0; Index < m_Site.size(); ++Index) {
     bool IsServing = harness::eventually([&] {
-      auto Result = harness::httpCall(
-          m_Site.node(Index).m_CallerPort,
-          {.m_Method = "POST",
-           .m_Path = "/orders/0",
-           .m_Headers = {{"Authorization", "Bearer " + m_Key}}});
+      auto Result = harness::httpCall(m_Site.node(Index).m_CallerPort,
+                                      {.m_Method = "POST",
+                                       .m_Path = "/orders/0",
+                                       .m_Headers = authorization()});
       return Result.m_Failure == http::Failure::None &&
              Result.m_Response.m_Status == 200;
     });
