Read the demo's ledgers from a value that lives

Cause: the demo walked over a part of a JSON value that had already ended, so that a data center's requests counted 0 always; the line "cesis works again" was red for it, and "cesis gets no new work" was green without a proof.

Change: the ledger is kept in a variable.

--- a/tools/demo/src/DemoSite.cpp
+++ b/tools/demo/src/DemoSite.cpp
@@ -114,7 +114,8 @@
     harness::Node &Node = m_Site.node(Index);
     if (Node.m_Options.m_DataCenter != DataCenter)
       continue;
-    for (const auto &Call : ledgerOf(Node.m_TargetPort).at("calls"))
+    const nlohmann::json Ledger = ledgerOf(Node.m_TargetPort);
+    for (const auto &Call : Ledger.at("calls"))
       Starts += Call.at("starts").get<std::uint64_t>();
   }
   return Starts;
