--- a/libs/link/include/link/LinkPace.h
+++ b/libs/link/include/link/LinkPace.h
@@ -11,7 +11,8 @@
 /// to be.
 enum class LinkPace : std::uint8_t {
   Brisk,   ///< For links by which members judge each other.
-  Relaxed, ///< For links that carry requests only: half as often and small.
+  Relaxed, ///< For links that carry requests only: half as often, most of them
+           ///< bare.
 };
 
 inline constexpr model::NameTable<LinkPace, 2> LinkPaceNames{
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -192,13 +192,16 @@
 }
 
 void LinkNode::Impl::onMessage(Connection &Peer, wire::MessageUnion &Message) {
+  if (const wire::KeepaliveT *Beat = Message.AsKeepalive()) {
+    Peer.m_Monitor.onAcknowledged(Beat->acknowledged);
+    Peer.m_LastBeat = Beat->sequence;
+    return;
+  }
   if (const wire::HeartbeatT *Beat = Message.AsHeartbeat()) {
     Peer.m_Monitor.onAcknowledged(Beat->acknowledged);
     Peer.m_LastBeat = Beat->sequence;
     Peer.m_PeerPace = Beat->is_relaxed ? LinkPace::Relaxed : LinkPace::Brisk;
     applyPace(Peer);
-    if (Beat->is_bare)
-      return;
   }
   if (m_Settings.m_Hooks.m_OnMessage)
     m_Settings.m_Hooks.m_OnMessage(Peer.m_Link, Message);
@@ -287,17 +290,23 @@
 }
 
 void LinkNode::Impl::beat(Connection &Peer, absl::Time Now) {
-  wire::HeartbeatT Beat;
   bool IsRelaxed = Peer.isRelaxed();
-  Beat.is_relaxed = Peer.m_OwnPace == LinkPace::Relaxed;
-  Beat.is_bare = IsRelaxed && Peer.m_BeatCount++ % BeatsAFullOne != 0;
-  if (m_Settings.m_Hooks.m_FillHeartbeat && !Beat.is_bare)
+  Peer.m_NextBeat =
+      Now + m_Settings.m_HeartbeatInterval * (IsRelaxed ? RelaxedFactor : 1);
+  std::uint64_t Sequence = Peer.m_Monitor.onHeartbeat(Now);
+  if (IsRelaxed && Peer.m_BeatCount++ % BeatsAFullOne != 0) {
+    wire::KeepaliveT Beat;
+    Beat.sequence = Sequence;
+    Beat.acknowledged = Peer.m_LastBeat;
+    return queue(Peer, Beat);
+  }
+  wire::HeartbeatT Beat;
+  if (m_Settings.m_Hooks.m_FillHeartbeat)
     m_Settings.m_Hooks.m_FillHeartbeat(Beat);
-  Beat.sequence = Peer.m_Monitor.onHeartbeat(Now);
+  Beat.sequence = Sequence;
   Beat.acknowledged = Peer.m_LastBeat;
+  Beat.is_relaxed = Peer.m_OwnPace == LinkPace::Relaxed;
   Beat.now_us = static_cast<std::uint64_t>(absl::ToUnixMicros(Now));
-  Peer.m_NextBeat =
-      Now + m_Settings.m_HeartbeatInterval * (IsRelaxed ? RelaxedFactor : 1);
   queue(Peer, Beat);
 }
 
