--- a/tools/faults/Hop.cpp
+++ b/tools/faults/Hop.cpp
@@ -292,15 +292,15 @@
   };
   std::size_t Steps = m_Site.m_Spec.m_Routes[Own.m_Work.m_Route].m_Steps.size();
   if (Own.m_Work.m_Step + 1 < Steps)
-    Request.m_Nested = [this,
-                        Id](std::function<void(policy::RunOutcome)> Then) {
-      runBelow(Id, std::move(Then));
-    };
+    Request.m_Nested =
+        [this, Id](const std::function<void(policy::RunOutcome)> &Then) {
+          runBelow(Id, Then);
+        };
   m_Target.call(std::move(Request));
 }
 
 void Hop::runBelow(std::uint64_t Id,
-                   std::function<void(policy::RunOutcome)> Then) {
+                   const std::function<void(policy::RunOutcome)> &Then) {
   auto Found = m_Forwards.find(Id);
   if (Found == m_Forwards.end())
     return;
--- a/tools/faults/Hop.h
+++ b/tools/faults/Hop.h
@@ -71,7 +71,8 @@
   void receive(std::uint64_t Id, Forward Request);
   void cancel(std::uint64_t Id);
   void run(std::uint64_t Id);
-  void runBelow(std::uint64_t Id, std::function<void(policy::RunOutcome)> Then);
+  void runBelow(std::uint64_t Id,
+                const std::function<void(policy::RunOutcome)> &Then);
   void onRun(std::uint64_t Id, policy::RunOutcome Outcome);
   void answer(std::uint64_t Id, const Ending &End);
   void pump();
--- a/tools/faults/Ideal.cpp
+++ b/tools/faults/Ideal.cpp
@@ -29,9 +29,11 @@
                                const std::vector<ServiceState> &Services,
                                const std::vector<double> &Demand) {
   std::vector<double> Left;
+  Left.reserve(Services.size());
   for (const ServiceState &One : Services)
     Left.push_back(One.m_Slots);
   std::vector<std::vector<double>> Holds;
+  Holds.reserve(Site.m_Routes.size());
   for (const RouteSpec &Route : Site.m_Routes)
     Holds.push_back(holdTimes(Site, Route, Services));
 
