--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -104,7 +104,7 @@
   };
 
   // TargetKeys.cpp
-  void beginKeyed(Run Next, absl::Time Now);
+  void beginKeyed(Run &&Next, absl::Time Now);
   void onStartStored(const model::ForwardId &Id, DedupeHome::Start How,
                      absl::Time Now);
   void replay(link::PeerHandle To, const model::ForwardId &Id,
@@ -125,8 +125,8 @@
   void learnDeath(CutBatch &Batch, absl::Time Now);
 
   /// Lets it run now, or later if it is a suspect.
-  void passOn(Run Next, absl::Time Now);
-  void offer(Run Next, absl::Time Now);
+  void passOn(Run &&Next, absl::Time Now);
+  void offer(Run &&Next, absl::Time Now);
   [[nodiscard]] model::RefusalReason check(const wire::ForwardT &Message,
                                            const state::Snapshot &State,
                                            absl::Time Now) const;
--- a/libs/app/src/TargetKeys.cpp
+++ b/libs/app/src/TargetKeys.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void TargetSide::beginKeyed(Run Next, absl::Time Now) {
+void TargetSide::beginKeyed(Run &&Next, absl::Time Now) {
   std::string Name = DedupeHome::nameOf(Next.m_Message.customer,
                                         Next.m_Message.idempotency_key);
   switch (m_Dedupe.claim(Name, Next.m_Message.fingerprint, Now)) {
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -109,14 +109,14 @@
     beginKeyed(std::move(Next), Now);
 }
 
-void TargetSide::passOn(Run Next, absl::Time Now) {
+void TargetSide::passOn(Run &&Next, absl::Time Now) {
   if (m_Watch.mayStart(Next.m_Message.fingerprint, Now))
     offer(std::move(Next), Now);
   else
     m_SuspectQueue.push_back(std::move(Next));
 }
 
-void TargetSide::offer(Run Next, absl::Time Now) {
+void TargetSide::offer(Run &&Next, absl::Time Now) {
   model::ForwardId Id = Next.m_Id;
   link::PeerHandle From = Next.m_From;
   model::Fingerprint Print = Next.m_Message.fingerprint;
--- a/libs/link/src/FrameBuffer.cpp
+++ b/libs/link/src/FrameBuffer.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Above it the buffer is given back once it is empty.
-constexpr std::size_t KeptBytes = 256 * 1024;
+constexpr std::size_t KeptBytes = std::size_t{256} * 1024;
 
 std::size_t lengthAt(const std::uint8_t *Prefix) {
   return Prefix[0] | std::size_t(Prefix[1]) << 8 |
--- a/tools/fuzz/SeedCorpus.cpp
+++ b/tools/fuzz/SeedCorpus.cpp
@@ -16,8 +16,7 @@
   std::ofstream(Path, std::ios::binary) << Bytes;
 }
 
-template <typename MessageT>
-std::string frame(MessageT Message) {
+template <typename MessageT> std::string frame(MessageT Message) {
   wire::EnvelopeT Envelope;
   Envelope.message.Set(std::move(Message));
   return link::encodeFrame(Envelope);
--- a/tools/ledger/src/LedgerSite.cpp
+++ b/tools/ledger/src/LedgerSite.cpp
@@ -30,7 +30,8 @@
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t Size = sizeof(Address);
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size);
+  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0)
+    throw harness::HarnessError("no free port");
   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
   ::close(Socket);
   return ntohs(Address.sin_port);
