--- a/libs/app/include/app/RequestMetrics.h
+++ b/libs/app/include/app/RequestMetrics.h
@@ -30,7 +30,7 @@
   struct Options {
     Objective m_Objective;
     /// Series beyond these go to the series of the route ("", customer "*").
-    std::size_t m_MaxSeries = 512;
+    std::size_t m_MaxSeries = 96;
   };
 
   explicit RequestMetrics(Options Settings);
