Keep the fleet's sum of applied offsets from coming back as a child's

Change: a peer that could be a parent is never taken as a child.

A test of the reporter that brings the change of parents about is still missing.

--- a/libs/app/src/Spread.cpp
+++ b/libs/app/src/Spread.cpp
@@ -321,19 +321,31 @@
     m_Hooks.m_Send(Name, wrap(std::move(Ask)));
   }
 
-  /// The first parent that is up takes the reports; a follower reports only to
-  /// one of a lower rank. Empty for the head of the data center.
+  /// Those that may take the reports: a follower reports only to followers of
+  /// a lower rank.
+  [[nodiscard]] std::vector<std::string> reportParents() const {
+    std::vector<std::string> Names = m_Roles.parents();
+    if (m_Roles.isFollower())
+      Names.resize(std::min(Names.size(), m_Roles.rank()));
+    return Names;
+  }
+
+  /// The first of them that is up. Empty for the head of the data center.
   [[nodiscard]] std::string reportParent() const {
-    std::size_t Position = 0;
-    for (const std::string &Name : m_Roles.parents()) {
-      if (m_Roles.isFollower() && Position++ >= m_Roles.rank())
-        break;
+    for (const std::string &Name : reportParents())
       if (m_Peers.contains(Name))
         return Name;
-    }
     return {};
   }
 
+  /// \returns whether \p Name could be a parent but is not. What such a peer
+  /// sends is the fleet's sum for a former child; as a child's sum it would
+  /// come back to it and grow with each report.
+  [[nodiscard]] bool isOtherParent(const std::string &Name) const {
+    std::vector<std::string> Parents = reportParents();
+    return std::find(Parents.begin(), Parents.end(), Name) != Parents.end();
+  }
+
   void onReports(const std::string &From,
                  const link::wire::AppliedReportsT &Reports, absl::Time Now) {
     AppliedSummary Sum = AppliedSummary::fromWire(Reports);
@@ -345,7 +357,7 @@
       m_Reporter.onSite(Site, std::move(Sum), Now);
     else if (From == reportParent())
       m_Reporter.onFleet(std::move(Sum), Now);
-    else
+    else if (!isOtherParent(From))
       m_Reporter.onChild(From, std::move(Sum), Now);
   }
 
