Give admission the customer's rate as its weight and its own load as feedback

Cause: the queue shared a target evenly whatever the rates, and the shed level of all customers went back to each. Change: a ticket weighs as its customer's rate; an answer carries the load that its customer sees; a target's 503 and 429 count as shed. The slow-reader test names the buffer's largest read again.

--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -90,6 +90,7 @@
     link::PeerHandle m_From;
     wire::ForwardT m_Message;
     absl::Time m_Deadline;
+    float m_Weight = 1; ///< The customer's rate: its share among customers.
     ContextId m_Context{};
     http::HttpClient::CallId m_Call = 0;
     absl::Time m_Started = absl::InfinitePast(); ///< Before: it is queued.
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -317,7 +317,8 @@
                                Now - Held.m_Sent, Now);
   Held.m_Fate.reset();
   Service.m_EarlyRefusal.observe(Feedback.m_ShedLevel, Now,
-                                 customerIndex(Held.m_Request.m_Customer));
+                                 customerIndex(Held.m_Request.m_Customer),
+                                 Feedback.m_Limit);
   // What did not run used no attempts.
   std::uint16_t Unused =
       DidRun == Ran::No ? Held.m_HandedOver
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -15,11 +15,21 @@
 /// When to come back to a daemon that cannot take a forward now.
 constexpr absl::Duration ComeBackAfter = absl::Seconds(1);
 
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+constexpr int FirstServerError = 500;
+
+policy::RunOutcome outcomeOfStatus(int Status) {
+  if (Status == TooManyRequests || Status == ServiceUnavailable)
+    return policy::RunOutcome::Shed;
+  return Status >= FirstServerError ? policy::RunOutcome::Error
+                                    : policy::RunOutcome::Success;
+}
+
 policy::RunOutcome outcomeOf(const http::HttpResult &Result) {
   switch (Result.m_Failure) {
   case http::Failure::None:
-    return Result.m_Response.m_Status >= 500 ? policy::RunOutcome::Error
-                                             : policy::RunOutcome::Success;
+    return outcomeOfStatus(Result.m_Response.m_Status);
   case http::Failure::TooLarge:
     return policy::RunOutcome::Error;
   case http::Failure::TimedOut:
@@ -33,6 +43,15 @@
   return policy::RunOutcome::ConnectionLost;
 }
 
+wire::Load wireOf(const policy::AdmissionLoad &Load) {
+  return {Load.m_Limit,
+          Load.m_InFlight,
+          Load.m_Queued,
+          Load.m_ShedLevel,
+          static_cast<std::uint32_t>(absl::ToInt64Microseconds(Load.m_Latency)),
+          Load.m_IsRamping};
+}
+
 RefusalReason reasonOf(http::Failure Failure) {
   switch (Failure) {
   case http::Failure::NotSent:
@@ -102,6 +121,8 @@
   Next.m_Id = Id;
   Next.m_From = From;
   Next.m_Deadline = Now + absl::Microseconds(Message.remaining_us);
+  if (const model::Rate *Rate = State.findRate(Message.customer))
+    Next.m_Weight = static_cast<float>(Rate->m_PerSecond);
   Next.m_Message = std::move(Message);
   if (Next.m_Message.idempotency_key.empty())
     passOn(std::move(Next), Now);
@@ -128,6 +149,7 @@
   Offer.m_Customer = customerIndex(Next.m_Message.customer);
   Offer.m_Deadline = Next.m_Deadline;
   Offer.m_IsIdempotent = Next.m_Message.is_idempotent;
+  Offer.m_Weight = Next.m_Weight;
   m_Tickets.emplace(Id, Ticket);
   m_Runs.emplace(Ticket, std::move(Next));
   policy::AdmissionDecision Decision = m_Admission.offer(Offer, Now);
@@ -245,7 +267,9 @@
   if (const CallContext *Context = m_Contexts.find(Done.m_Context)) {
     Done.m_HasFailedBelow = Context->m_HasFailedBelow;
     Done.m_AttemptsLeft = Context->m_Attempts.left();
-    if (Outcome == policy::RunOutcome::Error && Done.m_HasFailedBelow)
+    bool IsError = Outcome == policy::RunOutcome::Error ||
+                   Outcome == policy::RunOutcome::Shed;
+    if (IsError && Done.m_HasFailedBelow)
       Outcome = policy::RunOutcome::DownstreamRefused;
   }
   m_Contexts.close(Done.m_Context);
@@ -276,7 +300,8 @@
   Answer.status = static_cast<std::uint16_t>(Result.m_Response.m_Status);
   Answer.headers = toWire(headersForCaller(Result.m_Response.m_Headers));
   Answer.body = toBytes(Result.m_Response.m_Body);
-  Answer.load = load(Now);
+  Answer.load =
+      wireOf(m_Admission.load(Now, customerIndex(Done.m_Message.customer)));
   Answer.attempts_left = Done.m_AttemptsLeft;
   Answer.is_final = Done.m_HasFailedBelow;
   settle(Done.m_From, std::move(Answer), Now);
@@ -315,13 +340,7 @@
 void TargetSide::stopIntake() { m_IsStopping = true; }
 
 wire::Load TargetSide::load(absl::Time Now) const {
-  policy::AdmissionLoad Load = m_Admission.load(Now);
-  return {static_cast<float>(Load.m_Limit),
-          Load.m_InFlight,
-          Load.m_Queued,
-          Load.m_ShedLevel,
-          static_cast<std::uint32_t>(absl::ToInt64Microseconds(Load.m_Latency)),
-          Load.m_IsRamping};
+  return wireOf(m_Admission.load(Now));
 }
 
 std::uint32_t TargetSide::customerIndex(const std::string &Customer) {
--- a/libs/link/tests/LinkFaultTest.cpp
+++ b/libs/link/tests/LinkFaultTest.cpp
@@ -133,7 +133,7 @@
   Sender.waitUp(1);
   // The kernel's buffers take some; a bounded queue refuses before long.
   std::size_t Taken = 0;
-  while (Sender.sendForward(Taken, FrameBuffer::ReadBytes) && Taken < 10'000)
+  while (Sender.sendForward(Taken, FrameBuffer::MaxReadBytes) && Taken < 10'000)
     ++Taken;
   EXPECT_LT(Taken, 10'000U);
   EXPECT_EQ(Sender.waitDown().m_Reason, LinkEnd::Silent);
