Find the front of the fair queue by a heap

Change: the waiting flows of a band are a binary heap by the finish of their last service. Start is max(virtual time, finish), so the least finish has the least start; among equal starts the least finish now goes first, where it was any.

No allocations.

Proof: the new random test compares with the definition of the start. It fails without the sift down when a customer is served, and without the sift up or the sift down when a customer leaves the heap; the last two only it finds.

Left: victimFor still scans, when the queue is full; not measured.

--- a/libs/policy/include/policy/FairQueue.h
+++ b/libs/policy/include/policy/FairQueue.h
@@ -93,12 +93,25 @@
     std::uint32_t m_Length = 0;
     float m_Weight = 1;
     double m_Finish = 0; ///< Virtual time at which its last service ends.
+    std::uint32_t m_ActiveIndex = None; ///< In the flows that wait.
+    std::uint32_t m_HeapIndex = None;   ///< In the heap of its band.
   };
 
-  /// The flows of one priority.
+  /// A place in the heap of a band.
+  struct Entry {
+    double m_Finish = 0;
+    FlowId m_Flow = 0;
+  };
+
+  /// The flows of one priority. The flow to serve next is the one of least
+  /// start, the later of the band's virtual time and the flow's finish; where
+  /// several start at the virtual time, the one of least finish goes first.
+  /// That order is the order of the finish alone, so the flows that wait are
+  /// a heap by it.
   struct Band {
     double m_VirtualTime = 0;
     std::vector<FlowId> m_Active;
+    std::vector<Entry> m_Heap;
   };
 
   [[nodiscard]] std::size_t bandOf(FlowId Flow) const {
@@ -106,6 +119,11 @@
   }
   [[nodiscard]] double startOf(FlowId Flow) const;
   void account(FlowId Flow);
+  void activate(FlowId Flow);
+  void deactivate(FlowId Flow);
+  void place(Band &Own, std::uint32_t Index, const Entry &What);
+  void siftUp(Band &Own, std::uint32_t Index);
+  void siftDown(Band &Own, std::uint32_t Index);
   void unlink(Place Where);
 
   Options m_Settings;
--- a/libs/policy/src/FairQueue.cpp
+++ b/libs/policy/src/FairQueue.cpp
@@ -19,8 +19,10 @@
   FlowId Flow = Customer * model::PriorityCount + Importance;
   if (Flow >= m_Flows.size()) {
     m_Flows.resize((Customer + 1) * model::PriorityCount);
-    for (Band &One : m_Bands)
+    for (Band &One : m_Bands) {
       One.m_Active.reserve(Customer + 1);
+      One.m_Heap.reserve(Customer + 1);
+    }
   }
   return Flow;
 }
@@ -34,6 +36,74 @@
   m_Bands[bandOf(Flow)].m_VirtualTime = Start;
   m_Flows[Flow].m_Finish =
       Start + 1 / static_cast<double>(m_Flows[Flow].m_Weight);
+  std::uint32_t Index = m_Flows[Flow].m_HeapIndex;
+  if (Index == None)
+    return;
+  // The finish never falls.
+  Band &Own = m_Bands[bandOf(Flow)];
+  Own.m_Heap[Index].m_Finish = m_Flows[Flow].m_Finish;
+  siftDown(Own, Index);
+}
+
+void FairQueue::activate(FlowId Flow) {
+  Band &Own = m_Bands[bandOf(Flow)];
+  m_Flows[Flow].m_ActiveIndex = static_cast<std::uint32_t>(Own.m_Active.size());
+  Own.m_Active.push_back(Flow);
+  Own.m_Heap.push_back({m_Flows[Flow].m_Finish, Flow});
+  siftUp(Own, static_cast<std::uint32_t>(Own.m_Heap.size() - 1));
+}
+
+void FairQueue::deactivate(FlowId Flow) {
+  Band &Own = m_Bands[bandOf(Flow)];
+  std::uint32_t Index = m_Flows[Flow].m_ActiveIndex;
+  Own.m_Active[Index] = Own.m_Active.back();
+  m_Flows[Own.m_Active[Index]].m_ActiveIndex = Index;
+  Own.m_Active.pop_back();
+  m_Flows[Flow].m_ActiveIndex = None;
+
+  Index = m_Flows[Flow].m_HeapIndex;
+  Entry Last = Own.m_Heap.back();
+  Own.m_Heap.pop_back();
+  m_Flows[Flow].m_HeapIndex = None;
+  if (Last.m_Flow == Flow)
+    return;
+  place(Own, Index, Last);
+  siftUp(Own, Index);
+  siftDown(Own, m_Flows[Last.m_Flow].m_HeapIndex);
+}
+
+void FairQueue::place(Band &Own, std::uint32_t Index, const Entry &What) {
+  Own.m_Heap[Index] = What;
+  m_Flows[What.m_Flow].m_HeapIndex = Index;
+}
+
+void FairQueue::siftUp(Band &Own, std::uint32_t Index) {
+  Entry Moved = Own.m_Heap[Index];
+  while (Index > 0) {
+    std::uint32_t Above = (Index - 1) / 2;
+    if (Own.m_Heap[Above].m_Finish <= Moved.m_Finish)
+      break;
+    place(Own, Index, Own.m_Heap[Above]);
+    Index = Above;
+  }
+  place(Own, Index, Moved);
+}
+
+void FairQueue::siftDown(Band &Own, std::uint32_t Index) {
+  Entry Moved = Own.m_Heap[Index];
+  for (;;) {
+    std::uint32_t Below = 2 * Index + 1;
+    if (Below >= Own.m_Heap.size())
+      break;
+    if (Below + 1 < Own.m_Heap.size() &&
+        Own.m_Heap[Below + 1].m_Finish < Own.m_Heap[Below].m_Finish)
+      ++Below;
+    if (Own.m_Heap[Below].m_Finish >= Moved.m_Finish)
+      break;
+    place(Own, Index, Own.m_Heap[Below]);
+    Index = Below;
+  }
+  place(Own, Index, Moved);
 }
 
 void FairQueue::passBy(const Ticket &Request) {
@@ -58,20 +128,15 @@
     m_Nodes[Owner.m_Tail].m_Next = Where;
   Owner.m_Tail = Where;
   if (Owner.m_Length++ == 0)
-    m_Bands[bandOf(Flow)].m_Active.push_back(Flow);
+    activate(Flow);
   ++m_Size;
   return Where;
 }
 
 std::optional<FairQueue::Place> FairQueue::front() const {
   for (const Band &One : m_Bands) {
-    if (One.m_Active.empty())
-      continue;
-    FlowId Best = One.m_Active.front();
-    for (FlowId Flow : One.m_Active)
-      if (startOf(Flow) < startOf(Best))
-        Best = Flow;
-    return m_Flows[Best].m_Head;
+    if (!One.m_Heap.empty())
+      return m_Flows[One.m_Heap.front().m_Flow].m_Head;
   }
   return std::nullopt;
 }
@@ -115,12 +180,8 @@
     Owner.m_Tail = Gone.m_Before;
   else
     m_Nodes[Gone.m_Next].m_Before = Gone.m_Before;
-  if (--Owner.m_Length == 0) {
-    std::vector<FlowId> &Active = m_Bands[bandOf(Gone.m_Flow)].m_Active;
-    auto Found = std::find(Active.begin(), Active.end(), Gone.m_Flow);
-    *Found = Active.back();
-    Active.pop_back();
-  }
+  if (--Owner.m_Length == 0)
+    deactivate(Gone.m_Flow);
   m_Free.push_back(Where);
   --m_Size;
 }
--- a/libs/policy/tests/FairQueueTest.cpp
+++ b/libs/policy/tests/FairQueueTest.cpp
@@ -2,7 +2,11 @@
 
 #include "gtest/gtest.h"
 
+#include <algorithm>
 #include <array>
+#include <deque>
+#include <map>
+#include <random>
 
 namespace knapweedloft::policy {
 namespace {
@@ -95,5 +99,46 @@
   EXPECT_FALSE(m_Queue.front());
 }
 
+TEST_F(FairQueueTest, Front_RandomServesAndRemoves_HasLeastStartOfAllWaiting) {
+  constexpr std::uint32_t Customers = 40;
+  std::mt19937 Random(7);
+  FairQueue Queue({.m_Capacity = 256});
+  std::array<double, Customers> Finish{};
+  std::map<TicketId, FairQueue::Place> Places;
+  std::array<std::deque<TicketId>, Customers> Waiting;
+  double VirtualTime = 0;
+  TicketId Id = 0;
+  auto StartOf = [&](std::uint32_t Customer) {
+    return std::max(VirtualTime, Finish[Customer]);
+  };
+  for (int Step = 0; Step < 20000; ++Step) {
+    std::uint32_t Customer = Random() % Customers;
+    float Weight = 1 + static_cast<float>(Customer % 4);
+    if (Random() % 2 == 0) {
+      auto Where = Queue.push(
+          {.m_Id = ++Id, .m_Customer = Customer, .m_Weight = Weight}, m_Now);
+      if (!Where)
+        continue;
+      Places[Id] = *Where;
+      Waiting[Customer].push_back(Id);
+    } else if (Random() % 4 == 0 && !Waiting[Customer].empty()) {
+      Queue.remove(Places[Waiting[Customer].back()]);
+      Waiting[Customer].pop_back();
+    } else if (auto Next = Queue.front()) {
+      Ticket Served = Queue.at(*Next).m_Ticket;
+      for (std::uint32_t Other = 0; Other < Customers; ++Other)
+        if (!Waiting[Other].empty()) {
+          ASSERT_LE(StartOf(Served.m_Customer), StartOf(Other));
+        }
+      ASSERT_EQ(Served.m_Id, Waiting[Served.m_Customer].front());
+      Waiting[Served.m_Customer].pop_front();
+      VirtualTime = StartOf(Served.m_Customer);
+      Finish[Served.m_Customer] =
+          VirtualTime + 1 / static_cast<double>(Served.m_Weight);
+      Queue.serve(*Next);
+    }
+  }
+}
+
 } // namespace
 } // namespace knapweedloft::policy
