Enforce the customers' rates in the fault cases

Cause (an error of the driver): no rates were enforced, so that the greedy customer overloaded everything and resends cost nothing, while the product enforces rates at entry.

Change: a token bucket for each customer over the whole fleet; every send takes a token, a resend too; over the rate the answer comes at once and callers go on resending without pause. The rate is what the customer sends at the largest planned load of the case (greedy customer: a fifth of what it sends), the burst 2 s of it. The ideal no longer counts what the greedy customer sends beyond its rate. Mechanism 'rates' switches it off. Wrongly refused now asks that first attempts alone are inside the rate, and still counts those refused over the rate because resends had spent it; the new column by-rate tells these.

--- a/tools/faults/Main.cpp
+++ b/tools/faults/Main.cpp
@@ -49,9 +49,9 @@
 }
 
 void printHeader() {
-  fmt::print("{:<12} {:<18} {:>8} {:>9} {:>7} {:>8} {:>6} {:>9} {}\n",
+  fmt::print("{:<12} {:<18} {:>8} {:>9} {:>7} {:>8} {:>8} {:>6} {:>9} {}\n",
              "deployment", "case", "goodput", "recover-s", "worst", "wrong",
-             "falls", "forwards", "");
+             "by-rate", "falls", "forwards", "");
   fmt::print("{:<12} {:<18} {:>8} {:>9} {:>7} {:>8}\n", "", "target", ">= 0.95",
              "<= 2", ">= 0.95", "<= 5");
 }
@@ -77,11 +77,13 @@
       bool IsMet = isMet(Result);
       Missed += IsMet ? 0 : 1;
       ++Count;
-      fmt::print("{:<12} {:<18} {:>8.3f} {:>9.1f} {:>7.3f} {:>8.1f} {:>6} "
-                 "{:>9.2f} {}\n",
-                 Spec.m_Name, Name, Result.m_Goodput, Result.m_Recovery,
-                 Result.m_WorstServed, Result.m_WronglyRefused, Result.m_Falls,
-                 Result.m_Forwards, IsMet ? "ok" : "short");
+      fmt::print(
+          "{:<12} {:<18} {:>8.3f} {:>9.1f} {:>7.3f} {:>8.1f} {:>8.1f} {:>6} "
+          "{:>9.2f} {}\n",
+          Spec.m_Name, Name, Result.m_Goodput, Result.m_Recovery,
+          Result.m_WorstServed, Result.m_WronglyRefused,
+          Result.m_RefusedOverRate, Result.m_Falls, Result.m_Forwards,
+          IsMet ? "ok" : "short");
       std::fflush(stdout);
     }
   fmt::print("faults cases={} short={} seed={} without={}\n", Count, Missed,
--- a/tools/faults/Mechanism.h
+++ b/tools/faults/Mechanism.h
@@ -23,14 +23,15 @@
   Feedback,
   Ejection,
   Locality,
+  Rates,
 };
 
-inline constexpr std::size_t MechanismCount = 13;
+inline constexpr std::size_t MechanismCount = 14;
 
 inline constexpr model::NameTable<Mechanism, MechanismCount> MechanismNames{
     {"limit", "fair-queue", "priorities", "shedding", "early-refusal",
      "downstream-guard", "ramp", "deadlines", "retry-budget", "from-below",
-     "feedback", "ejection", "locality"}};
+     "feedback", "ejection", "locality", "rates"}};
 
 /// The mechanisms in use.
 class Mechanisms {
--- a/tools/faults/Meter.cpp
+++ b/tools/faults/Meter.cpp
@@ -111,4 +111,11 @@
          static_cast<double>(m_Entitled);
 }
 
+double Meter::refusedOverRate() const {
+  if (m_Entitled == 0)
+    return 0;
+  return PerTenThousand * static_cast<double>(m_RefusedOverRate) /
+         static_cast<double>(m_Entitled);
+}
+
 } // namespace knapweedloft::faults
--- a/tools/faults/Meter.h
+++ b/tools/faults/Meter.h
@@ -22,6 +22,8 @@
   void onServed(std::size_t Route, std::size_t Customer, absl::Time Now);
   /// The first attempt of a request was refused though it need not have been.
   void onWronglyRefused() { ++m_WronglyRefused; }
+  /// It was refused because resends had spent the rate of its customer.
+  void onRefusedOverRate() { ++m_RefusedOverRate; }
   void onEntitledRequest() { ++m_Entitled; }
   /// Sets the ideal rates of the routes in the bucket of \p Now.
   void setIdeal(const std::vector<double> &Rates, absl::Time Now);
@@ -36,6 +38,7 @@
   [[nodiscard]] double worstServed(const Deployment &Site, absl::Time From,
                                    absl::Time Until) const;
   [[nodiscard]] double wronglyRefused() const;
+  [[nodiscard]] double refusedOverRate() const;
   /// \returns served/ideal of each route, for the trace.
   [[nodiscard]] std::string byRoute(absl::Time From, absl::Time Until) const;
 
@@ -51,6 +54,7 @@
   std::vector<double> m_Served;  ///< By bucket, route, customer.
   std::vector<double> m_Ideal;   ///< By bucket, route.
   std::uint64_t m_WronglyRefused = 0;
+  std::uint64_t m_RefusedOverRate = 0; ///< Of the wrongly refused.
   std::uint64_t m_Entitled = 0;
 };
 
--- a/tools/faults/Trial.cpp
+++ b/tools/faults/Trial.cpp
@@ -30,11 +30,21 @@
   return WarmUp + roundsOf(Case) * (FaultLength + Pause);
 }
 
+/// \returns the load at which the customers send their rates: the largest of
+/// the case.
+double plannedLoadOf(FaultCase Case) {
+  if (includes(Case, FaultCase::RetryStorm))
+    return StormLoad;
+  return Case == FaultCase::SlowDeepService ? SurgeWhileSlow : 1;
+}
+
 } // namespace
 
 Trial::Trial(const Deployment &Spec, FaultCase Case, const Mechanisms &InUse,
              std::uint64_t Seed)
-    : m_Case(Case), m_Site(Spec, InUse, Seed), m_Length(lengthOf(Case)),
+    : m_Case(Case), m_Site(Spec, InUse, Seed),
+      m_Rates(m_Site.m_Spec, plannedLoadOf(Case), m_Site.m_Events.now()),
+      m_Length(lengthOf(Case)),
       m_Meter(Spec.m_Routes.size(), Spec.m_Customers.size(), m_Length),
       m_FeasibleSince(Spec.m_Routes.size(), absl::InfinitePast()) {}
 
@@ -99,12 +109,16 @@
   bool IsInRate = Customer != GreedyCustomer || m_Greed <= 1;
   Own->m_IsEntitled = IsInRate && Now >= absl::UnixEpoch() + WarmUp &&
                       Now - m_FeasibleSince[Route] >= Grace;
+  bool IsFirstInRate = m_Rates.isFirstInRate(Customer, Now);
+  Own->m_IsEntitled = Own->m_IsEntitled && IsFirstInRate;
   if (Own->m_IsEntitled)
     m_Meter.onEntitledRequest();
   send(Own);
 }
 
 void Trial::send(const std::shared_ptr<Logical> &Own) {
+  if (refuseOverRate(Own))
+    return;
   absl::Time Now = m_Site.m_Events.now();
   Work Request;
   Request.m_Route = Own->m_Route;
@@ -117,6 +131,17 @@
       Request, [this, Own](const Ending &End) { onEnd(Own, End); });
 }
 
+bool Trial::refuseOverRate(const std::shared_ptr<Logical> &Own) {
+  if (!m_Site.m_InUse.has(Mechanism::Rates) ||
+      m_Rates.admit(Own->m_Customer, m_Site.m_Events.now()))
+    return false;
+  Ending End{.m_Reason = model::RefusalReason::OverRate,
+             .m_Ran = model::Ran::No};
+  m_Site.m_Events.after(absl::ZeroDuration(),
+                        [this, Own, End] { onEnd(Own, End); });
+  return true;
+}
+
 void Trial::onEnd(const std::shared_ptr<Logical> &Own, const Ending &End) {
   absl::Time Now = m_Site.m_Events.now();
   if (End.m_IsSuccess) {
@@ -124,8 +149,11 @@
     return;
   }
   if (Own->m_IsFirst && Own->m_IsEntitled &&
-      (End.isRefusal() || End.m_IsFromBelow))
+      (End.isRefusal() || End.m_IsFromBelow)) {
     m_Meter.onWronglyRefused();
+    if (End.m_Reason == model::RefusalReason::OverRate)
+      m_Meter.onRefusedOverRate();
+  }
   Own->m_IsFirst = false;
   absl::Duration Wait =
       LeastResend +
@@ -143,16 +171,12 @@
     Services[One->service()].m_Slots += IsDown ? 0 : One->target().slots();
   }
   Services[Spec.m_DeepService].m_Slowdown = m_Slowdown;
-  std::vector<double> Demand;
+  // What a customer sends beyond its rate is no part of the ideal.
   std::vector<double> InRate;
-  for (std::size_t Route = 0; Route < Spec.m_Routes.size(); ++Route) {
-    double Sum = 0;
-    for (std::uint32_t Own = 0; Own < Spec.m_Customers.size(); ++Own)
-      Sum += demandOf(Route, Own);
-    Demand.push_back(Sum);
-    InRate.push_back(Spec.m_Routes[Route].m_Rate * m_Load);
-  }
-  std::vector<double> Ideal = idealRates(Spec, Services, Demand);
+  InRate.reserve(Spec.m_Routes.size());
+  for (const RouteSpec &Route : Spec.m_Routes)
+    InRate.push_back(Route.m_Rate * m_Load);
+  std::vector<double> Ideal = idealRates(Spec, Services, InRate);
   absl::Time Now = m_Site.m_Events.now();
   m_Meter.setIdeal(Ideal, Now);
   for (std::size_t Route = 0; Route < Ideal.size(); ++Route)
@@ -202,6 +226,7 @@
     Result.m_Recovery = std::max(Result.m_Recovery, Seconds);
   }
   Result.m_WronglyRefused = m_Meter.wronglyRefused();
+  Result.m_RefusedOverRate = m_Meter.refusedOverRate();
   for (auto &One : m_Site.m_Hops)
     Result.m_Falls += One->target().falls();
   Result.m_Forwards =
--- a/tools/faults/Trial.h
+++ b/tools/faults/Trial.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_FAULTS_TRIAL_H
 #define KNAPWEEDLOFT_FAULTS_TRIAL_H
 
+#include "CustomerRates.h"
 #include "FaultCase.h"
 #include "Ideal.h"
 #include "Meter.h"
@@ -18,9 +19,10 @@
   double m_Goodput = 0;  ///< Share of the ideal, in and after the faults.
   double m_Recovery = 0; ///< Seconds, of the slower round.
   double m_WorstServed = 0;
-  double m_WronglyRefused = 0; ///< In 10,000.
-  std::uint64_t m_Falls = 0;   ///< Cold targets that were overrun.
-  double m_Forwards = 0;       ///< For each request offered.
+  double m_WronglyRefused = 0;  ///< In 10,000.
+  double m_RefusedOverRate = 0; ///< In 10,000; of the wrongly refused.
+  std::uint64_t m_Falls = 0;    ///< Cold targets that were overrun.
+  double m_Forwards = 0;        ///< For each request offered.
 };
 
 /// One fault case on one deployment. Callers resend without pause: each
@@ -53,11 +55,14 @@
   void onEnd(const std::shared_ptr<Logical> &Own, const Ending &End);
   void measureIdeal();
   void trace();
+  /// \returns whether the rate of the customer refuses the request.
+  [[nodiscard]] bool refuseOverRate(const std::shared_ptr<Logical> &Own);
   [[nodiscard]] double demandOf(std::size_t Route,
                                 std::uint32_t Customer) const;
 
   FaultCase m_Case;
   Site m_Site;
+  CustomerRates m_Rates;
   absl::Duration m_Length;
   Meter m_Meter;
   double m_Load = 1;
