Leave failing targets out for a second only

Change: the time of an ejection is 1 s and doesn't double.

Proof: the new test fails with the former time.

--- a/libs/policy/src/TargetHealth.cpp
+++ b/libs/policy/src/TargetHealth.cpp
@@ -1,15 +1,12 @@
 #include "TargetHealth.h"
 
-#include <algorithm>
-
 namespace knapweedloft::policy {
 namespace {
 
 constexpr double Smoothing = 0.1;
 constexpr std::uint32_t EnoughAnswers = 8;
 constexpr std::uint32_t TrialsNeeded = 3;
-constexpr absl::Duration FirstEjection = absl::Seconds(1);
-constexpr int MaxDoublings = 4;
+constexpr absl::Duration EjectionLength = absl::Seconds(1);
 
 } // namespace
 
@@ -21,7 +18,6 @@
   if (!m_IsEjected || ++m_TrialSuccesses < TrialsNeeded)
     return;
   m_IsEjected = false;
-  m_Ejections = 0;
   m_Failures = 0;
   m_Answers = 0;
 }
@@ -36,8 +32,7 @@
     return;
   m_IsEjected = true;
   m_TrialSuccesses = 0;
-  m_Until = Now + FirstEjection * (1 << std::min(m_Ejections, MaxDoublings));
-  ++m_Ejections;
+  m_Until = Now + EjectionLength;
 }
 
 bool TargetHealth::isUsable(std::uint32_t Outstanding, absl::Time Now) const {
--- a/libs/policy/src/TargetHealth.h
+++ b/libs/policy/src/TargetHealth.h
@@ -13,7 +13,8 @@
   void onSuccess();
   void onFailure();
 
-  /// Leaves it out for a time that doubles with each ejection in a row.
+  /// Leaves it out for a second. The time doesn't grow with the ejections in a
+  /// row: a target that was down for long would then stay out for as long.
   void eject(absl::Time Now);
 
   /// \returns whether it may get a request, given its unanswered ones: after
@@ -33,7 +34,6 @@
   double m_Failures = 0;
   std::uint32_t m_Answers = 0;
   std::uint32_t m_TrialSuccesses = 0;
-  int m_Ejections = 0;
   bool m_IsEjected = false;
   absl::Time m_Until = absl::InfinitePast();
 };
--- a/libs/policy/tests/TargetChooserTest.cpp
+++ b/libs/policy/tests/TargetChooserTest.cpp
@@ -145,6 +145,18 @@
   EXPECT_GT(chooseMany(100)[1], 0);
 }
 
+TEST_F(TargetChooserTest, Choose_FailedFor20Seconds_IsTriedASecondLater) {
+  answer(1, false, 20);
+  for (int Second = 0; Second < 20; ++Second) {
+    m_Now += absl::Seconds(1);
+    if (chooseMany(100)[1] > 0)
+      answer(1, false, 1);
+  }
+  EXPECT_EQ(chooseMany(100)[1], 0);
+  m_Now += absl::Seconds(1);
+  EXPECT_GT(chooseMany(100)[1], 0);
+}
+
 TEST_F(TargetChooserTest, Choose_EveryTargetFails_NoneIsEjected) {
   for (int Round = 0; Round < 50; ++Round)
     for (model::Incarnation Target : {1, 2, 3, 4})
