--- a/build.sh
+++ b/build.sh
@@ -7,7 +7,7 @@
 JOBS=${JOBS:-$(nproc)}
 export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
-PACKAGES=(g++ cmake ninja-build clang-format clang-tidy ccache pkg-config
+PACKAGES=(g++ clang cmake ninja-build clang-format clang-tidy ccache pkg-config
   libabsl-dev libflatbuffers-dev libboost-dev libtoml11-dev libmicrohttpd-dev
   libcurl4-gnutls-dev libgnutls28-dev libcli11-dev libfmt-dev liburcu-dev
   nlohmann-json3-dev libgtest-dev libgmock-dev libbenchmark-dev)
--- a/libs/state/src/RecordCodec.cpp
+++ b/libs/state/src/RecordCodec.cpp
@@ -112,6 +112,9 @@
 }
 
 Entry entryOfUnion(const wire::EntryUnion &Wire) {
+  // The verifier lets a union pass that has a type but no value.
+  if (Wire.value == nullptr)
+    throw StateError("a record is empty");
   switch (Wire.type) {
   case wire::Entry::ResourceChange:
     return entryOf(*Wire.AsResourceChange());
--- a/libs/state/src/WireCodec.cpp
+++ b/libs/state/src/WireCodec.cpp
@@ -115,6 +115,8 @@
 }
 
 model::Resource modelOfUnion(const wire::ResourceUnion &Wire) {
+  if (Wire.value == nullptr)
+    throw StateError("a resource is empty");
   switch (Wire.type) {
   case wire::Resource::Customer:
     return modelOf(*Wire.AsCustomer());
