--- a/tools/fakefleet/include/fakefleet/FakeDaemon.h
+++ b/tools/fakefleet/include/fakefleet/FakeDaemon.h
@@ -66,7 +66,7 @@
     absl::Time m_WantedAt; ///< Last, by this end.
   };
 
-  void every(absl::Duration Interval, std::function<void()> Task);
+  void every(absl::Duration Interval, const std::function<void()> &Task);
   void tick();
   void beat();
   void reconcile();
--- a/tools/fakefleet/include/fakefleet/FakeFleet.h
+++ b/tools/fakefleet/include/fakefleet/FakeFleet.h
@@ -94,7 +94,7 @@
   absl::Duration latency();
   void deliver(const std::string &From, model::Incarnation FromLife,
                const std::string &To,
-               std::shared_ptr<link::wire::MessageUnion> Message,
+               const std::shared_ptr<link::wire::MessageUnion> &Message,
                absl::Time When);
   void countBytes(FakeDaemon &From, const link::wire::MessageUnion &Message);
   std::unique_ptr<FakeDaemon> make(const std::string &Name,
--- a/tools/fakefleet/include/fakefleet/RateProbe.h
+++ b/tools/fakefleet/include/fakefleet/RateProbe.h
@@ -35,6 +35,10 @@
   RateProbe(FakeFleet &Fleet, std::string Customer, double PerSecond,
             double Burst);
 
+  /// Forwards only to the daemon itself or a linked one; otherwise to any, and
+  /// one without a link refuses.
+  void setLinkedTargets(bool IsSo) { m_HasLinkedTargets = IsSo; }
+
   /// A call arrives at \p Name. \p Clock is that daemon's clock as its caller
   /// thread read it.
   void call(const std::string &Name, absl::Time Clock);
@@ -51,6 +55,8 @@
 private:
   void onDecision(const std::string &Name, bool IsWithinIdeal,
                   const app::RateDecision &Decision);
+  /// \returns a daemon to which \p Name may forward: itself or a linked one.
+  std::string anyTargetOf(const std::string &Name);
   void arrive(const std::string &From, const std::string &To,
               const app::RateDecision &Decision, absl::Time TakenAt);
   void refuse(const app::RateDecision &Decision, bool IsWithinIdeal);
@@ -61,6 +67,7 @@
   policy::TokenBucket m_Ideal; ///< Charged for every call.
   policy::TokenBucket m_Used;  ///< Charged for what was granted.
   RateTally m_Tally;
+  bool m_HasLinkedTargets = false;
   std::vector<absl::Time> m_Accepted;
 };
 
--- a/tools/fakefleet/src/FakeDaemon.cpp
+++ b/tools/fakefleet/src/FakeDaemon.cpp
@@ -56,7 +56,12 @@
                                link::wire::GrantAskT Ask) {
     link::wire::MessageUnion Message;
     Message.Set(std::move(Ask));
-    return send(To, std::move(Message));
+    // A link that asks go over is kept.
+    m_Wanted[To] = m_Fleet.now() + WantedFor;
+    if (send(To, std::move(Message)))
+      return true;
+    m_Fleet.connect(*this, To);
+    return false;
   };
   RateHooks.m_SendGrant = [this](const std::string &To,
                                  link::wire::GrantT Grant) {
@@ -64,7 +69,8 @@
     Message.Set(std::move(Grant));
     return send(To, std::move(Message));
   };
-  RateHooks.m_Post = [this](std::function<void()> Task, absl::Duration Delay) {
+  RateHooks.m_Post = [this](const std::function<void()> &Task,
+                            absl::Duration Delay) {
     m_Fleet.queue().after(Delay, [this, Task] { onDaemon(Task); });
   };
   RateHooks.m_Claim = [this](state::KeeperClaim Claim) {
@@ -103,7 +109,8 @@
   every(ReadInterval, [this] { readLog(); });
 }
 
-void FakeDaemon::every(absl::Duration Interval, std::function<void()> Task) {
+void FakeDaemon::every(absl::Duration Interval,
+                       const std::function<void()> &Task) {
   absl::Duration First =
       Interval * std::uniform_real_distribution<double>(0, 1)(m_Random);
   auto Again = std::make_shared<std::function<void()>>();
--- a/tools/fakefleet/src/FakeFleet.cpp
+++ b/tools/fakefleet/src/FakeFleet.cpp
@@ -120,10 +120,9 @@
   return true;
 }
 
-void FakeFleet::deliver(const std::string &From, model::Incarnation FromLife,
-                        const std::string &To,
-                        std::shared_ptr<link::wire::MessageUnion> Message,
-                        absl::Time When) {
+void FakeFleet::deliver(
+    const std::string &From, model::Incarnation FromLife, const std::string &To,
+    const std::shared_ptr<link::wire::MessageUnion> &Message, absl::Time When) {
   m_Queue.at(When, [this, From, FromLife, To, Message] {
     FakeDaemon &Receiver = daemon(To);
     Receiver.onDaemon([&Receiver, From, FromLife, Message] {
--- a/tools/fakefleet/src/RateProbe.cpp
+++ b/tools/fakefleet/src/RateProbe.cpp
@@ -65,8 +65,7 @@
     return refuse(Decision, IsWithinIdeal);
   // Past what it holds there is overshoot, which overshoot() tells.
   (void)m_Used.tryTake(1, m_Fleet.now());
-  std::vector<std::string> Names = m_Fleet.names();
-  std::string Target = Names[m_Fleet.random()() % Names.size()];
+  std::string Target = anyTargetOf(Name);
   absl::Duration Way =
       m_Fleet.options().m_MostLatency *
       std::uniform_real_distribution<double>(0.5, 1)(m_Fleet.random());
@@ -78,6 +77,16 @@
   });
 }
 
+std::string RateProbe::anyTargetOf(const std::string &Name) {
+  std::vector<std::string> Names = m_Fleet.names();
+  model::Incarnation Life = m_Fleet.daemon(Name).self().m_Incarnation;
+  std::erase_if(Names, [&](const std::string &Other) {
+    return m_HasLinkedTargets && Other != Name &&
+           !m_Fleet.daemon(Other).hasLink(Name, Life);
+  });
+  return Names[m_Fleet.random()() % Names.size()];
+}
+
 void RateProbe::arrive(const std::string &From, const std::string &To,
                        const app::RateDecision &Decision, absl::Time TakenAt) {
   FakeDaemon &Target = m_Fleet.daemon(To);
--- a/tools/fleet/RateFigures.cpp
+++ b/tools/fleet/RateFigures.cpp
@@ -45,6 +45,7 @@
     m_Fleet.run(absl::Seconds(5) +
                 absl::Seconds(Rate.m_Burst / Rate.m_PerSecond));
     m_Probe.emplace(m_Fleet, "c", Rate.m_PerSecond, Rate.m_Burst);
+    m_Probe->setLinkedTargets(true);
   }
 
   /// Calls at \p Load times the rate, in a Poisson stream.
--- a/tools/fleet/ServiceFigures.cpp
+++ b/tools/fleet/ServiceFigures.cpp
@@ -171,6 +171,8 @@
   void join() { m_Thread.join(); }
 
   double m_SecondsToLastRun = 0;
+  std::size_t m_RunsBefore = 0; ///< In the 4 s before it is withdrawn.
+  std::size_t m_RunsAfter = 0;  ///< In the 4 s after its return.
 
 private:
   std::size_t runs() {
@@ -181,7 +183,9 @@
   }
 
   void run() {
+    std::size_t First = runs();
     absl::SleepFor(absl::Seconds(4));
+    m_RunsBefore = runs() - First;
     m_Fleet.site().put(
         "withdrawals/move",
         fmt::format(R"({{"scope":"data-center","subject":"{}"}})",
@@ -196,6 +200,8 @@
       Before = Now;
     }
     m_Fleet.site().remove("withdrawals/move");
+    absl::SleepFor(absl::Seconds(4));
+    m_RunsAfter = runs() - Before;
   }
 
   FleetSite &m_Fleet;
@@ -222,6 +228,10 @@
                                 static_cast<double>(One.m_Calls));
   Out.note(fmt::format("  a data center leaves and returns: {} calls,{}",
                        Total.m_Calls, statuses(Total)));
+  Out.atLeast("data center out: runs there in 4 s before",
+              static_cast<double>(Move.m_RunsBefore), 1);
+  Out.atLeast("data center out: runs there in 4 s after",
+              static_cast<double>(Move.m_RunsAfter), 1);
   Out.atMost("data center out: s until its last new run",
              Move.m_SecondsToLastRun, WithinSeconds);
   Out.atLeast("data center out: share of whole requests",
--- a/tools/fleet/SpreadFigures.cpp
+++ b/tools/fleet/SpreadFigures.cpp
@@ -45,12 +45,14 @@
   Out.note("from accepted to in force on 30 daemons in 3 data centers");
   int Number = 0;
   std::vector<double> Plain;
+  Plain.reserve(20);
   for (int Round = 0; Round < 20; ++Round)
     Plain.push_back(change(Fleet, Number++));
   report("plain", Plain, Out);
 
   Fleet.setLogFaults(R"({"slow_ms":1500})");
   std::vector<double> Slow;
+  Slow.reserve(3);
   for (int Round = 0; Round < 3; ++Round)
     Slow.push_back(change(Fleet, Number++));
   Fleet.setLogFaults("{}");
