Let an outage rest on recent words and wait longer for a former keeper

Cause: a keeper that was cut off trusted an outage of the log for up to twice the freshness bound after others had last spoken of it. Change: the word of a follower that the log is away holds for 3.5 s instead of 5 s, and a new keeper waits 9 s instead of 5 s before the lifetime and margin.

--- a/libs/app/include/app/RateService.h
+++ b/libs/app/include/app/RateService.h
@@ -59,8 +59,9 @@
     model::Member m_Self;
     policy::GrantLifetime m_Lifetime = {};
     policy::Allotment::Options m_Allotment = {};
-    /// A keeper that is cut off stops granting within this.
-    absl::Duration m_StopsWithin = absl::Seconds(5);
+    /// A keeper that is cut off stops granting within this: the freshness
+    /// bound, and in an outage the age of the words that it rests on.
+    absl::Duration m_StopsWithin = absl::Seconds(9);
     /// Time that each earlier choice for a vacant shard has to claim it.
     absl::Duration m_ClaimTurn = absl::Seconds(2);
     std::size_t m_MaxWaiting = 4096; ///< Calls of a customer.
--- a/libs/app/src/Spread.cpp
+++ b/libs/app/src/Spread.cpp
@@ -29,6 +29,11 @@
 constexpr absl::Duration SelfHelpMost = absl::Seconds(2);
 constexpr absl::Duration SelfHelpFor = absl::Seconds(10);
 
+/// How old the word of a follower may be on which an outage rests. A follower
+/// tries to read at least every 2 s. A keeper may trust an outage for the bound
+/// and this after others last spoke of it; see RateService::Options.
+constexpr absl::Duration WordHolds = absl::Milliseconds(3500);
+
 /// Reports are forgotten after so many intervals.
 constexpr int ReportsKept = 6;
 
@@ -241,8 +246,7 @@
       Sites.push_back(m_Settings.m_Self.m_DataCenter);
     return std::all_of(Sites.begin(), Sites.end(), [&](const auto &Site) {
       auto Heard = m_SiteAwayAt.find(Site);
-      return Heard != m_SiteAwayAt.end() &&
-             Now < Heard->second + m_Settings.m_Freshness.m_Bound;
+      return Heard != m_SiteAwayAt.end() && Now < Heard->second + WordHolds;
     });
   }
 
