Ask operators' token for metrics and burn; set objectives in settings

Cause: /metrics and /v1/burn, which name customers and routes, were answered before the token of the API was asked for, and the objectives of the burn report could not be changed.

Change: ApiAccess holds the check of the operators' token and is used by the resource API and by /metrics and /v1/burn; /healthz and /readyz stay open. The table [objectives] sets success share, latency and latency share, checked like the other keys.

--- a/libs/app/include/app/Settings.h
+++ b/libs/app/include/app/Settings.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_APP_SETTINGS_H
 
 #include "app/LogLevel.h"
+#include "app/Objective.h"
 #include "model/Endpoint.h"
 
 #include "absl/time/time.h"
@@ -93,6 +94,7 @@
   LogServiceSettings m_Log;
   LimitSettings m_Limits;
   FreshnessSettings m_Freshness;
+  Objective m_Objectives; ///< What the burn report is measured by.
   LogOutputSettings m_LogOutput;
 };
 
--- a/libs/app/src/DaemonApi.cpp
+++ b/libs/app/src/DaemonApi.cpp
@@ -22,15 +22,25 @@
     bool IsOk = isReady();
     Exchange.answer(
         text(IsOk ? 200 : 503, "text/plain", IsOk ? "ready\n" : "not ready\n"));
-  } else if (Path == "/metrics") {
+  } else if (Path == "/metrics" || Path == "/v1/burn") {
+    answerFigures(Exchange);
+  } else {
+    m_Api->handle(std::move(Exchange));
+  }
+}
+
+void Daemon::Impl::answerFigures(http::HttpExchange &Exchange) {
+  // Both name customers: they are for operators, like the resources.
+  auto Refusal =
+      m_ApiAccess.refusalOf(Exchange.request(), Exchange.isFromLoopback());
+  if (Refusal)
+    Exchange.answer(std::move(*Refusal));
+  else if (Exchange.request().m_Path == "/metrics")
     Exchange.answer(text(200, "text/plain; version=0.0.4",
                          toPrometheusText(m_Metrics, gauges())));
-  } else if (Path == "/v1/burn") {
+  else
     Exchange.answer(text(200, "application/json",
                          toJson(makeBurnReport(m_Metrics, monotonicNow()))));
-  } else {
-    m_Api->handle(std::move(Exchange));
-  }
 }
 
 DaemonGauges Daemon::Impl::gauges() {
--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_APP_DAEMONIMPL_H
 #define KNAPWEEDLOFT_APP_DAEMONIMPL_H
 
+#include "app/ApiAccess.h"
 #include "app/CallerHandler.h"
 #include "app/ContextTable.h"
 #include "app/Daemon.h"
@@ -98,6 +99,8 @@
 
   // DaemonApi.cpp
   void handleApi(http::HttpExchange Exchange);
+  /// Answers `/metrics` and `/v1/burn`.
+  void answerFigures(http::HttpExchange &Exchange);
   [[nodiscard]] DaemonGauges gauges();
   [[nodiscard]] bool isReady() const;
 
@@ -118,6 +121,7 @@
   platform::LogService m_Log;
   state::StateReplica m_Replica;
   platform::ReplicaFeed m_Feed{m_Replica};
+  const ApiAccess m_ApiAccess;
   RequestMetrics m_Metrics;
   std::atomic<bool> m_IsStopping{false};
   std::atomic<std::size_t> m_InFlight{0}; ///< As of the last tick.
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -61,7 +61,9 @@
       m_Log(platform::makeHttpLog({.m_Address = From.m_Log.m_Address,
                                    .m_Port = From.m_Log.m_Port,
                                    .m_Timeout = From.m_Log.m_Timeout})),
-      m_Metrics({}), m_Contexts(randomBits) {
+      m_ApiAccess(m_Settings.m_Api.m_Token),
+      m_Metrics({.m_Objective = m_Settings.m_Objectives}),
+      m_Contexts(randomBits) {
   makeSides();
   m_Appender = makeAppender("log-append");
   makeLinks();
--- a/libs/app/src/ResourceApi.cpp
+++ b/libs/app/src/ResourceApi.cpp
@@ -6,6 +6,7 @@
 #include "ChangeRequest.h"
 #include "PendingChanges.h"
 #include "Watchers.h"
+#include "app/ApiAccess.h"
 #include "app/ResourceJson.h"
 #include "platform/Appender.h"
 #include "platform/NamedThread.h"
@@ -20,12 +21,9 @@
 
 constexpr int StatusOk = 200;
 constexpr int NotModified = 304;
-constexpr int Unauthorized = 401;
-constexpr int Forbidden = 403;
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
 constexpr std::size_t ChangeIdDigits = 32;
-constexpr std::string_view BearerPrefix = "Bearer ";
 
 std::string makeChangeId() {
   return state::makeKeyText().substr(state::KeyPrefix.size(), ChangeIdDigits);
@@ -45,8 +43,9 @@
 class ResourceApi::Impl {
 public:
   explicit Impl(Options Settings)
-      : m_Settings(std::move(Settings)), m_Replica(*m_Settings.m_Replica),
-        m_Pending(m_Replica), m_Watchers(m_Replica, m_Settings.m_MaxWatchers),
+      : m_Settings(std::move(Settings)), m_Access(m_Settings.m_Token),
+        m_Replica(*m_Settings.m_Replica), m_Pending(m_Replica),
+        m_Watchers(m_Replica, m_Settings.m_MaxWatchers),
         m_Appender(appenderOptions(m_Settings)),
         m_Thread("api-wait", [this] { run(); }) {}
 
@@ -65,8 +64,9 @@
 
   void handle(const http::HttpRequest &Request, bool IsFromLoopback,
               const Reply &Answer) {
+    if (auto Refusal = m_Access.refusalOf(Request, IsFromLoopback))
+      return Answer(std::move(*Refusal));
     try {
-      authorize(Request, IsFromLoopback);
       route(parseApiRequest(Request), Answer);
     } catch (const ApiError &Error) {
       Answer(problemAnswer(Error));
@@ -92,26 +92,6 @@
             .m_ThreadName = "api-append"};
   }
 
-  void authorize(const http::HttpRequest &Request, bool IsFromLoopback) const {
-    if (m_Settings.m_Token.empty()) {
-      if (!IsFromLoopback)
-        throw ApiError(Forbidden, "forbidden",
-                       "without an operators' token only loopback is served");
-      return;
-    }
-    const std::string *Field =
-        http::findHeader(Request.m_Headers, "Authorization");
-    const std::string_view Given =
-        Field == nullptr ? std::string_view() : std::string_view(*Field);
-    const bool IsRight =
-        Given.starts_with(BearerPrefix) &&
-        state::isSameDigest(state::digestOf(Given.substr(BearerPrefix.size())),
-                            state::digestOf(m_Settings.m_Token));
-    if (!IsRight)
-      throw ApiError(Unauthorized, "unauthorized",
-                     "the operators' token is missing or wrong");
-  }
-
   void route(const ApiRequest &Request, const Reply &Answer) {
     const auto &Segments = Request.m_Segments;
     const bool IsGet = Request.m_Method == "GET";
@@ -257,6 +237,7 @@
   }
 
   const Options m_Settings;
+  const ApiAccess m_Access;
   state::StateReplica &m_Replica;
   PendingChanges m_Pending;
   Watchers m_Watchers;
--- a/libs/app/src/SettingsFields.h
+++ b/libs/app/src/SettingsFields.h
@@ -12,7 +12,8 @@
 
 /// Shows every key of the settings to \p Visitor, which reads, prints or lists
 /// them. It has table(Name, IsOptional) and, for the keys of that table,
-/// name, text, secret, address, port, count, duration, endpoints and level.
+/// name, text, secret, address, port, count, duration, share, endpoints and
+/// level.
 template <typename SettingsT, typename VisitorT>
 void visitSettings(SettingsT &Values, VisitorT &Visitor) {
   const absl::Duration Millisecond = absl::Milliseconds(1);
@@ -79,6 +80,12 @@
   Visitor.duration("isolated_after_ms", Values.m_Freshness.m_IsolatedAfter,
                    100 * Millisecond, Hour);
 
+  Visitor.table("objectives");
+  Visitor.share("success_share", Values.m_Objectives.m_SuccessShare);
+  Visitor.duration("latency_ms", Values.m_Objectives.m_Latency, Millisecond,
+                   Hour);
+  Visitor.share("latency_share", Values.m_Objectives.m_LatencyShare);
+
   Visitor.table("log_output");
   Visitor.level("level", Values.m_LogOutput.m_Level);
 }
--- a/libs/app/src/SettingsFile.cpp
+++ b/libs/app/src/SettingsFile.cpp
@@ -81,6 +81,9 @@
                 absl::Duration) {
     line(Key, fmt::format("{}", absl::ToInt64Milliseconds(Value)));
   }
+  void share(std::string_view Key, double Value) {
+    line(Key, fmt::format("{}", Value));
+  }
   void endpoints(std::string_view Key,
                  const std::vector<model::Endpoint> &Values) {
     std::vector<std::string> Texts;
--- a/libs/app/src/SettingsReader.cpp
+++ b/libs/app/src/SettingsReader.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view AllowedName = "1 to 64 of a-z, 0-9 and '-'";
 constexpr std::string_view AllowedAddress = "an IPv4 or IPv6 number";
 constexpr std::string_view AllowedSecret = "8 to 256 printable characters";
+constexpr std::string_view AllowedShare =
+    "a fraction above 0 and below 1, like 0.999";
 constexpr std::size_t MaxNameLength = 64;
 constexpr std::size_t MinSecretLength = 8;
 constexpr std::size_t MaxSecretLength = 256;
@@ -187,6 +189,20 @@
     Value = absl::Milliseconds(Number);
 }
 
+void SettingsReader::share(std::string_view Key, double &Value) {
+  const toml::value *Found = find(Key, Presence::Optional, AllowedShare);
+  if (Found == nullptr)
+    return;
+  if (!Found->is_floating())
+    fail(qualified(Key), "not a fraction", AllowedShare);
+  const double Share = Found->as_floating();
+  // A NaN fails both comparisons.
+  if (!(Share > 0 && Share < 1))
+    fail(qualified(Key), fmt::format("{} is out of range", Share),
+         AllowedShare);
+  Value = Share;
+}
+
 void SettingsReader::endpoints(std::string_view Key,
                                std::vector<model::Endpoint> &Values) {
   const toml::value *Found = find(Key, Presence::Optional, AllowedEndpoints);
--- a/libs/app/src/SettingsReader.h
+++ b/libs/app/src/SettingsReader.h
@@ -28,6 +28,8 @@
              std::int64_t Most);
   void duration(std::string_view Key, absl::Duration &Value,
                 absl::Duration Least, absl::Duration Most);
+  /// Reads a share of a whole, between 0 and 1 and neither of them.
+  void share(std::string_view Key, double &Value);
   void endpoints(std::string_view Key, std::vector<model::Endpoint> &Values);
   void level(std::string_view Key, LogLevel &Value);
 
--- a/libs/app/tests/SettingsFileTest.cpp
+++ b/libs/app/tests/SettingsFileTest.cpp
@@ -88,6 +88,15 @@
         << List;
 }
 
+TEST(SettingsFileTest, Read_Objectives_AreTaken) {
+  const Settings Values =
+      read(std::string(Least) + "[objectives]\nsuccess_share = 0.95\n"
+                                "latency_ms = 250\nlatency_share = 0.9\n");
+  EXPECT_EQ(Values.m_Objectives.m_SuccessShare, 0.95);
+  EXPECT_EQ(Values.m_Objectives.m_Latency, absl::Milliseconds(250));
+  EXPECT_EQ(Values.m_Objectives.m_LatencyShare, 0.9);
+}
+
 /// Collects the names of all keys.
 struct KeyLister {
   void table(std::string_view Name, bool = false) { m_Table = Name; }
@@ -109,6 +118,7 @@
                 absl::Duration) {
     add(Key);
   }
+  void share(std::string_view Key, double) { add(Key); }
   void endpoints(std::string_view Key, const std::vector<model::Endpoint> &) {
     add(Key);
   }
@@ -201,6 +211,16 @@
                 "limits.default_timeout_ms:", "at most"},
         BadCase{"BodyPastFrame", "[link]\nmax_frame_bytes = 65536\n",
                 "caller.max_body_bytes:", "half"},
+        BadCase{"ShareOfAll", "[objectives]\nsuccess_share = 1.0\n",
+                "objectives.success_share:", "1 is out of range"},
+        BadCase{"ShareOfNothing", "[objectives]\nlatency_share = 0.0\n",
+                "objectives.latency_share:", "above 0 and below 1"},
+        BadCase{"ShareIsNan", "[objectives]\nlatency_share = nan\n",
+                "objectives.latency_share:", "out of range"},
+        BadCase{"ShareInPercent", "[objectives]\nsuccess_share = 99\n",
+                "objectives.success_share:", "not a fraction"},
+        BadCase{"NoLatency", "[objectives]\nlatency_ms = 0\n",
+                "objectives.latency_ms:", "from 1 to 3600000 milliseconds"},
         BadCase{"NotToml", "[caller\n", "line 8:", "TOML"}),
     [](const auto &Info) { return std::string(Info.param.m_Name); });
 
