--- a/apps/knapweedloft/ReportCommand.cpp
+++ b/apps/knapweedloft/ReportCommand.cpp
@@ -21,6 +21,13 @@
 constexpr absl::Duration AskTimeout = absl::Seconds(5);
 constexpr std::size_t MaxReportBytes = std::size_t{64} << 20;
 
+constexpr const char *Footer =
+    "Examples:\n"
+    "  knapweedloft report --api 127.0.0.1:8081\n"
+    "  knapweedloft report --api 10.0.0.5:8081 --api 10.0.0.6:8081 "
+    "--format html > burn.html\n"
+    "Exit code 1: a daemon is missing from what was printed.";
+
 enum class ReportFormat : std::uint8_t { Text, Json, Html };
 
 struct ReportOptions {
@@ -81,6 +88,17 @@
   }
 }
 
+/// Adds \p One, from \p Api, to \p Sum.
+void mergeInto(app::BurnReport &Sum, const app::BurnReport &One,
+               const std::string &Api) {
+  if (One.m_Objective != Sum.m_Objective)
+    fmt::print(stderr,
+               "report: {} has other objectives than the first daemon; its "
+               "slow requests are counted by its own\n",
+               Api);
+  Sum.merge(One);
+}
+
 void report(const ReportOptions &Options) {
   http::HttpClient Client({.m_MaxBodyBytes = MaxReportBytes});
   std::vector<Answer> Answers;
@@ -93,7 +111,7 @@
     if (!One)
       ++Missing;
     else if (Sum)
-      Sum->merge(*One);
+      mergeInto(*Sum, *One, Options.m_Apis[Index]);
     else
       Sum = std::move(One);
   }
@@ -102,7 +120,7 @@
   print(*Sum, Options.m_Format);
   if (Missing > 0)
     throw app::AppError(
-        fmt::format("{} daemons are missing from the report", Missing));
+        fmt::format("daemons missing from the report: {}", Missing));
 }
 
 } // namespace
@@ -111,18 +129,25 @@
   CLI::App *Command = Program.add_subcommand(
       "report", "Show service-level burn, worst-served customers, refusals");
   auto Options = std::make_shared<ReportOptions>();
+  Command->footer(Footer);
   Command
       ->add_option("--api", Options->m_Apis,
-                   "ADDRESS:PORT of a daemon's API; repeat for each daemon")
-      ->required();
-  Command->add_option("--token", Options->m_Token, "Operators' token")
-      ->envname("KNAPWEEDLOFT_TOKEN");
+                   "API of a daemon, by IP number; give every daemon that is "
+                   "to be counted")
+      ->required()
+      ->type_name("ADDRESS:PORT");
+  Command->add_option("--token", Options->m_Token, "operators' token")
+      ->envname("KNAPWEEDLOFT_TOKEN")
+      ->type_name("TOKEN");
   const std::map<std::string, ReportFormat> Formats = {
       {"text", ReportFormat::Text},
       {"json", ReportFormat::Json},
       {"html", ReportFormat::Html}};
-  Command->add_option("--format", Options->m_Format, "text, json or html")
-      ->transform(CLI::CheckedTransformer(Formats, CLI::ignore_case));
+  Command
+      ->add_option("--format", Options->m_Format,
+                   "text (default), json or html")
+      ->transform(CLI::CheckedTransformer(Formats, CLI::ignore_case))
+      ->type_name("FORMAT");
   Command->callback([Options] { report(*Options); });
 }
 
--- a/apps/knapweedloft/RunCommand.cpp
+++ b/apps/knapweedloft/RunCommand.cpp
@@ -48,7 +48,12 @@
   CLI::App *Command =
       Program.add_subcommand("run", "Run the daemon of this VM");
   auto Path = std::make_shared<std::string>();
-  Command->add_option("--settings", *Path, "Settings file in TOML")->required();
+  Command->footer("It runs until SIGTERM or SIGINT, which is a planned stop.\n"
+                  "Example:\n"
+                  "  knapweedloft run --settings /etc/knapweedloft.toml");
+  Command->add_option("--settings", *Path, "TOML file with the settings")
+      ->required()
+      ->type_name("FILE");
   Command->callback([Path] { run(*Path); });
 }
 
--- a/libs/app/include/app/BurnWindow.h
+++ b/libs/app/include/app/BurnWindow.h
@@ -11,7 +11,7 @@
 
 namespace knapweedloft::app {
 
-/// The counts of the last six hours in slots of a minute: 5.8 KB.
+/// The counts of the last six hours in slots of a minute: 8.6 KB.
 class BurnWindow {
 public:
   static constexpr std::size_t SlotCount = 360;
--- a/libs/app/src/ReportHtml.cpp
+++ b/libs/app/src/ReportHtml.cpp
@@ -133,7 +133,7 @@
   const Objective &Goal = Report.m_Objective;
   fmt::format_to(To, "{}<h1>Service-level burn</h1>\n", PageHead);
   fmt::format_to(To,
-                 "<p>{} daemons. Objective: {:.3f}% of requests succeed, "
+                 "<p>Daemons: {}. Objective: {:.3f}% of requests succeed, "
                  "{:.1f}% of these within {:.0f} ms. A burn of 1 spends the "
                  "error budget exactly.</p>\n",
                  Report.m_Daemons, 100 * Goal.m_SuccessShare,
--- a/libs/app/src/ReportText.cpp
+++ b/libs/app/src/ReportText.cpp
@@ -20,6 +20,8 @@
 }
 
 std::string showLatency(absl::Duration Latency) {
+  if (Latency == absl::ZeroDuration())
+    return "-"; // Nothing succeeded.
   if (Latency == absl::InfiniteDuration())
     return "> limit";
   return fmt::format("{:.1f} ms", absl::ToDoubleMilliseconds(Latency));
@@ -80,7 +82,7 @@
   auto To = std::back_inserter(Out);
   const Objective &Goal = Report.m_Objective;
   fmt::format_to(To,
-                 "Service-level burn of {} daemons\n"
+                 "Service-level burn, daemons: {}\n"
                  "Objective: {:.3f}% succeed, {:.1f}% of these within {}\n"
                  "A burn of 1 spends the error budget exactly.\n\n",
                  Report.m_Daemons, Percent * Goal.m_SuccessShare,
