Do not blame a customer for a keeper that is away; keep fewer outcomes

Change: 503 rate-unavailable. Kept outcomes are bounded by 4 MB instead of 16, answers to idempotency keys by 4 instead of 8.

--- a/libs/app/src/CallerHandler.cpp
+++ b/libs/app/src/CallerHandler.cpp
@@ -29,6 +29,8 @@
     return "no route matches this method and path";
   case RefusalReason::OverRate:
     return "the customer is over its rate";
+  case RefusalReason::RateUnavailable:
+    return "no daemon grants the customer's rate at present";
   case RefusalReason::StateStale:
     return "this daemon cannot tell whether its state is fresh";
   case RefusalReason::Quarantined:
@@ -145,7 +147,10 @@
   m_Options.m_Hooks.m_Acquire(
       Customer, Now, MaxWait, [this, Shared](const RateDecision &Decision) {
         if (!Decision.m_IsGranted) {
-          refuse(*Shared, RefusalReason::OverRate, Decision.m_RetryAfter);
+          refuse(*Shared,
+                 Decision.m_IsKeeperAway ? RefusalReason::RateUnavailable
+                                         : RefusalReason::OverRate,
+                 Decision.m_RetryAfter);
           return;
         }
         Shared->m_GrantEpoch = Decision.m_Epoch;
--- a/libs/app/tests/CallerKeysTest.cpp
+++ b/libs/app/tests/CallerKeysTest.cpp
@@ -21,9 +21,9 @@
   CallerKeysTest()
       : m_Handler(
             {.m_Hooks = {
-                 .m_Acquire =
-                     [](const std::string &, absl::Time, absl::Duration,
-                        const auto &OnDone) { OnDone({.m_IsGranted = true}); },
+                 .m_Acquire = [this](const std::string &, absl::Time,
+                                     absl::Duration,
+                                     const auto &OnDone) { OnDone(m_Rate); },
                  .m_Submit =
                      [](const EntryRequest &Request) {
                        Request.m_Answer({.m_Body = Request.m_Customer});
@@ -90,6 +90,7 @@
     return Result.m_Response;
   }
 
+  RateDecision m_Rate{.m_IsGranted = true};
   std::atomic<bool> m_IsFresh = true;
   state::StateReplica m_Replica;
   CallerHandler m_Handler;
@@ -97,6 +98,14 @@
   http::HttpClient m_Client;
 };
 
+TEST_F(CallerKeysTest, Call_NoKeeperGrants_IsNotBlamedOnTheCustomer) {
+  const std::string Text = "Bearer " + addKey("k1");
+  m_Rate = {.m_RetryAfter = absl::Seconds(1), .m_IsKeeperAway = true};
+  EXPECT_EQ(call("/orders/1", Text).m_Status, 503);
+  m_Rate.m_IsKeeperAway = false;
+  EXPECT_EQ(call("/orders/1", Text).m_Status, 429);
+}
+
 TEST_F(CallerKeysTest, Call_KeyWithdrawnOnOpenConnection_IsRefusedNext) {
   const std::string Key = "Bearer " + addKey("k1");
   const http::HttpResponse Before = call("/orders", Key);
--- a/libs/model/include/model/RefusalReason.h
+++ b/libs/model/include/model/RefusalReason.h
@@ -31,9 +31,10 @@
   StaleGrant,
   WrongIncarnation,
   Internal,
+  RateUnavailable,
 };
 
-inline constexpr std::size_t RefusalReasonCount = 21;
+inline constexpr std::size_t RefusalReasonCount = 22;
 
 inline constexpr NameTable<RefusalReason, RefusalReasonCount>
     RefusalReasonNames{{"none",
@@ -56,7 +57,8 @@
                         "cancelled",
                         "stale-grant",
                         "wrong-incarnation",
-                        "internal"}};
+                        "internal",
+                        "rate-unavailable"}};
 
 /// \returns the HTTP status that a caller sees for \p Reason.
 [[nodiscard]] int httpStatusOf(RefusalReason Reason);
--- a/libs/policy/include/policy/ForwardLedger.h
+++ b/libs/policy/include/policy/ForwardLedger.h
@@ -38,7 +38,7 @@
 public:
   struct Options {
     absl::Duration m_KeepFor = absl::Minutes(1); ///< From finish or query.
-    std::size_t m_MaxOutcomeBytes = 16 << 20;
+    std::size_t m_MaxOutcomeBytes = 4 << 20;
     std::size_t m_MaxEntries = 100'000; ///< Finished and closed ones.
   };
 
--- a/libs/policy/include/policy/IdempotencyTable.h
+++ b/libs/policy/include/policy/IdempotencyTable.h
@@ -30,7 +30,7 @@
 public:
   struct Options {
     absl::Duration m_KeepFor = absl::Minutes(10); ///< From the last change.
-    std::size_t m_MaxAnswerBytes = 8 << 20;
+    std::size_t m_MaxAnswerBytes = 4 << 20;
     std::size_t m_MaxEntries = 50'000;
   };
 
