Split the set-up of a daemon by what is made; sum refusals once

The file held everything from links to servers in 404 lines; control components and listeners now stand in files of their own. Text and HTML reports summed the reasons each for itself. No behaviour changes.

--- a/libs/app/include/app/BurnReport.h
+++ b/libs/app/include/app/BurnReport.h
@@ -45,6 +45,10 @@
   void merge(const BurnReport &Other);
 };
 
+/// \returns how often each reason was answered since the start, over all rows.
+[[nodiscard]] std::array<std::uint64_t, model::RefusalReasonCount>
+reasonsOf(const BurnReport &Report);
+
 [[nodiscard]] BurnReport makeBurnReport(const RequestMetrics &Metrics,
                                         absl::Time Now);
 
--- a/libs/app/src/BurnReport.cpp
+++ b/libs/app/src/BurnReport.cpp
@@ -28,6 +28,15 @@
     m_Rows[Name].merge(Row);
 }
 
+std::array<std::uint64_t, model::RefusalReasonCount>
+reasonsOf(const BurnReport &Report) {
+  std::array<std::uint64_t, model::RefusalReasonCount> Sum{};
+  for (const auto &[Name, Row] : Report.m_Rows)
+    for (std::size_t Index = 0; Index < Sum.size(); ++Index)
+      Sum[Index] += Row.m_ByReason[Index];
+  return Sum;
+}
+
 BurnReport makeBurnReport(const RequestMetrics &Metrics, absl::Time Now) {
   BurnReport Report;
   Report.m_Objective = Metrics.objective();
--- a/libs/app/src/DaemonImpl.h
+++ b/libs/app/src/DaemonImpl.h
@@ -54,16 +54,20 @@
 private:
   // DaemonSetup.cpp
   void makeSides();
-  void makeControl();
-  void makeRates();
   void makeLinks();
   void makeLog();
   [[nodiscard]] std::unique_ptr<platform::Appender>
   makeAppender(const std::string &ThreadName) const;
   void makeApi();
-  void makeServers();
+
+  // DaemonControl.cpp
+  void makeControl();
+  void makeRates();
   void append(state::Entry Entry);
 
+  // DaemonServers.cpp
+  void makeServers();
+
   // DaemonLinks.cpp
   void onUp(link::PeerHandle Link, const model::Member &Who);
   void onDown(link::PeerHandle Link, link::LinkEnd Reason);
--- a/libs/app/src/DaemonSetup.cpp
+++ b/libs/app/src/DaemonSetup.cpp
@@ -16,13 +16,7 @@
 namespace knapweedloft::app {
 namespace {
 
-/// How long a record of the daemon's own is tried to be appended. Whoever wants
-/// it appended looks at the state and asks again.
-constexpr absl::Duration AppendTime = absl::Seconds(2);
-
 constexpr Log LinkLog{"link"};
-constexpr Log CallerLog{"caller"};
-constexpr Log ApiLog{"api"};
 
 /// \returns 64 bits from the kernel's random source.
 std::uint64_t randomBits() {
@@ -192,65 +186,6 @@
   m_Entry = std::make_unique<EntrySide>(Entry, m_Replica.store(), m_Contexts);
 }
 
-void Daemon::Impl::makeControl() {
-  auto Send = [this](const std::string &Name,
-                     link::wire::MessageUnion Message) {
-    return sendTo(Name, std::move(Message));
-  };
-  m_Self.m_Link = m_Links->endpoint();
-  m_Spread = std::make_unique<Spread>(
-      Spread::Options{
-          .m_Self = m_Self,
-          .m_Freshness = {.m_Bound = m_Settings.m_Freshness.m_IsolatedAfter}},
-      m_Replica, m_Random, Spread::Hooks{.m_Send = Send});
-  Membership::Hooks Members;
-  Members.m_Send = Send;
-  Members.m_Connect = [this](const model::Member &Peer) {
-    m_Peers->want(Peer, monotonicNow());
-  };
-  Members.m_Append = [this](state::Entry Entry) {
-    // The service is known only once the target has announced itself.
-    if (auto *Join = std::get_if<state::Join>(&Entry))
-      Join->m_Member = m_Self;
-    append(std::move(Entry));
-  };
-  Members.m_IsFresh = [this](absl::Time Now) {
-    return m_Spread->freshness(Now) == policy::Freshness::Fresh;
-  };
-  m_Members = std::make_unique<Membership>(
-      Membership::Options{.m_Self = m_Self}, m_Random, std::move(Members));
-  makeRates();
-}
-
-void Daemon::Impl::makeRates() {
-  RateService::Hooks Hooks;
-  Hooks.m_SendAsk = [this](const std::string &Name, wire::GrantAskT Ask) {
-    return sendTo(Name, std::move(Ask));
-  };
-  Hooks.m_SendGrant = [this](const std::string &Name, wire::GrantT Grant) {
-    return sendTo(Name, std::move(Grant));
-  };
-  Hooks.m_Post = [this](std::function<void()> Task, absl::Duration Delay) {
-    m_Links->post(std::move(Task), Delay);
-  };
-  Hooks.m_Claim = [this](state::KeeperClaim Claim) {
-    append(std::move(Claim));
-  };
-  Hooks.m_MayKeep = [this](absl::Time Now) { return m_Spread->mayKeep(Now); };
-  Hooks.m_IsAlive = [this](const std::string &Name) {
-    return m_Members->isAlive(Name);
-  };
-  m_Rates =
-      std::make_unique<RateService>(RateService::Options{.m_Self = m_Self},
-                                    m_Replica.store(), std::move(Hooks));
-}
-
-void Daemon::Impl::append(state::Entry Entry) {
-  state::Record Record{.m_Written = wallNow(), .m_Entry = std::move(Entry)};
-  m_Appender->append({.m_Payload = state::encodeRecord(Record),
-                      .m_Deadline = monotonicNow() + AppendTime});
-}
-
 void Daemon::Impl::makeLinks() {
   link::LinkNode::Options Options;
   Options.m_Self = m_Self;
@@ -344,61 +279,4 @@
   m_Api = std::make_unique<ResourceApi>(std::move(Options));
 }
 
-void Daemon::Impl::makeServers() {
-  CallerHandler::Options Caller;
-  Caller.m_Hooks.m_Acquire =
-      [this](const std::string &Customer, absl::Time Now,
-             absl::Duration MaxWait,
-             std::function<void(const RateDecision &)> OnDone) {
-        m_Rates->acquire(Customer, Now, MaxWait, std::move(OnDone));
-      };
-  Caller.m_Hooks.m_Submit = [this](EntryRequest Request) {
-    auto Shared = std::make_shared<EntryRequest>(std::move(Request));
-    post([this, Shared] {
-      m_Entry->submit(std::move(*Shared), monotonicNow());
-    });
-  };
-  Caller.m_Hooks.m_Announce = [this](Announcement News) {
-    post([this, News = std::move(News)] { onAnnouncement(News); });
-  };
-  Caller.m_Hooks.m_IsStateFresh = [this](absl::Time Now) {
-    return m_Spread->isTrusted(Now);
-  };
-  Caller.m_Hooks.m_OnRefusal = [this](model::RefusalReason Reason,
-                                      const std::string &Route,
-                                      const std::string &Customer) {
-    m_Metrics.record({.m_Route = Route,
-                      .m_Customer = Customer,
-                      .m_Reason = Reason,
-                      .m_Status = model::httpStatusOf(Reason)},
-                     monotonicNow());
-  };
-  m_Caller = std::make_unique<CallerHandler>(Caller, m_Replica.store());
-  m_CallerServer = std::make_unique<http::HttpServer>(http::HttpServer::Options{
-      .m_Address = m_Settings.m_Caller.m_Address,
-      .m_Port = m_Settings.m_Caller.m_Port,
-      .m_Threads = m_Settings.m_Caller.m_Threads,
-      .m_MaxBodyBytes = m_Settings.m_Caller.m_MaxBodyBytes,
-      .m_MaxHeaderBytes = m_Settings.m_Caller.m_MaxHeaderBytes,
-      .m_MaxConnections = m_Settings.m_Caller.m_MaxConnections,
-      .m_IdleTimeout = m_Settings.m_Caller.m_IdleTimeout,
-      .m_ThreadName = "caller",
-      .m_OnRequest = [this](http::HttpExchange Exchange) {
-        m_Caller->handle(std::move(Exchange), monotonicNow());
-      }});
-  CallerLog.info("Serving callers.",
-                 {{"address", m_Settings.m_Caller.m_Address},
-                  {"port", m_CallerServer->port()}});
-  m_ApiServer = std::make_unique<http::HttpServer>(http::HttpServer::Options{
-      .m_Address = m_Settings.m_Api.m_Address,
-      .m_Port = m_Settings.m_Api.m_Port,
-      .m_Threads = 1,
-      .m_ThreadName = "api",
-      .m_OnRequest = [this](http::HttpExchange Exchange) {
-        handleApi(std::move(Exchange));
-      }});
-  ApiLog.info("Serving operators.", {{"address", m_Settings.m_Api.m_Address},
-                                     {"port", m_ApiServer->port()}});
-}
-
 } // namespace knapweedloft::app
--- a/libs/app/src/ReportHtml.cpp
+++ b/libs/app/src/ReportHtml.cpp
@@ -110,10 +110,7 @@
 }
 
 void writeReasons(fmt::memory_buffer &Out, const BurnReport &Report) {
-  std::array<std::uint64_t, model::RefusalReasonCount> Sum{};
-  for (const auto &[Name, Row] : Report.m_Rows)
-    for (std::size_t Index = 0; Index < Sum.size(); ++Index)
-      Sum[Index] += Row.m_ByReason[Index];
+  const auto Sum = reasonsOf(Report);
   auto To = std::back_inserter(Out);
   fmt::format_to(To, "<h2>Refused since start</h2><table>\n");
   for (std::size_t Index = 1; Index < Sum.size(); ++Index)
--- a/libs/app/src/ReportText.cpp
+++ b/libs/app/src/ReportText.cpp
@@ -46,10 +46,7 @@
 }
 
 void writeReasons(fmt::memory_buffer &Out, const BurnReport &Report) {
-  std::array<std::uint64_t, model::RefusalReasonCount> Sum{};
-  for (const auto &[Name, Row] : Report.m_Rows)
-    for (std::size_t Index = 0; Index < Sum.size(); ++Index)
-      Sum[Index] += Row.m_ByReason[Index];
+  const auto Sum = reasonsOf(Report);
   auto To = std::back_inserter(Out);
   fmt::format_to(To, "\nRefused since start\n");
   for (std::size_t Index = 1; Index < Sum.size(); ++Index)
