Let the linter speak when it cannot list a file's headers

Cause: the script that skips unchanged files ended without a word where the preprocessor did not find a header, so the lint step failed silently and the files behind it were not checked. Change: missing headers are passed over, all include folders are given. It then found five things in tests, mended here.

--- a/libs/app/tests/ApiDaemon.h
+++ b/libs/app/tests/ApiDaemon.h
@@ -55,7 +55,8 @@
 
   void follow() { m_Follower.start(); }
 
-  PendingAnswerPtr send(http::HttpRequest Request, bool IsFromLoopback = true) {
+  PendingAnswerPtr send(const http::HttpRequest &Request,
+                        bool IsFromLoopback = true) {
     auto Answer = std::make_shared<PendingAnswer>();
     m_Api->handle(Request, IsFromLoopback,
                   [Answer](http::HttpResponse Response) {
--- a/libs/app/tests/ResourceApiTest.cpp
+++ b/libs/app/tests/ResourceApiTest.cpp
@@ -34,7 +34,7 @@
   }
 
   http::HttpResponse putCustomer(const std::string &Name,
-                                 http::HeaderList Headers = {}) {
+                                 const http::HeaderList &Headers = {}) {
     return m_Daemon.call("PUT", "/v1/customers/" + Name, "{}", Headers);
   }
 
--- a/libs/platform/tests/ImageWriterTest.cpp
+++ b/libs/platform/tests/ImageWriterTest.cpp
@@ -38,7 +38,7 @@
   LogRead catchUp(Daemon &Who) {
     while (true) {
       try {
-        const LogRead Read =
+        LogRead Read =
             m_Store.read(Stream, Who.m_Feed.next(), 50, absl::ZeroDuration());
         Who.m_Feed.take(Read);
         if (Read.m_Records.empty())
--- a/tools/demo/tests/EndToEndTest.cpp
+++ b/tools/demo/tests/EndToEndTest.cpp
@@ -16,45 +16,46 @@
 class EndToEndTest : public testing::Test {
 protected:
   static void SetUpTestSuite() {
-    s_Site = new DemoSite(1);
-    s_Site->addRoutes();
-    s_Key = s_Site->addCustomer("ana", 1000, 1000);
-    ASSERT_TRUE(s_Site->awaitServing(s_Key));
+    SharedSite = new DemoSite(1);
+    SharedSite->addRoutes();
+    SharedKey = SharedSite->addCustomer("ana", 1000, 1000);
+    ASSERT_TRUE(SharedSite->awaitServing(SharedKey));
   }
 
   static void TearDownTestSuite() {
-    delete s_Site;
-    s_Site = nullptr;
+    delete SharedSite;
+    SharedSite = nullptr;
   }
 
   static http::HttpResponse call(http::HttpRequest Request) {
     http::HttpResult Result = harness::httpCall(
-        s_Site->site().node(0).m_CallerPort, std::move(Request));
+        SharedSite->site().node(0).m_CallerPort, std::move(Request));
     EXPECT_EQ(Result.m_Failure, http::Failure::None);
     return Result.m_Response;
   }
 
   static http::HttpResponse callApi(http::HttpRequest Request) {
-    http::HttpResult Result =
-        harness::httpCall(s_Site->site().node(0).m_ApiPort, std::move(Request));
+    http::HttpResult Result = harness::httpCall(
+        SharedSite->site().node(0).m_ApiPort, std::move(Request));
     EXPECT_EQ(Result.m_Failure, http::Failure::None);
     return Result.m_Response;
   }
 
   static http::HeaderList withKey() {
-    return {{"Authorization", "Bearer " + s_Key}};
+    return {{"Authorization", "Bearer " + SharedKey}};
   }
 
-  static inline DemoSite *s_Site = nullptr;
-  static inline std::string s_Key;
+  static inline DemoSite *SharedSite = nullptr;
+  static inline std::string SharedKey;
 };
 
 TEST_F(EndToEndTest, Traffic_InsideRate_IsAnsweredWhole) {
-  caller::LoadReport Report = s_Site->send(
-      {{.m_Name = "ana", .m_Key = s_Key, .m_PerSecond = 50}}, absl::Seconds(1));
+  caller::LoadReport Report = SharedSite->send(
+      {{.m_Name = "ana", .m_Key = SharedKey, .m_PerSecond = 50}},
+      absl::Seconds(1));
   EXPECT_EQ(Report.total().m_Succeeded, Report.total().m_Calls);
   EXPECT_EQ(Report.m_WrongAnswers, 0U);
-  EXPECT_EQ(s_Site->keysSeen(), 0U);
+  EXPECT_EQ(SharedSite->keysSeen(), 0U);
 }
 
 TEST_F(EndToEndTest, Route_Unknown_Answers404Problem) {
--- a/tools/lint/tidy.sh
+++ b/tools/lint/tidy.sh
@@ -8,9 +8,10 @@
 mkdir -p "$STAMPS"
 HASH=$({
   cat .clang-tidy "$FILE"
-  g++ -std=c++20 -MM -Ilibs/{model,policy,state,platform,link,http,app}/include \
-    -I"$(dirname "$FILE")" -I"$(dirname "$FILE")/../src" -I"$(dirname "$FILE")/../include" \
-    -Itools/harness/include "$FILE" 2>/dev/null |
+  # -MG: a header that is not found must not end the script without a word.
+  g++ -std=c++20 -MM -MG $(printf -- '-I%s ' libs/*/include tools/*/include) \
+    -I"$(dirname "$FILE")" -I"$(dirname "$FILE")/../src" \
+    -I"$(dirname "$FILE")/../include" "$FILE" 2>/dev/null |
     tr ' \\' '\n\n' | grep -E '^(libs|apps|tools)/' | sort -u | xargs -r cat
 } | sha256sum | cut -d' ' -f1)
 STAMP=$STAMPS/$HASH
