--- a/libs/app/include/app/PeerTable.h
+++ b/libs/app/include/app/PeerTable.h
@@ -39,8 +39,7 @@
   /// backed off.
   void want(const model::Member &Who, absl::Time Now);
 
-  /// \returns whether the link is the first to its member's incarnation.
-  bool onUp(link::PeerHandle Link, const model::Member &Who);
+  void onUp(link::PeerHandle Link, const model::Member &Who);
   /// \returns whether the member is left without a link.
   bool onDown(link::PeerHandle Link);
   void onConnectFailed(const model::Endpoint &To, absl::Time Now);
--- a/libs/app/src/PeerTable.cpp
+++ b/libs/app/src/PeerTable.cpp
@@ -42,12 +42,10 @@
   m_Options.m_Connect(Who.m_Link);
 }
 
-bool PeerTable::onUp(link::PeerHandle Link, const model::Member &Who) {
+void PeerTable::onUp(link::PeerHandle Link, const model::Member &Who) {
   m_Dials.erase(toText(Who.m_Link));
-  bool IsFirst = !find(Who.m_Name, Who.m_Incarnation).isValid();
   m_ByLink[Link.m_Index] = Who;
   m_ByName[Who.m_Name] = Link;
-  return IsFirst;
 }
 
 bool PeerTable::onDown(link::PeerHandle Link) {
