--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -3,6 +3,7 @@
 #include "DeleteCommand.h"
 #include "ExitCode.h"
 #include "GetCommand.h"
+#include "NodeCommand.h"
 #include "ReportCommand.h"
 #include "RunCommand.h"
 #include "UsageError.h"
@@ -42,6 +43,7 @@
   App.set_version_flag("--version", "knapweedloft " KNAPWEEDLOFT_VERSION);
   App.require_subcommand(1);
   addRunCommand(App);
+  addNodeCommand(App);
   addCheckCommand(App);
   addReportCommand(App);
   addApplyCommand(App);
--- a/build.sh
+++ b/build.sh
@@ -9,7 +9,7 @@
 
 PACKAGES=(g++ clang cmake ninja-build clang-format clang-tidy ccache pkg-config
   libabsl-dev libflatbuffers-dev libboost-dev libtoml11-dev libmicrohttpd-dev
-  libcurl4-gnutls-dev libgnutls28-dev libcli11-dev libfmt-dev liburcu-dev
+  libcurl4-gnutls-dev libgnutls28-dev libhttp-parser-dev libcli11-dev libfmt-dev liburcu-dev
   nlohmann-json3-dev libgtest-dev libgmock-dev libbenchmark-dev)
 
 usage() {
@@ -44,7 +44,7 @@
 }
 
 build() {
-  cmake -S . -B "$BUILD_DIR" -G Ninja "$@" >/dev/null
+  cmake -S . -B "$BUILD_DIR" -G Ninja -DKNAPWEEDLOFT_WERROR=ON "$@" >/dev/null
   cmake --build "$BUILD_DIR" -j "$JOBS" -- --quiet
 }
 
--- /dev/null
+++ b/libs/http/include/http/LoopServer.h
@@ -0,0 +1,89 @@
+#ifndef KNAPWEEDLOFT_HTTP_LOOPSERVER_H
+#define KNAPWEEDLOFT_HTTP_LOOPSERVER_H
+
+#include "http/ExchangeId.h"
+#include "http/HttpMessage.h"
+#include "http/ParsedMessage.h"
+#include "io/EventLoop.h"
+#include "model/Endpoint.h"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace knapweedloft::http {
+
+/// An HTTP/1.1 server on an event loop that is shared with others.
+///
+/// Requests of one connection are handed over as they come and answered in
+/// their order. Where a peer closes its side, its requests are given up. The
+/// server belongs to the thread of the loop.
+///
+/// \code
+///   LoopServer Server(Loop, {.m_At = At, .m_Hooks = {.m_OnRequest = handle}});
+///   ...
+///   Server.answer(Id, {.m_Status = 200, .m_Body = Text});
+/// \endcode
+class LoopServer {
+public:
+  struct Hooks {
+    /// \p From is the peer's IP number.
+    std::function<void(ExchangeId, ParsedMessage, const std::string &From)>
+        m_OnRequest;
+    /// The peer is gone and the request, not answered yet, with it.
+    std::function<void(ExchangeId)> m_OnGone;
+  };
+
+  struct Limits {
+    std::size_t m_MaxHeaderBytes = 16 << 10;
+    std::size_t m_MaxBodyBytes = 64 << 20;
+    absl::Duration m_HeaderTimeout =
+        absl::Seconds(10); ///< For a whole request.
+    absl::Duration m_IdleTimeout = absl::Seconds(60);
+    absl::Duration m_WriteTimeout = absl::Seconds(30); ///< Without progress.
+  };
+
+  struct Options {
+    model::Endpoint m_At;
+    Limits m_Limits;
+    std::size_t m_MaxConnections = 3000;
+    std::size_t m_MaxPipelined = 64; ///< Requests unanswered on a connection.
+    Hooks m_Hooks;
+  };
+
+  /// Binds and listens.
+  /// \throws HttpError if the address cannot be bound.
+  LoopServer(io::EventLoop &Loop, Options Settings);
+  ~LoopServer();
+
+  /// Answers a request; ignored if its peer is gone.
+  void answer(ExchangeId Id, const HttpResponse &Response);
+  /// Ends the connection of a request without an answer.
+  void abandon(ExchangeId Id);
+
+  /// For requests and connections from now on.
+  void setLimits(const Limits &Changed);
+
+  /// Answers close their connections from now on; idle ones are closed.
+  void beginClosing();
+  /// Refuses new connections by closing the listener.
+  void stopAccepting();
+
+  /// \returns how many requests are not answered yet.
+  [[nodiscard]] std::size_t pending() const;
+  [[nodiscard]] std::size_t connections() const;
+  /// \returns the bytes of answers that peers have not read yet.
+  [[nodiscard]] std::size_t unsentBytes() const;
+  [[nodiscard]] std::uint16_t port() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_LOOPSERVER_H
--- /dev/null
+++ b/libs/http/include/http/ParsedMessage.h
@@ -0,0 +1,23 @@
+#ifndef KNAPWEEDLOFT_HTTP_PARSEDMESSAGE_H
+#define KNAPWEEDLOFT_HTTP_PARSEDMESSAGE_H
+
+#include "http/HttpMessage.h"
+
+#include <string>
+
+namespace knapweedloft::http {
+
+/// A whole request or response as it was read from a connection.
+struct ParsedMessage {
+  std::string m_Method; ///< Of a request.
+  std::string m_Path;   ///< Of a request, with the query.
+  int m_Status = 0;     ///< Of a response.
+  HeaderList m_Headers;
+  std::string m_Body;
+  /// The connection may carry another message after this one.
+  bool m_KeepsOpen = false;
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_PARSEDMESSAGE_H
--- /dev/null
+++ b/libs/http/src/LoopClient.cpp
@@ -0,0 +1,26 @@
+#include "http/LoopClient.h"
+
+#include "LoopClientImpl.h"
+
+#include <utility>
+
+namespace knapweedloft::http {
+
+LoopClient::LoopClient(io::EventLoop &Loop, Options Settings)
+    : m_Impl(std::make_unique<Impl>(Loop, std::move(Settings))) {}
+
+LoopClient::~LoopClient() = default;
+
+LoopClient::CallId LoopClient::send(Call Next, Done OnDone) {
+  return m_Impl->send(std::move(Next), std::move(OnDone));
+}
+
+void LoopClient::cancel(CallId Id) { m_Impl->cancel(Id); }
+
+void LoopClient::dropIdle(const model::Endpoint &To) { m_Impl->dropIdle(To); }
+
+std::size_t LoopClient::active() const { return m_Impl->active(); }
+
+std::uint64_t LoopClient::opened() const { return m_Impl->opened(); }
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -0,0 +1,355 @@
+#include "LoopClientImpl.h"
+
+#include "io/MonotonicClock.h"
+#include "io/Sockets.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <string_view>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace knapweedloft::http {
+namespace {
+
+constexpr std::size_t ReadBytes = 64 << 10;
+/// Time-outs are found this late at most, so that calls that end in time cost
+/// no timer each.
+constexpr absl::Duration SweepStep = absl::Milliseconds(20);
+/// Idle connections are closed this long before the server says it would.
+constexpr absl::Duration IdleMargin = absl::Seconds(1);
+constexpr int FirstFinalStatus = 200;
+
+/// \returns the time that the server keeps the connection open while idle.
+std::optional<absl::Duration> keepAliveOf(const HttpResponse &Response) {
+  const std::string *Value = findHeader(Response.m_Headers, "Keep-Alive");
+  if (Value == nullptr)
+    return std::nullopt;
+  constexpr std::string_view Field = "timeout=";
+  std::size_t At = Value->find(Field);
+  if (At == std::string::npos)
+    return std::nullopt;
+  int Seconds = 0;
+  const char *From = Value->data() + At + Field.size();
+  auto Read = std::from_chars(From, Value->data() + Value->size(), Seconds);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return absl::Seconds(Seconds);
+}
+
+} // namespace
+
+LoopClient::Impl::Impl(io::EventLoop &Loop, Options Settings)
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_ReadBuffer(ReadBytes) {}
+
+LoopClient::Impl::~Impl() {
+  *m_IsAlive = false;
+  for (auto &[Id, Held] : m_Connections)
+    m_Loop.unwatch(Held->m_Watch);
+}
+
+LoopClient::CallId LoopClient::Impl::send(Call Next, Done OnDone) {
+  absl::Time Now = io::monotonicNow();
+  CallId Id = ++m_LastCall;
+  absl::Time Due = Now + Next.m_Timeout;
+  m_Calls.emplace(Id, ActiveCall{.m_Call = std::move(Next),
+                                 .m_OnDone = std::move(OnDone),
+                                 .m_Started = Now,
+                                 .m_Due = Due});
+  m_Dues.emplace(Due, Id);
+  scheduleSweep(Due);
+  begin(Id);
+  return Id;
+}
+
+void LoopClient::Impl::begin(CallId Id) {
+  ActiveCall &Active = m_Calls.at(Id);
+  ClientConnection *Held = takeIdle(Active.m_Call, io::monotonicNow());
+  if (!Held)
+    Held = open(Active.m_Call.m_To);
+  if (!Held) {
+    m_Loop.post([this, Id, IsAlive = m_IsAlive] {
+      if (*IsAlive)
+        finish(Id, Failure::NotSent);
+    });
+    return;
+  }
+  Active.m_Connection = Held->m_Id;
+  Held->m_Call = Id;
+  Held->m_Output.append(Active.m_Call.m_Text);
+  if (!Held->m_IsConnecting)
+    write(*Held);
+}
+
+ClientConnection *LoopClient::Impl::takeIdle(const Call &Next, absl::Time Now) {
+  std::vector<std::uint64_t> &Idle = m_Idle[Next.m_To];
+  while (!Idle.empty()) {
+    ClientConnection *Held = find(Idle.back());
+    if (Held && Now < Held->m_IdleUntil &&
+        Now - Held->m_IdleSince > Next.m_MaxIdleFor)
+      return nullptr; // Those before it have been idle for longer.
+    Idle.pop_back();
+    if (!Held)
+      continue;
+    if (Now >= Held->m_IdleUntil) {
+      close(Held->m_Id);
+      continue;
+    }
+    Held->m_IdleSince = absl::InfiniteFuture();
+    Held->m_WasUsed = true;
+    return Held;
+  }
+  return nullptr;
+}
+
+ClientConnection *LoopClient::Impl::open(const model::Endpoint &To) {
+  io::FileDescriptor Socket = io::connectTo(To);
+  if (!Socket.isValid())
+    return nullptr;
+  ++m_Opened;
+  std::uint64_t Id = ++m_LastConnection;
+  auto Made = std::make_unique<ClientConnection>(ClientConnection{
+      .m_Id = Id,
+      .m_To = To,
+      .m_Socket = std::move(Socket),
+      .m_Parser =
+          MessageParser(MessageKind::Response,
+                        {.m_MaxBodyBytes = m_Settings.m_MaxAnswerBytes}),
+      .m_Events = EPOLLOUT});
+  Made->m_Watch =
+      m_Loop.watch(Made->m_Socket.get(), EPOLLOUT,
+                   [this, Id](std::uint32_t Events) { onReady(Id, Events); });
+  ClientConnection *Held = Made.get();
+  m_Connections.emplace(Id, std::move(Made));
+  m_Loop.post(
+      [this, Id, IsAlive = m_IsAlive] {
+        ClientConnection *Late = *IsAlive ? find(Id) : nullptr;
+        if (Late && Late->m_IsConnecting)
+          breakOff(*Late);
+      },
+      m_Settings.m_ConnectTimeout);
+  return Held;
+}
+
+ClientConnection *LoopClient::Impl::find(std::uint64_t Id) {
+  auto Found = m_Connections.find(Id);
+  return Found == m_Connections.end() ? nullptr : Found->second.get();
+}
+
+void LoopClient::Impl::onReady(std::uint64_t Id, std::uint32_t Events) {
+  ClientConnection *Held = find(Id);
+  if (!Held)
+    return;
+  if (Held->m_IsConnecting)
+    return onConnected(*Held);
+  if (Events & EPOLLOUT)
+    write(*Held);
+  if (Events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+    read(Id);
+}
+
+void LoopClient::Impl::onConnected(ClientConnection &Held) {
+  if (io::pendingError(Held.m_Socket.get()) != 0)
+    return breakOff(Held);
+  Held.m_IsConnecting = false;
+  write(Held);
+}
+
+void LoopClient::Impl::write(ClientConnection &Held) {
+  WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
+  // A break shows on reading, where an answer may still wait.
+  bool IsBlocked = Result == WriteBuffer::Result::Blocked;
+  bool IsUnsent = Held.m_WasUsed && Held.m_Output.left() > 0 && !IsBlocked;
+  if (Result == WriteBuffer::Result::Broken && IsUnsent)
+    return breakOff(Held);
+  setEvents(Held, EPOLLIN | (IsBlocked ? EPOLLOUT : 0U));
+}
+
+void LoopClient::Impl::setEvents(ClientConnection &Held, std::uint32_t Events) {
+  if (Held.m_Events == Events)
+    return;
+  Held.m_Events = Events;
+  m_Loop.rewatch(Held.m_Watch, Events);
+}
+
+void LoopClient::Impl::read(std::uint64_t Id) {
+  ClientConnection *Held = find(Id);
+  if (!Held)
+    return;
+  ssize_t Bytes = ::recv(Held->m_Socket.get(), m_ReadBuffer.data(),
+                         m_ReadBuffer.size(), MSG_DONTWAIT);
+  if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (Bytes <= 0)
+    return onEnd(*Held, Bytes == 0);
+  if (Held->m_Call == 0)
+    return close(Id); // Nobody waits for these bytes.
+  Held->m_Parser.feed({m_ReadBuffer.data(), static_cast<std::size_t>(Bytes)});
+  takeAnswers(Id);
+  Held = find(Id);
+  if (Held && Held->m_Parser.state() != ParseState::Good)
+    breakOff(*Held);
+}
+
+void LoopClient::Impl::onEnd(ClientConnection &Held, bool IsOrderly) {
+  if (Held.m_Call == 0)
+    return close(Held.m_Id);
+  std::uint64_t Id = Held.m_Id;
+  if (IsOrderly) {
+    // An answer without a length ends with its connection.
+    Held.m_Parser.feedEnd();
+    takeAnswers(Id);
+  }
+  if (ClientConnection *Left = find(Id))
+    breakOff(*Left);
+}
+
+void LoopClient::Impl::takeAnswers(std::uint64_t Id) {
+  while (ClientConnection *Held = find(Id)) {
+    if (!Held->m_Parser.hasMessage())
+      return;
+    if (Held->m_Call == 0)
+      return close(Id); // A second answer came with the first.
+    accept(*Held, Held->m_Parser.take());
+  }
+}
+
+void LoopClient::Impl::accept(ClientConnection &Held, ParsedMessage Message) {
+  if (Message.m_Status < FirstFinalStatus)
+    return;
+  ActiveCall &Active = m_Calls.at(Held.m_Call);
+  HttpResponse Response{.m_Status = Message.m_Status,
+                        .m_Headers = std::move(Message.m_Headers),
+                        .m_Body = std::move(Message.m_Body)};
+  if (m_Settings.m_IsOwn &&
+      !m_Settings.m_IsOwn(Response, Active.m_Call.m_Tag)) {
+    if (!Message.m_KeepsOpen)
+      breakOff(Held);
+    return;
+  }
+  CallId Call = std::exchange(Held.m_Call, 0);
+  bool IsReusable = Message.m_KeepsOpen && Held.m_Output.left() == 0 &&
+                    Held.m_Parser.state() == ParseState::Good &&
+                    !Held.m_Parser.hasMessage() && !Held.m_Parser.isInside();
+  if (IsReusable)
+    keep(Held, Response, io::monotonicNow());
+  else
+    close(Held.m_Id);
+  finish(Call, Failure::None, std::move(Response));
+}
+
+void LoopClient::Impl::keep(ClientConnection &Held, const HttpResponse &Last,
+                            absl::Time Now) {
+  std::vector<std::uint64_t> &Idle = m_Idle[Held.m_To];
+  if (Idle.size() >= m_Settings.m_MaxIdle)
+    return close(Held.m_Id);
+  absl::Duration IdleFor = m_Settings.m_MaxIdleFor;
+  if (auto Told = keepAliveOf(Last))
+    IdleFor = std::min(IdleFor, *Told - IdleMargin);
+  Held.m_IdleSince = Now;
+  Held.m_IdleUntil = Now + IdleFor;
+  Idle.push_back(Held.m_Id);
+}
+
+void LoopClient::Impl::breakOff(ClientConnection &Held) {
+  CallId Call = std::exchange(Held.m_Call, 0);
+  bool IsUnsent = Held.m_Output.totalWritten() == 0;
+  bool MayRepeat = false;
+  auto Found = m_Calls.find(Call);
+  if (Found != m_Calls.end()) {
+    // On a used connection the bytes of earlier calls count as written, so
+    // what is left is compared with the whole request.
+    IsUnsent = Held.m_Output.left() == Found->second.m_Call.m_Text.size();
+    MayRepeat = IsUnsent && Held.m_WasUsed;
+  }
+  close(Held.m_Id);
+  if (Call == 0)
+    return;
+  if (MayRepeat)
+    begin(Call);
+  else
+    finish(Call, IsUnsent ? Failure::NotSent : Failure::Cut);
+}
+
+void LoopClient::Impl::close(std::uint64_t Id) {
+  auto Found = m_Connections.find(Id);
+  if (Found == m_Connections.end())
+    return;
+  std::unique_ptr<ClientConnection> Held = std::move(Found->second);
+  m_Connections.erase(Found);
+  m_Loop.unwatch(Held->m_Watch);
+  auto Kept = m_Idle.find(Held->m_To);
+  if (Kept != m_Idle.end())
+    std::erase(Kept->second, Id);
+}
+
+void LoopClient::Impl::finish(CallId Id, Failure Reason,
+                              HttpResponse Response) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  ActiveCall Done = std::move(Found->second);
+  m_Calls.erase(Found);
+  m_Dues.erase({Done.m_Due, Id});
+  absl::Time Now = io::monotonicNow();
+  HttpResult Result;
+  Result.m_Failure = Reason;
+  Result.m_Response = std::move(Response);
+  Result.m_Latency = Now - Done.m_Started;
+  Done.m_OnDone(std::move(Result), Now);
+}
+
+void LoopClient::Impl::cancel(CallId Id) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  std::uint64_t Connection = Found->second.m_Connection;
+  m_Dues.erase({Found->second.m_Due, Id});
+  m_Calls.erase(Found);
+  if (ClientConnection *Held = find(Connection)) {
+    Held->m_Call = 0;
+    close(Connection);
+  }
+}
+
+void LoopClient::Impl::dropIdle(const model::Endpoint &To) {
+  auto Found = m_Idle.find(To);
+  if (Found == m_Idle.end())
+    return;
+  std::vector<std::uint64_t> Idle = Found->second;
+  for (std::uint64_t Id : Idle)
+    close(Id);
+}
+
+void LoopClient::Impl::scheduleSweep(absl::Time Due) {
+  if (Due >= m_NextSweep)
+    return;
+  m_NextSweep = Due;
+  m_Loop.post(
+      [this, Due, IsAlive = m_IsAlive] {
+        if (*IsAlive && m_NextSweep == Due)
+          sweep();
+      },
+      std::max(Due - io::monotonicNow(), SweepStep));
+}
+
+void LoopClient::Impl::sweep() {
+  m_NextSweep = absl::InfiniteFuture();
+  absl::Time Now = io::monotonicNow();
+  while (!m_Dues.empty() && m_Dues.begin()->first <= Now) {
+    CallId Id = m_Dues.begin()->second;
+    std::uint64_t Connection = m_Calls.at(Id).m_Connection;
+    ClientConnection *Held = find(Connection);
+    bool IsUnsent = !Held || Held->m_IsConnecting;
+    if (Held) {
+      Held->m_Call = 0;
+      close(Connection);
+    }
+    finish(Id, IsUnsent ? Failure::NotSent : Failure::TimedOut);
+  }
+  if (!m_Dues.empty())
+    scheduleSweep(m_Dues.begin()->first);
+}
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/LoopClientImpl.h
@@ -0,0 +1,75 @@
+#ifndef KNAPWEEDLOFT_HTTP_LOOPCLIENTIMPL_H
+#define KNAPWEEDLOFT_HTTP_LOOPCLIENTIMPL_H
+
+#include "ClientConnection.h"
+#include "http/LoopClient.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace knapweedloft::http {
+
+class LoopClient::Impl {
+public:
+  Impl(io::EventLoop &Loop, Options Settings);
+  ~Impl();
+
+  CallId send(Call Next, Done OnDone);
+  void cancel(CallId Id);
+  void dropIdle(const model::Endpoint &To);
+
+  [[nodiscard]] std::size_t active() const { return m_Calls.size(); }
+  [[nodiscard]] std::uint64_t opened() const { return m_Opened; }
+
+private:
+  struct ActiveCall {
+    Call m_Call;
+    Done m_OnDone;
+    absl::Time m_Started;
+    absl::Time m_Due; ///< Its time is over.
+    std::uint64_t m_Connection = 0;
+  };
+
+  void begin(CallId Id);
+  [[nodiscard]] ClientConnection *takeIdle(const Call &Next, absl::Time Now);
+  [[nodiscard]] ClientConnection *open(const model::Endpoint &To);
+  void onReady(std::uint64_t Id, std::uint32_t Events);
+  void onConnected(ClientConnection &Held);
+  void write(ClientConnection &Held);
+  void read(std::uint64_t Id);
+  void onEnd(ClientConnection &Held, bool IsOrderly);
+  void takeAnswers(std::uint64_t Id);
+  void accept(ClientConnection &Held, ParsedMessage Message);
+  void breakOff(ClientConnection &Held);
+  void keep(ClientConnection &Held, const HttpResponse &Last, absl::Time Now);
+  void setEvents(ClientConnection &Held, std::uint32_t Events);
+  void close(std::uint64_t Id);
+  void finish(CallId Id, Failure Reason, HttpResponse Response = {});
+  void scheduleSweep(absl::Time Due);
+  void sweep();
+  [[nodiscard]] ClientConnection *find(std::uint64_t Id);
+
+  io::EventLoop &m_Loop;
+  Options m_Settings;
+  CallId m_LastCall = 0;
+  std::uint64_t m_LastConnection = 0;
+  std::uint64_t m_Opened = 0;
+  std::vector<char> m_ReadBuffer;
+  absl::flat_hash_map<CallId, ActiveCall> m_Calls;
+  absl::flat_hash_map<std::uint64_t, std::unique_ptr<ClientConnection>>
+      m_Connections;
+  /// Idle connections, the one used last at the back.
+  std::map<model::Endpoint, std::vector<std::uint64_t>> m_Idle;
+  std::set<std::pair<absl::Time, CallId>> m_Dues;
+  absl::Time m_NextSweep = absl::InfiniteFuture();
+  std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_LOOPCLIENTIMPL_H
--- /dev/null
+++ b/libs/http/src/LoopServer.cpp
@@ -0,0 +1,36 @@
+#include "http/LoopServer.h"
+
+#include "LoopServerImpl.h"
+
+#include <utility>
+
+namespace knapweedloft::http {
+
+LoopServer::LoopServer(io::EventLoop &Loop, Options Settings)
+    : m_Impl(std::make_unique<Impl>(Loop, std::move(Settings))) {}
+
+LoopServer::~LoopServer() = default;
+
+void LoopServer::answer(ExchangeId Id, const HttpResponse &Response) {
+  m_Impl->answer(Id, Response);
+}
+
+void LoopServer::abandon(ExchangeId Id) { m_Impl->abandon(Id); }
+
+void LoopServer::setLimits(const Limits &Changed) {
+  m_Impl->m_Settings.m_Limits = Changed;
+}
+
+void LoopServer::beginClosing() { m_Impl->beginClosing(); }
+
+void LoopServer::stopAccepting() { m_Impl->stopAccepting(); }
+
+std::size_t LoopServer::pending() const { return m_Impl->m_Pending; }
+
+std::size_t LoopServer::connections() const { return m_Impl->connections(); }
+
+std::size_t LoopServer::unsentBytes() const { return m_Impl->unsentBytes(); }
+
+std::uint16_t LoopServer::port() const { return m_Impl->m_Port; }
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -0,0 +1,333 @@
+#include "LoopServerImpl.h"
+
+#include "http/HttpError.h"
+#include "http/MessageText.h"
+#include "io/IoError.h"
+#include "io/MonotonicClock.h"
+#include "io/Sockets.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace knapweedloft::http {
+namespace {
+
+/// More than the answers and requests of a usual call in one read.
+constexpr std::size_t ReadBytes = 32 << 10;
+constexpr int MaxAcceptsARound = 64;
+/// Time-outs are whole seconds at least; they are looked at this often.
+constexpr absl::Duration SweepInterval = absl::Milliseconds(500);
+/// How long the listener rests when the process is out of descriptors.
+constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
+
+io::FileDescriptor listenAt(const model::Endpoint &At) {
+  try {
+    return io::listenOn(At);
+  } catch (const io::IoError &Error) {
+    throw HttpError(Error.what());
+  }
+}
+
+std::string textOf(const sockaddr_storage &Address) {
+  char Text[INET6_ADDRSTRLEN] = "";
+  if (Address.ss_family == AF_INET)
+    ::inet_ntop(AF_INET,
+                &reinterpret_cast<const sockaddr_in &>(Address).sin_addr, Text,
+                sizeof(Text));
+  else
+    ::inet_ntop(AF_INET6,
+                &reinterpret_cast<const sockaddr_in6 &>(Address).sin6_addr,
+                Text, sizeof(Text));
+  return Text;
+}
+
+int statusOf(ParseState Reason) {
+  constexpr int BadRequest = 400;
+  constexpr int ContentTooLarge = 413;
+  constexpr int HeadersTooLarge = 431;
+  switch (Reason) {
+  case ParseState::BodyTooLong:
+    return ContentTooLarge;
+  case ParseState::HeadersTooLong:
+    return HeadersTooLarge;
+  default:
+    return BadRequest;
+  }
+}
+
+} // namespace
+
+LoopServer::Impl::Impl(io::EventLoop &Loop, Options Settings)
+    : m_Settings(std::move(Settings)), m_Loop(Loop),
+      m_Listener(listenAt(m_Settings.m_At)), m_ReadBuffer(ReadBytes) {
+  m_Port = io::localEndpoint(m_Listener.get()).m_Port;
+  m_ListenerWatch = m_Loop.watch(m_Listener.get(), EPOLLIN,
+                                 [this](std::uint32_t) { accept(); });
+  sweep();
+}
+
+LoopServer::Impl::~Impl() {
+  *m_IsAlive = false;
+  m_Settings.m_Hooks = {};
+  stopAccepting();
+  while (!m_Connections.empty())
+    close(m_Connections.begin()->first);
+}
+
+void LoopServer::Impl::accept() {
+  for (int Count = 0; Count < MaxAcceptsARound; ++Count) {
+    sockaddr_storage From{};
+    socklen_t Size = sizeof(From);
+    io::FileDescriptor Socket(::accept4(m_Listener.get(),
+                                        reinterpret_cast<sockaddr *>(&From),
+                                        &Size, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!Socket.isValid() && (errno == EMFILE || errno == ENFILE)) {
+      m_Loop.rewatch(m_ListenerWatch, 0);
+      m_Loop.post(
+          [this, IsAlive = m_IsAlive] {
+            if (*IsAlive)
+              m_Loop.rewatch(m_ListenerWatch, EPOLLIN);
+          },
+          AcceptRest);
+      return;
+    }
+    if (!Socket.isValid())
+      return;
+    if (m_Connections.size() < m_Settings.m_MaxConnections)
+      add(std::move(Socket), textOf(From));
+  }
+}
+
+void LoopServer::Impl::add(io::FileDescriptor Socket, std::string From) {
+  io::setNoDelay(Socket.get());
+  std::uint64_t Id = ++m_LastId;
+  absl::Time Now = io::monotonicNow();
+  auto Held = std::make_unique<ServerConnection>(ServerConnection{
+      .m_Id = Id,
+      .m_Socket = std::move(Socket),
+      .m_From = std::move(From),
+      .m_Parser = MessageParser(
+          MessageKind::Request,
+          {.m_MaxHeaderBytes = m_Settings.m_Limits.m_MaxHeaderBytes,
+           .m_MaxBodyBytes = m_Settings.m_Limits.m_MaxBodyBytes}),
+      .m_Events = EPOLLIN,
+      .m_LastActive = Now,
+      .m_LastWritten = Now});
+  Held->m_Watch =
+      m_Loop.watch(Held->m_Socket.get(), EPOLLIN,
+                   [this, Id](std::uint32_t Events) { onReady(Id, Events); });
+  m_Connections.emplace(Id, std::move(Held));
+}
+
+ServerConnection *LoopServer::Impl::find(std::uint64_t Id) {
+  auto Found = m_Connections.find(Id);
+  return Found == m_Connections.end() ? nullptr : Found->second.get();
+}
+
+void LoopServer::Impl::onReady(std::uint64_t Id, std::uint32_t Events) {
+  if (Events & EPOLLOUT) {
+    if (ServerConnection *Held = find(Id))
+      flush(*Held);
+  }
+  if (Events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+    read(Id);
+}
+
+void LoopServer::Impl::read(std::uint64_t Id) {
+  ServerConnection *Held = find(Id);
+  if (!Held)
+    return;
+  ssize_t Bytes = ::recv(Held->m_Socket.get(), m_ReadBuffer.data(),
+                         m_ReadBuffer.size(), MSG_DONTWAIT);
+  if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (Bytes <= 0)
+    return close(Id);
+  if (Held->m_StopsReading)
+    return; // Dropped: the answer that closes the connection is on its way.
+  if (!Held->m_Parser.isInside())
+    Held->m_MessageSince = io::monotonicNow();
+  ParseState State = Held->m_Parser.feed(
+      {m_ReadBuffer.data(), static_cast<std::size_t>(Bytes)});
+  if (Held->m_Parser.takeContinueWanted()) {
+    Held->m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
+    flush(*Held);
+  }
+  takeMessages(Id);
+  Held = find(Id);
+  if (!Held)
+    return;
+  if (!Held->m_Parser.isInside())
+    Held->m_MessageSince = absl::InfiniteFuture();
+  if (State != ParseState::Good && !Held->m_StopsReading)
+    refuseRest(*Held, State);
+}
+
+void LoopServer::Impl::takeMessages(std::uint64_t Id) {
+  while (ServerConnection *Held = find(Id)) {
+    bool IsFull = Held->m_Exchanges.size() >= m_Settings.m_MaxPipelined;
+    if (IsFull || Held->m_StopsReading || !Held->m_Parser.hasMessage())
+      return setEvents(*Held);
+    ParsedMessage Message = Held->m_Parser.take();
+    ExchangeId Next{Id, ++Held->m_LastSequence};
+    Held->m_Exchanges.push_back({.m_Sequence = Next.m_Sequence,
+                                 .m_IsHead = Message.m_Method == "HEAD",
+                                 .m_KeepsOpen = Message.m_KeepsOpen});
+    if (!Message.m_KeepsOpen)
+      Held->m_StopsReading = true;
+    ++m_Pending;
+    m_Settings.m_Hooks.m_OnRequest(Next, std::move(Message), Held->m_From);
+  }
+}
+
+void LoopServer::Impl::refuseRest(ServerConnection &Held, ParseState Reason) {
+  Held.m_StopsReading = true;
+  std::uint64_t Sequence = ++Held.m_LastSequence;
+  Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
+  ++m_Pending;
+  answer({Held.m_Id, Sequence}, {.m_Status = statusOf(Reason)});
+}
+
+void LoopServer::Impl::answer(ExchangeId Id, const HttpResponse &Response) {
+  ServerConnection *Held = find(Id.m_Connection);
+  if (!Held)
+    return;
+  auto Found = std::find_if(
+      Held->m_Exchanges.begin(), Held->m_Exchanges.end(),
+      [&](const auto &One) { return One.m_Sequence == Id.m_Sequence; });
+  if (Found == Held->m_Exchanges.end() || Found->m_Answer)
+    return;
+  --m_Pending;
+  // The last answer on a connection announces the close; those before it leave
+  // it open, since what was sent behind a closing answer counts as not read.
+  bool IsLast = std::next(Found) == Held->m_Exchanges.end();
+  if (m_IsClosing && IsLast && !Held->m_Parser.hasMessage())
+    Found->m_KeepsOpen = false;
+  Found->m_Answer.emplace();
+  appendResponse(*Found->m_Answer, Response, !Found->m_KeepsOpen,
+                 Found->m_IsHead);
+  fillOutput(*Held);
+}
+
+void LoopServer::Impl::abandon(ExchangeId Id) { close(Id.m_Connection); }
+
+void LoopServer::Impl::fillOutput(ServerConnection &Held) {
+  std::uint64_t Id = Held.m_Id;
+  bool WasFull = Held.m_Exchanges.size() >= m_Settings.m_MaxPipelined;
+  while (!Held.m_Exchanges.empty() && Held.m_Exchanges.front().m_Answer) {
+    ServerConnection::Exchange &Done = Held.m_Exchanges.front();
+    Held.m_Output.append(*Done.m_Answer);
+    if (!Done.m_KeepsOpen)
+      Held.m_ClosesAfterWrite = Held.m_StopsReading = true;
+    Held.m_Exchanges.pop_front();
+  }
+  if (Held.m_Exchanges.empty())
+    Held.m_LastActive = io::monotonicNow();
+  flush(Held);
+  if (WasFull && find(Id))
+    m_Loop.post([this, Id, IsAlive = m_IsAlive] {
+      if (*IsAlive)
+        takeMessages(Id);
+    });
+}
+
+void LoopServer::Impl::flush(ServerConnection &Held) {
+  std::size_t Before = Held.m_Output.totalWritten();
+  WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
+  if (Held.m_Output.totalWritten() != Before)
+    Held.m_LastWritten = io::monotonicNow();
+  if (Result == WriteBuffer::Result::Broken)
+    return close(Held.m_Id);
+  bool IsDone = Result == WriteBuffer::Result::Empty;
+  if (IsDone && Held.m_ClosesAfterWrite && Held.m_Exchanges.empty())
+    return close(Held.m_Id);
+  setEvents(Held);
+}
+
+void LoopServer::Impl::setEvents(ServerConnection &Held) {
+  std::uint32_t Events = Held.m_Output.left() > 0 ? EPOLLOUT : 0U;
+  // Reading goes on while requests are under way: it shows that a peer left.
+  if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined)
+    Events |= EPOLLIN;
+  if (Events == Held.m_Events)
+    return;
+  Held.m_Events = Events;
+  m_Loop.rewatch(Held.m_Watch, Events);
+}
+
+void LoopServer::Impl::close(std::uint64_t Id) {
+  auto Found = m_Connections.find(Id);
+  if (Found == m_Connections.end())
+    return;
+  std::unique_ptr<ServerConnection> Held = std::move(Found->second);
+  m_Connections.erase(Found);
+  m_Loop.unwatch(Held->m_Watch);
+  for (const ServerConnection::Exchange &Open : Held->m_Exchanges) {
+    if (Open.m_Answer)
+      continue;
+    --m_Pending;
+    if (m_Settings.m_Hooks.m_OnGone)
+      m_Settings.m_Hooks.m_OnGone({Id, Open.m_Sequence});
+  }
+}
+
+void LoopServer::Impl::beginClosing() {
+  m_IsClosing = true;
+  closeWhere([](const auto &Held) {
+    return Held.m_Exchanges.empty() && Held.m_Output.left() == 0 &&
+           !Held.m_Parser.isInside();
+  });
+}
+
+void LoopServer::Impl::stopAccepting() {
+  if (!m_Listener.isValid())
+    return;
+  m_Loop.unwatch(m_ListenerWatch);
+  io::FileDescriptor Closed = std::move(m_Listener);
+}
+
+std::size_t LoopServer::Impl::unsentBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Id, Held] : m_Connections)
+    Sum += Held->m_Output.left();
+  return Sum;
+}
+
+bool LoopServer::Impl::isOverdue(const ServerConnection &Held,
+                                 absl::Time Now) const {
+  const Limits &Bounds = m_Settings.m_Limits;
+  if (Held.m_Output.left() > 0)
+    return Now - Held.m_LastWritten > Bounds.m_WriteTimeout;
+  if (Held.m_Parser.isInside())
+    return Now - Held.m_MessageSince > Bounds.m_HeaderTimeout;
+  return Held.m_Exchanges.empty() &&
+         Now - Held.m_LastActive > Bounds.m_IdleTimeout;
+}
+
+void LoopServer::Impl::closeWhere(
+    const std::function<bool(const ServerConnection &)> &IsDue) {
+  std::vector<std::uint64_t> Due;
+  for (const auto &[Id, Held] : m_Connections)
+    if (IsDue(*Held))
+      Due.push_back(Id);
+  for (std::uint64_t Id : Due)
+    close(Id);
+}
+
+void LoopServer::Impl::sweep() {
+  absl::Time Now = io::monotonicNow();
+  closeWhere([&](const auto &Held) { return isOverdue(Held, Now); });
+  m_Loop.post(
+      [this, IsAlive = m_IsAlive] {
+        if (*IsAlive)
+          sweep();
+      },
+      SweepInterval);
+}
+
+} // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/src/LoopServerImpl.h
@@ -0,0 +1,65 @@
+#ifndef KNAPWEEDLOFT_HTTP_LOOPSERVERIMPL_H
+#define KNAPWEEDLOFT_HTTP_LOOPSERVERIMPL_H
+
+#include "ServerConnection.h"
+#include "http/LoopServer.h"
+#include "io/FileDescriptor.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::http {
+
+class LoopServer::Impl {
+public:
+  Impl(io::EventLoop &Loop, Options Settings);
+  ~Impl();
+
+  void answer(ExchangeId Id, const HttpResponse &Response);
+  void abandon(ExchangeId Id);
+  void beginClosing();
+  void stopAccepting();
+
+  Options m_Settings;
+  std::size_t m_Pending = 0;
+  std::uint16_t m_Port = 0;
+
+  [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
+  [[nodiscard]] std::size_t unsentBytes() const;
+
+private:
+  void accept();
+  void add(io::FileDescriptor Socket, std::string From);
+  void onReady(std::uint64_t Id, std::uint32_t Events);
+  void read(std::uint64_t Id);
+  void takeMessages(std::uint64_t Id);
+  void refuseRest(ServerConnection &Held, ParseState Reason);
+  void flush(ServerConnection &Held);
+  void fillOutput(ServerConnection &Held);
+  void setEvents(ServerConnection &Held);
+  void close(std::uint64_t Id);
+  void closeWhere(const std::function<bool(const ServerConnection &)> &IsDue);
+  void sweep();
+  [[nodiscard]] bool isOverdue(const ServerConnection &Held,
+                               absl::Time Now) const;
+  [[nodiscard]] ServerConnection *find(std::uint64_t Id);
+
+  io::EventLoop &m_Loop;
+  io::FileDescriptor m_Listener;
+  io::EventLoop::WatchId m_ListenerWatch = 0;
+  std::uint64_t m_LastId = 0;
+  bool m_IsClosing = false;
+  std::vector<char> m_ReadBuffer;
+  absl::flat_hash_map<std::uint64_t, std::unique_ptr<ServerConnection>>
+      m_Connections;
+  /// Outlives the server in timers that are left in the loop.
+  std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_LOOPSERVERIMPL_H
--- /dev/null
+++ b/libs/http/src/ServerConnection.h
@@ -0,0 +1,46 @@
+#ifndef KNAPWEEDLOFT_HTTP_SERVERCONNECTION_H
+#define KNAPWEEDLOFT_HTTP_SERVERCONNECTION_H
+
+#include "WriteBuffer.h"
+#include "http/MessageParser.h"
+#include "io/EventLoop.h"
+#include "io/FileDescriptor.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace knapweedloft::http {
+
+/// One accepted connection of a LoopServer.
+struct ServerConnection {
+  /// A request that was handed over; they are answered in order.
+  struct Exchange {
+    std::uint64_t m_Sequence = 0;
+    bool m_IsHead = false;
+    bool m_KeepsOpen = true;
+    std::optional<std::string> m_Answer; ///< Bytes, once it is answered.
+  };
+
+  std::uint64_t m_Id = 0;
+  io::FileDescriptor m_Socket;
+  io::EventLoop::WatchId m_Watch = 0;
+  std::string m_From; ///< The peer's IP number.
+  MessageParser m_Parser;
+  WriteBuffer m_Output;
+  std::deque<Exchange> m_Exchanges;
+  std::uint64_t m_LastSequence = 0;
+  std::uint32_t m_Events = 0;
+  absl::Time m_LastActive; ///< When the last request ended or it was opened.
+  absl::Time m_MessageSince = absl::InfiniteFuture(); ///< A request began.
+  absl::Time m_LastWritten;
+  bool m_ClosesAfterWrite = false;
+  bool m_StopsReading = false; ///< Nothing that follows is looked at.
+};
+
+} // namespace knapweedloft::http
+
+#endif // KNAPWEEDLOFT_HTTP_SERVERCONNECTION_H
--- a/libs/link/src/FileDescriptor.h
+++ b/libs/io/include/io/FileDescriptor.h
@@ -1,10 +1,10 @@
-#ifndef KNAPWEEDLOFT_LINK_FILEDESCRIPTOR_H
-#define KNAPWEEDLOFT_LINK_FILEDESCRIPTOR_H
+#ifndef KNAPWEEDLOFT_IO_FILEDESCRIPTOR_H
+#define KNAPWEEDLOFT_IO_FILEDESCRIPTOR_H
 
 #include <unistd.h>
 #include <utility>
 
-namespace knapweedloft::link {
+namespace knapweedloft::io {
 
 /// Owns a file descriptor and closes it.
 class FileDescriptor {
@@ -29,6 +29,6 @@
   int m_Fd = -1;
 };
 
-} // namespace knapweedloft::link
+} // namespace knapweedloft::io
 
-#endif // KNAPWEEDLOFT_LINK_FILEDESCRIPTOR_H
+#endif // KNAPWEEDLOFT_IO_FILEDESCRIPTOR_H
--- a/libs/link/src/MonotonicClock.h
+++ b/libs/io/include/io/MonotonicClock.h
@@ -1,11 +1,11 @@
-#ifndef KNAPWEEDLOFT_LINK_MONOTONICCLOCK_H
-#define KNAPWEEDLOFT_LINK_MONOTONICCLOCK_H
+#ifndef KNAPWEEDLOFT_IO_MONOTONICCLOCK_H
+#define KNAPWEEDLOFT_IO_MONOTONICCLOCK_H
 
 #include "absl/time/time.h"
 
 #include <ctime>
 
-namespace knapweedloft::link {
+namespace knapweedloft::io {
 
 /// \returns the monotonic clock as a time since boot.
 inline absl::Time monotonicNow() {
@@ -14,6 +14,6 @@
   return absl::TimeFromTimespec(Clock);
 }
 
-} // namespace knapweedloft::link
+} // namespace knapweedloft::io
 
-#endif // KNAPWEEDLOFT_LINK_MONOTONICCLOCK_H
+#endif // KNAPWEEDLOFT_IO_MONOTONICCLOCK_H
--- a/libs/link/src/Sockets.h
+++ b/libs/io/include/io/Sockets.h
@@ -1,13 +1,13 @@
-#ifndef KNAPWEEDLOFT_LINK_SOCKETS_H
-#define KNAPWEEDLOFT_LINK_SOCKETS_H
+#ifndef KNAPWEEDLOFT_IO_SOCKETS_H
+#define KNAPWEEDLOFT_IO_SOCKETS_H
 
-#include "FileDescriptor.h"
+#include "io/FileDescriptor.h"
 #include "model/Endpoint.h"
 
-namespace knapweedloft::link {
+namespace knapweedloft::io {
 
 /// Binds a non-blocking listening socket.
-/// \throws LinkError if \p At is not an IP number or cannot be bound.
+/// \throws IoError if \p At is not an IP number or cannot be bound.
 FileDescriptor listenOn(const model::Endpoint &At);
 
 /// Begins a non-blocking connect.
@@ -23,6 +23,6 @@
 /// Sends small frames at once instead of waiting for more bytes.
 void setNoDelay(int Socket);
 
-} // namespace knapweedloft::link
+} // namespace knapweedloft::io
 
-#endif // KNAPWEEDLOFT_LINK_SOCKETS_H
+#endif // KNAPWEEDLOFT_IO_SOCKETS_H
--- a/libs/link/src/EventLoop.cpp
+++ b/libs/io/src/EventLoop.cpp
@@ -1,7 +1,7 @@
-#include "EventLoop.h"
+#include "io/EventLoop.h"
 
-#include "MonotonicClock.h"
-#include "link/LinkError.h"
+#include "io/IoError.h"
+#include "io/MonotonicClock.h"
 
 #include <algorithm>
 #include <array>
@@ -10,30 +10,27 @@
 #include <sys/eventfd.h>
 #include <utility>
 
-namespace knapweedloft::link {
+namespace knapweedloft::io {
 namespace {
 
 constexpr std::uint64_t WakeToken = UINT64_MAX;
 constexpr std::size_t MaxEventsARound = 256;
 constexpr std::int64_t MaxWaitMs = 60'000;
 
-void control(int Epoll, int Operation, int Fd, std::uint32_t Events,
-             std::uint64_t Token) {
-  epoll_event Event{};
-  Event.events = Events;
-  Event.data.u64 = Token;
-  if (::epoll_ctl(Epoll, Operation, Fd, &Event) != 0)
-    throw LinkError("cannot watch a socket");
+constexpr unsigned GenerationShift = 32;
+
+EventLoop::WatchId watchIdOf(std::uint32_t Index, std::uint32_t Generation) {
+  return (static_cast<std::uint64_t>(Generation) << GenerationShift) | Index;
 }
 
 } // namespace
 
-EventLoop::EventLoop(IoHandler OnReady)
-    : m_OnReady(std::move(OnReady)), m_Epoll(::epoll_create1(EPOLL_CLOEXEC)),
+EventLoop::EventLoop()
+    : m_Epoll(::epoll_create1(EPOLL_CLOEXEC)),
       m_Wake(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
   if (!m_Epoll.isValid() || !m_Wake.isValid())
-    throw LinkError("cannot set up epoll");
-  watch(m_Wake.get(), EPOLLIN, WakeToken);
+    throw IoError("cannot set up epoll");
+  control(EPOLL_CTL_ADD, m_Wake.get(), EPOLLIN, WakeToken);
 }
 
 EventLoop::~EventLoop() { stop(); }
@@ -53,12 +50,53 @@
     m_Thread.join();
 }
 
-void EventLoop::watch(int Fd, std::uint32_t Events, std::uint64_t Token) {
-  control(m_Epoll.get(), EPOLL_CTL_ADD, Fd, Events, Token);
+EventLoop::Slot *EventLoop::find(WatchId Watch) {
+  auto Index = static_cast<std::uint32_t>(Watch);
+  if (Index >= m_Slots.size())
+    return nullptr;
+  Slot &Found = m_Slots[Index];
+  bool IsSame = Found.m_Generation == Watch >> GenerationShift;
+  return IsSame && Found.m_Fd >= 0 ? &Found : nullptr;
+}
+
+void EventLoop::control(int Operation, int Fd, std::uint32_t Events,
+                        WatchId Watch) {
+  epoll_event Event{};
+  Event.events = Events;
+  Event.data.u64 = Watch;
+  if (::epoll_ctl(m_Epoll.get(), Operation, Fd, &Event) != 0)
+    throw IoError("cannot watch a socket");
+}
+
+EventLoop::WatchId EventLoop::watch(int Fd, std::uint32_t Events,
+                                    IoHook OnReady) {
+  if (m_Free.empty()) {
+    m_Free.push_back(static_cast<std::uint32_t>(m_Slots.size()));
+    m_Slots.emplace_back();
+  }
+  std::uint32_t Index = m_Free.back();
+  Slot &Next = m_Slots[Index];
+  WatchId Watch = watchIdOf(Index, Next.m_Generation);
+  control(EPOLL_CTL_ADD, Fd, Events, Watch);
+  m_Free.pop_back();
+  Next.m_Fd = Fd;
+  Next.m_OnReady = std::move(OnReady);
+  return Watch;
 }
 
-void EventLoop::rewatch(int Fd, std::uint32_t Events, std::uint64_t Token) {
-  control(m_Epoll.get(), EPOLL_CTL_MOD, Fd, Events, Token);
+void EventLoop::rewatch(WatchId Watch, std::uint32_t Events) {
+  if (const Slot *Found = find(Watch))
+    control(EPOLL_CTL_MOD, Found->m_Fd, Events, Watch);
+}
+
+void EventLoop::unwatch(WatchId Watch) {
+  Slot *Found = find(Watch);
+  if (!Found)
+    return;
+  ::epoll_ctl(m_Epoll.get(), EPOLL_CTL_DEL, Found->m_Fd, nullptr);
+  Found->m_Fd = -1;
+  ++Found->m_Generation;
+  m_Freed.push_back(static_cast<std::uint32_t>(Watch));
 }
 
 void EventLoop::post(Task Run, absl::Duration Delay) {
@@ -103,15 +141,24 @@
   int Count =
       ::epoll_wait(m_Epoll.get(), Events.data(), MaxEventsARound, TimeoutMs);
   for (int Index = 0; Index < Count; ++Index) {
-    if (Events[Index].data.u64 != WakeToken) {
-      m_OnReady(Events[Index].data.u64, Events[Index].events);
-      continue;
-    }
-    absl::MutexLock Lock(&m_Mutex);
-    eventfd_t Ignored = 0;
-    ::eventfd_read(m_Wake.get(), &Ignored);
-    m_IsWoken = false;
+    WatchId Watch = Events[Index].data.u64;
+    if (Watch == WakeToken)
+      readWake();
+    else if (Slot *Ready = find(Watch))
+      Ready->m_OnReady(Events[Index].events);
   }
+  for (std::uint32_t Index : m_Freed) {
+    m_Slots[Index].m_OnReady = nullptr;
+    m_Free.push_back(Index);
+  }
+  m_Freed.clear();
+}
+
+void EventLoop::readWake() {
+  absl::MutexLock Lock(&m_Mutex);
+  eventfd_t Ignored = 0;
+  ::eventfd_read(m_Wake.get(), &Ignored);
+  m_IsWoken = false;
 }
 
 void EventLoop::runTasks() {
@@ -146,4 +193,4 @@
   ::eventfd_write(m_Wake.get(), 1);
 }
 
-} // namespace knapweedloft::link
+} // namespace knapweedloft::io
--- a/libs/link/src/Sockets.cpp
+++ b/libs/io/src/Sockets.cpp
@@ -1,6 +1,6 @@
-#include "Sockets.h"
+#include "io/Sockets.h"
 
-#include "link/LinkError.h"
+#include "io/IoError.h"
 
 #include "fmt/format.h"
 
@@ -12,7 +12,7 @@
 #include <optional>
 #include <sys/socket.h>
 
-namespace knapweedloft::link {
+namespace knapweedloft::io {
 namespace {
 
 constexpr int ListenBacklog = 1024;
@@ -56,14 +56,14 @@
 FileDescriptor listenOn(const model::Endpoint &At) {
   auto Address = parse(At);
   if (!Address)
-    throw LinkError(fmt::format("not an IP number: {}", At.m_Address));
+    throw IoError(fmt::format("not an IP number: {}", At.m_Address));
   FileDescriptor Socket = newSocket(*Address);
   int One = 1;
   ::setsockopt(Socket.get(), SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   if (::bind(Socket.get(), Address->get(), Address->m_Size) != 0 ||
       ::listen(Socket.get(), ListenBacklog) != 0)
-    throw LinkError(fmt::format("cannot listen on {}:{}: {}", At.m_Address,
-                                At.m_Port, std::strerror(errno)));
+    throw IoError(fmt::format("cannot listen on {}:{}: {}", At.m_Address,
+                              At.m_Port, std::strerror(errno)));
   return Socket;
 }
 
@@ -108,4 +108,4 @@
   ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
 }
 
-} // namespace knapweedloft::link
+} // namespace knapweedloft::io
--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_LINK_LINKNODE_H
 #define KNAPWEEDLOFT_LINK_LINKNODE_H
 
+#include "io/EventLoop.h"
 #include "link/LinkPace.h"
 #include "link/LinkTraffic.h"
 #include "link/generated/link_generated.h"
@@ -65,6 +66,9 @@
     std::size_t m_MaxFrameBytes = 4 << 20;
     std::size_t m_MaxQueuedBytes = 16 << 20; ///< A link; past it send() fails.
     std::size_t m_MaxLinks = 4096;
+    /// The loop that the node runs on; null: one on a thread of its own. A
+    /// node on a shared loop belongs to the thread of that loop.
+    io::EventLoop *m_Loop = nullptr;
     Hooks m_Hooks;
   };
 
--- a/libs/link/src/Connection.h
+++ b/libs/link/src/Connection.h
@@ -1,10 +1,11 @@
 #ifndef KNAPWEEDLOFT_LINK_CONNECTION_H
 #define KNAPWEEDLOFT_LINK_CONNECTION_H
 
-#include "FileDescriptor.h"
 #include "FrameBuffer.h"
 #include "SendQueue.h"
 #include "SilenceMonitor.h"
+#include "io/EventLoop.h"
+#include "io/FileDescriptor.h"
 #include "link/LinkNode.h"
 
 #include <cstdint>
@@ -22,7 +23,7 @@
     Up
   };
 
-  Connection(PeerHandle Link, FileDescriptor Socket, Phase Start,
+  Connection(PeerHandle Link, io::FileDescriptor Socket, Phase Start,
              std::size_t MaxQueuedBytes, absl::Duration SilentAfter,
              absl::Time Now)
       : m_Link(Link), m_Socket(std::move(Socket)), m_Phase(Start),
@@ -38,7 +39,8 @@
   static constexpr std::size_t MaxGreetingBytes = 4096;
 
   PeerHandle m_Link;
-  FileDescriptor m_Socket;
+  io::FileDescriptor m_Socket;
+  io::EventLoop::WatchId m_Watch = 0;
   Phase m_Phase;
   FrameBuffer m_Incoming;
   std::shared_ptr<SendQueue> m_Outgoing;
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -11,7 +11,7 @@
 
 LinkNode::~LinkNode() = default;
 
-void LinkNode::stop() { m_Impl->loop().stop(); }
+void LinkNode::stop() { m_Impl->stop(); }
 
 const model::Endpoint &LinkNode::endpoint() const { return m_Impl->endpoint(); }
 
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -2,8 +2,10 @@
 
 #include "EnvelopeCodec.h"
 #include "Greeting.h"
-#include "MonotonicClock.h"
-#include "Sockets.h"
+#include "io/IoError.h"
+#include "io/MonotonicClock.h"
+#include "io/Sockets.h"
+#include "link/LinkError.h"
 
 #include <cerrno>
 #include <sys/epoll.h>
@@ -13,7 +15,6 @@
 namespace knapweedloft::link {
 namespace {
 
-constexpr std::uint64_t ListenerToken = UINT64_MAX - 1;
 /// How long the listener rests when the process is out of descriptors.
 constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
 constexpr int MaxAcceptsARound = 64;
@@ -24,20 +25,39 @@
 /// Frames of one link are handled for this long at most in a round.
 constexpr int MaxReadsARound = 4;
 
+io::FileDescriptor listenAt(const model::Endpoint &At) {
+  try {
+    return io::listenOn(At);
+  } catch (const io::IoError &Error) {
+    throw LinkError(Error.what());
+  }
+}
+
 } // namespace
 
 LinkNode::Impl::Impl(Options Settings)
     : m_Settings(std::move(Settings)),
-      m_Loop([this](std::uint64_t Token, std::uint32_t Events) {
-        onReady(Token, Events);
-      }),
-      m_Listener(listenOn(m_Settings.m_Self.m_Link)) {
-  m_Settings.m_Self.m_Link.m_Port = localEndpoint(m_Listener.get()).m_Port;
-  m_Loop.watch(m_Listener.get(), EPOLLIN, ListenerToken);
-  m_Loop.start("link");
+      m_OwnLoop(m_Settings.m_Loop ? nullptr
+                                  : std::make_unique<io::EventLoop>()),
+      m_Loop(m_OwnLoop ? *m_OwnLoop : *m_Settings.m_Loop),
+      m_Listener(listenAt(m_Settings.m_Self.m_Link)) {
+  m_Settings.m_Self.m_Link.m_Port = io::localEndpoint(m_Listener.get()).m_Port;
+  m_ListenerWatch = m_Loop.watch(m_Listener.get(), EPOLLIN,
+                                 [this](std::uint32_t) { accept(); });
+  if (m_OwnLoop)
+    m_OwnLoop->start("link");
 }
 
-LinkNode::Impl::~Impl() { m_Loop.stop(); }
+LinkNode::Impl::~Impl() { stop(); }
+
+void LinkNode::Impl::stop() {
+  if (m_OwnLoop)
+    return m_OwnLoop->stop();
+  m_Loop.unwatch(m_ListenerWatch);
+  m_Listener = {};
+  while (!m_Connections.empty())
+    end(m_Connections.begin()->first, LinkEnd::Local);
+}
 
 bool LinkNode::Impl::send(PeerHandle Link, const wire::EnvelopeT &Envelope) {
   auto Queue = m_Table.find(Link);
@@ -56,7 +76,7 @@
 void LinkNode::Impl::open(const model::Endpoint &To) {
   if (m_Connections.size() >= m_Settings.m_MaxLinks)
     return failOpen(To, LinkEnd::Refused);
-  FileDescriptor Socket = connectTo(To);
+  io::FileDescriptor Socket = io::connectTo(To);
   if (!Socket.isValid())
     return failOpen(To, LinkEnd::Refused);
   Connection *Peer = add(std::move(Socket), Connection::Phase::Connecting);
@@ -65,8 +85,7 @@
   Peer->m_IsOpener = true;
   Peer->m_To = To;
   Peer->m_IsWriteBlocked = true;
-  m_Loop.rewatch(Peer->m_Socket.get(), EPOLLIN | EPOLLOUT,
-                 Peer->m_Link.m_Index);
+  m_Loop.rewatch(Peer->m_Watch, EPOLLIN | EPOLLOUT);
 }
 
 void LinkNode::Impl::failOpen(const model::Endpoint &To, LinkEnd Reason) {
@@ -74,10 +93,7 @@
     m_Settings.m_Hooks.m_OnConnectFailed(To, Reason);
 }
 
-void LinkNode::Impl::onReady(std::uint64_t Token, std::uint32_t Events) {
-  if (Token == ListenerToken)
-    return accept();
-  PeerHandle Link{static_cast<std::uint32_t>(Token)};
+void LinkNode::Impl::onReady(PeerHandle Link, std::uint32_t Events) {
   Connection *Peer = find(Link);
   if (!Peer)
     return;
@@ -91,49 +107,49 @@
 
 void LinkNode::Impl::accept() {
   for (int Count = 0; Count < MaxAcceptsARound; ++Count) {
-    FileDescriptor Socket(::accept4(m_Listener.get(), nullptr, nullptr,
-                                    SOCK_NONBLOCK | SOCK_CLOEXEC));
+    io::FileDescriptor Socket(::accept4(m_Listener.get(), nullptr, nullptr,
+                                        SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!Socket.isValid() && (errno == EMFILE || errno == ENFILE))
       return refuseAccept();
     if (!Socket.isValid())
       return;
     if (m_Connections.size() >= m_Settings.m_MaxLinks)
       continue;
-    setNoDelay(Socket.get());
+    io::setNoDelay(Socket.get());
     Connection *Peer = add(std::move(Socket), Connection::Phase::Greeting);
     if (Peer)
-      queue(*Peer, helloOf(m_Settings.m_Self, monotonicNow()));
+      queue(*Peer, helloOf(m_Settings.m_Self, io::monotonicNow()));
   }
 }
 
 void LinkNode::Impl::refuseAccept() {
-  m_Loop.rewatch(m_Listener.get(), 0, ListenerToken);
-  m_Loop.post(
-      [this] { m_Loop.rewatch(m_Listener.get(), EPOLLIN, ListenerToken); },
-      AcceptRest);
+  m_Loop.rewatch(m_ListenerWatch, 0);
+  m_Loop.post([this] { m_Loop.rewatch(m_ListenerWatch, EPOLLIN); }, AcceptRest);
 }
 
-Connection *LinkNode::Impl::add(FileDescriptor Socket,
+Connection *LinkNode::Impl::add(io::FileDescriptor Socket,
                                 Connection::Phase Start) {
   if (m_NextIndex == PeerHandle::Invalid)
     return nullptr;
   PeerHandle Link{m_NextIndex++};
   auto Peer = std::make_unique<Connection>(
       Link, std::move(Socket), Start, m_Settings.m_MaxQueuedBytes,
-      m_Settings.m_SilentAfter, monotonicNow());
+      m_Settings.m_SilentAfter, io::monotonicNow());
   Connection *Added = Peer.get();
-  m_Loop.watch(Added->m_Socket.get(), EPOLLIN, Link.m_Index);
+  Added->m_Watch = m_Loop.watch(
+      Added->m_Socket.get(), EPOLLIN,
+      [this, Link](std::uint32_t Events) { onReady(Link, Events); });
   m_Connections[Link] = std::move(Peer);
   m_Loop.post([this, Link] { endUnlessUp(Link); }, m_Settings.m_ConnectTimeout);
   return Added;
 }
 
 void LinkNode::Impl::onConnected(Connection &Peer) {
-  if (pendingError(Peer.m_Socket.get()) != 0)
+  if (io::pendingError(Peer.m_Socket.get()) != 0)
     return end(Peer.m_Link, LinkEnd::Refused);
   Peer.m_Phase = Connection::Phase::Greeting;
   watchWrites(Peer, false);
-  queue(Peer, helloOf(m_Settings.m_Self, monotonicNow()));
+  queue(Peer, helloOf(m_Settings.m_Self, io::monotonicNow()));
 }
 
 void LinkNode::Impl::read(PeerHandle Link) {
@@ -149,7 +165,7 @@
     if (Bytes <= 0)
       return end(Link, LinkEnd::Closed);
     Peer->m_Incoming.commit(static_cast<std::size_t>(Bytes));
-    Peer->m_Monitor.onReceived(monotonicNow());
+    Peer->m_Monitor.onReceived(io::monotonicNow());
     std::span<const std::uint8_t> Frame;
     auto Result = FrameBuffer::Result::Frame;
     while ((Peer = find(Link)) != nullptr &&
@@ -242,7 +258,7 @@
   std::uint32_t Events = EPOLLIN;
   if (IsBlocked)
     Events |= EPOLLOUT;
-  m_Loop.rewatch(Peer.m_Socket.get(), Events, Peer.m_Link.m_Index);
+  m_Loop.rewatch(Peer.m_Watch, Events);
 }
 
 void LinkNode::Impl::endUnlessUp(PeerHandle Link) {
@@ -255,7 +271,7 @@
   Connection *Peer = find(Link);
   if (!Peer)
     return;
-  absl::Time Now = monotonicNow();
+  absl::Time Now = io::monotonicNow();
   if (Peer->m_Monitor.deadline() <= Now) {
     // After a pause of this process the peer's bytes may wait unread.
     read(Link);
@@ -287,8 +303,8 @@
   Peer.m_Monitor.setLimit(m_Settings.m_SilentAfter *
                           (IsContent ? RelaxedFactor : 1));
   if (!Peer.isRelaxed())
-    Peer.m_NextBeat = std::min(Peer.m_NextBeat,
-                               monotonicNow() + m_Settings.m_HeartbeatInterval);
+    Peer.m_NextBeat = std::min(
+        Peer.m_NextBeat, io::monotonicNow() + m_Settings.m_HeartbeatInterval);
 }
 
 void LinkNode::Impl::beat(Connection &Peer, absl::Time Now) {
@@ -318,6 +334,7 @@
     return;
   std::unique_ptr<Connection> Peer = std::move(Found->second);
   m_Connections.erase(Found);
+  m_Loop.unwatch(Peer->m_Watch);
   m_Table.erase(Link);
   Peer->m_Outgoing->close();
   if (Peer->m_Phase == Connection::Phase::Up) {
--- a/libs/link/src/LinkNodeImpl.h
+++ b/libs/link/src/LinkNodeImpl.h
@@ -2,9 +2,9 @@
 #define KNAPWEEDLOFT_LINK_LINKNODEIMPL_H
 
 #include "Connection.h"
-#include "EventLoop.h"
 #include "LinkTable.h"
 #include "TrafficCounter.h"
+#include "io/EventLoop.h"
 #include "link/LinkNode.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -24,7 +24,9 @@
   [[nodiscard]] const model::Endpoint &endpoint() const {
     return m_Settings.m_Self.m_Link;
   }
-  EventLoop &loop() { return m_Loop; }
+  io::EventLoop &loop() { return m_Loop; }
+  /// Ends all links. On the thread of a shared loop, from any thread else.
+  void stop();
 
   /// From any thread.
   bool send(PeerHandle Link, const wire::EnvelopeT &Envelope);
@@ -37,10 +39,10 @@
   [[nodiscard]] LinkTraffic traffic() const { return m_Traffic.read(); }
 
 private:
-  void onReady(std::uint64_t Token, std::uint32_t Events);
+  void onReady(PeerHandle Link, std::uint32_t Events);
   void accept();
   void refuseAccept();
-  Connection *add(FileDescriptor Socket, Connection::Phase Start);
+  Connection *add(io::FileDescriptor Socket, Connection::Phase Start);
   void failOpen(const model::Endpoint &To, LinkEnd Reason);
 
   void onConnected(Connection &Peer);
@@ -61,8 +63,10 @@
   [[nodiscard]] Connection *find(PeerHandle Link);
 
   Options m_Settings;
-  EventLoop m_Loop;
-  FileDescriptor m_Listener;
+  std::unique_ptr<io::EventLoop> m_OwnLoop; ///< Null: the loop is shared.
+  io::EventLoop &m_Loop;
+  io::FileDescriptor m_Listener;
+  io::EventLoop::WatchId m_ListenerWatch = 0;
   LinkTable m_Table;
   TrafficCounter m_Traffic;
   absl::flat_hash_map<PeerHandle, std::unique_ptr<Connection>> m_Connections;
--- a/libs/link/tests/RawSocket.h
+++ b/libs/link/tests/RawSocket.h
@@ -1,7 +1,7 @@
 #ifndef KNAPWEEDLOFT_LINK_RAWSOCKET_H
 #define KNAPWEEDLOFT_LINK_RAWSOCKET_H
 
-#include "FileDescriptor.h"
+#include "io/FileDescriptor.h"
 #include "link/LinkError.h"
 #include "model/Endpoint.h"
 
@@ -15,10 +15,10 @@
 /// A blocking TCP socket on 127.0.0.1 that says whatever a test wants.
 class RawSocket {
 public:
-  explicit RawSocket(FileDescriptor Socket) : m_Socket(std::move(Socket)) {}
+  explicit RawSocket(io::FileDescriptor Socket) : m_Socket(std::move(Socket)) {}
 
   static RawSocket connect(const model::Endpoint &To) {
-    RawSocket Result(FileDescriptor(::socket(AF_INET, SOCK_STREAM, 0)));
+    RawSocket Result(io::FileDescriptor(::socket(AF_INET, SOCK_STREAM, 0)));
     sockaddr_in Address = loopback(To.m_Port);
     if (::connect(Result.get(), reinterpret_cast<sockaddr *>(&Address),
                   sizeof(Address)) != 0)
@@ -27,7 +27,7 @@
   }
 
   static RawSocket listen() {
-    RawSocket Result(FileDescriptor(::socket(AF_INET, SOCK_STREAM, 0)));
+    RawSocket Result(io::FileDescriptor(::socket(AF_INET, SOCK_STREAM, 0)));
     sockaddr_in Address = loopback(0);
     if (::bind(Result.get(), reinterpret_cast<sockaddr *>(&Address),
                sizeof(Address)) != 0 ||
@@ -37,7 +37,7 @@
   }
 
   RawSocket accept() {
-    return RawSocket(FileDescriptor(::accept(get(), nullptr, nullptr)));
+    return RawSocket(io::FileDescriptor(::accept(get(), nullptr, nullptr)));
   }
 
   [[nodiscard]] int get() const { return m_Socket.get(); }
@@ -83,7 +83,7 @@
     return Address;
   }
 
-  FileDescriptor m_Socket;
+  io::FileDescriptor m_Socket;
 };
 
 } // namespace knapweedloft::link
--- a/libs/link/tests/SilentForwarder.h
+++ b/libs/link/tests/SilentForwarder.h
@@ -56,8 +56,8 @@
 
   model::Endpoint m_To;
   RawSocket m_Listener;
-  RawSocket m_Client{FileDescriptor()};
-  RawSocket m_Server{FileDescriptor()};
+  RawSocket m_Client{io::FileDescriptor()};
+  RawSocket m_Server{io::FileDescriptor()};
   std::atomic<bool> m_IsDroppingToServer = false;
   std::atomic<bool> m_IsDroppingToClient = false;
   std::thread m_Ways[2];
--- /dev/null
+++ b/libs/mesh/src/CatalogIndex.cpp
@@ -0,0 +1,53 @@
+#include "mesh/CatalogIndex.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::mesh {
+
+CatalogIndex::CatalogIndex(Catalog Source) : m_Catalog(std::move(Source)) {
+  for (const CatalogRoute &Route : m_Catalog.m_Routes) {
+    m_Hosts[Route.m_Host].push_back(&Route);
+    m_Routes.emplace(Route.m_Name, &Route);
+  }
+  for (auto &[Host, Routes] : m_Hosts)
+    std::stable_sort(Routes.begin(), Routes.end(),
+                     [](const CatalogRoute *Left, const CatalogRoute *Right) {
+                       return Left->m_PathPrefix.size() >
+                              Right->m_PathPrefix.size();
+                     });
+  for (const CatalogCustomer &Customer : m_Catalog.m_Customers)
+    for (const std::string &Key : Customer.m_Keys)
+      m_Keys.emplace(Key, &Customer);
+  for (const CatalogService &Service : m_Catalog.m_Services)
+    m_Services.emplace(Service.m_Name, &Service);
+}
+
+const CatalogRoute *CatalogIndex::findRoute(std::string_view Host,
+                                            std::string_view Path) const {
+  auto Found = m_Hosts.find(absl::string_view(Host.data(), Host.size()));
+  if (Found == m_Hosts.end())
+    return nullptr;
+  std::string_view Plain = Path.substr(0, Path.find('?'));
+  for (const CatalogRoute *Route : Found->second)
+    if (Plain.starts_with(Route->m_PathPrefix))
+      return Route;
+  return nullptr;
+}
+
+const CatalogRoute *CatalogIndex::routeNamed(std::string_view Name) const {
+  auto Found = m_Routes.find(absl::string_view(Name.data(), Name.size()));
+  return Found == m_Routes.end() ? nullptr : Found->second;
+}
+
+const CatalogCustomer *CatalogIndex::customerOf(std::string_view Key) const {
+  auto Found = m_Keys.find(absl::string_view(Key.data(), Key.size()));
+  return Found == m_Keys.end() ? nullptr : Found->second;
+}
+
+const CatalogService *CatalogIndex::service(std::string_view Name) const {
+  auto Found = m_Services.find(absl::string_view(Name.data(), Name.size()));
+  return Found == m_Services.end() ? nullptr : Found->second;
+}
+
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/src/EntryPath.cpp
@@ -0,0 +1,548 @@
+#include "mesh/EntryPath.h"
+
+#include "app/WireConvert.h"
+#include "http/MessageText.h"
+#include "model/Ran.h"
+
+#include "absl/random/distributions.h"
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <charconv>
+#include <strings.h>
+#include <utility>
+
+namespace knapweedloft::mesh {
+namespace {
+
+using model::Ran;
+using model::RefusalReason;
+
+constexpr int FirstServerError = 500;
+/// Callers honour a time up to this part of what they have left.
+constexpr double ComeBackPart = 1.0 / 3;
+/// The least time after which to come back; less would be a resend at once.
+constexpr absl::Duration LeastComeBack = absl::Milliseconds(100);
+/// Those refused together return over at least this span.
+constexpr absl::Duration ComeBackSpan = absl::Milliseconds(400);
+/// A repeat needs this much time at least.
+constexpr absl::Duration LeastRepeatTime = absl::Milliseconds(20);
+
+/// Calls of targets go before all new work: turning one away wastes what was
+/// done above it.
+constexpr std::uint32_t CallRank = 0;
+constexpr std::uint32_t RanksAPriority = 16;
+
+std::uint32_t rankOf(const CatalogRoute &Route,
+                     const CatalogCustomer *Customer) {
+  std::uint32_t Priority = Route.m_Priority;
+  if (Customer && Customer->m_Priority)
+    Priority = *Customer->m_Priority;
+  return 1 + Priority * RanksAPriority +
+         std::min(Route.m_Priority, RanksAPriority - 1);
+}
+
+std::optional<std::int64_t> wholeNumber(const std::string *Text) {
+  if (Text == nullptr)
+    return std::nullopt;
+  std::int64_t Value = 0;
+  auto Read = std::from_chars(Text->data(), Text->data() + Text->size(), Value);
+  if (Read.ec != std::errc() || Read.ptr != Text->data() + Text->size())
+    return std::nullopt;
+  return Value;
+}
+
+policy::TargetFeedback feedbackOf(const wire::Load &Load) {
+  return {.m_Limit = Load.limit(),
+          .m_InFlight = Load.in_flight(),
+          .m_Queued = Load.queued(),
+          .m_ShedLevel = Load.shed_level(),
+          .m_Latency = absl::Microseconds(Load.latency_us()),
+          .m_IsRamping = Load.is_ramping()};
+}
+
+} // namespace
+
+EntryPath::EntryPath(Options Settings, Reporter Log)
+    : m_Options(std::move(Settings)), m_Log(Log), m_Rates(m_Options.m_Rates) {}
+
+void EntryPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
+  if (m_Catalog)
+    for (const CatalogCustomer &Former : m_Catalog->catalog().m_Customers)
+      if (std::none_of(
+              Catalog->catalog().m_Customers.begin(),
+              Catalog->catalog().m_Customers.end(), [&](const auto &One) {
+                return One.m_Name == Former.m_Name && One.m_PerSecond > 0;
+              }))
+        m_Rates.clearRate(Former.m_Name);
+  for (const CatalogCustomer &Customer : Catalog->catalog().m_Customers)
+    if (Customer.m_PerSecond > 0)
+      m_Rates.setRate(Customer.m_Name,
+                      {Customer.m_PerSecond, std::max(1.0, Customer.m_Burst)},
+                      Now);
+  m_Catalog = std::move(Catalog);
+  m_Wheels.clear();
+}
+
+void EntryPath::onRequest(http::ExchangeId Id, http::ParsedMessage Message,
+                          const std::string &From, absl::Time Now) {
+  ++m_Counts.m_Requests;
+  Pending Next;
+  Next.m_Exchange = Id;
+  Next.m_Message = std::move(Message);
+  Next.m_Catalog = m_Catalog;
+  Next.m_Received = Now;
+  Ending Refused = identify(Next, From, Now);
+  if (Refused.m_Reason != RefusalReason::None) {
+    refuse(Id, Next, Refused, Now);
+    return;
+  }
+  if (Next.m_IsCall)
+    ++m_Counts.m_Calls;
+  Next.m_Service = partOf(*Next.m_Route);
+  Service &Of = serviceOf(Next.m_Service, Now);
+  Of.m_Repeats.deposit();
+  PendingId Number = ++m_LastId;
+  absl::Time End = Next.m_End;
+  m_ByExchange.emplace(Id, Number);
+  Pending &Held = m_Pending.emplace(Number, std::move(Next)).first->second;
+  setAlarm(Number, Held, End + m_Options.m_EndGrace);
+  dispatch(Number, Now);
+}
+
+EntryPath::Ending EntryPath::identify(Pending &Next, const std::string &From,
+                                      absl::Time Now) {
+  const http::HeaderList &Headers = Next.m_Message.m_Headers;
+  if (const std::string *CallId =
+          http::findHeader(Headers, m_Options.m_Dialect.m_CallId))
+    Next.m_CallId = *CallId;
+  if (!m_Catalog)
+    return {RefusalReason::StateStale};
+  const std::string *Host = http::findHeader(Headers, "Host");
+  if (Host)
+    Next.m_Route = m_Catalog->findRoute(*Host, Next.m_Message.m_Path);
+  if (!Next.m_Route)
+    return {RefusalReason::UnknownRoute};
+  Ending Refused = identifyCustomer(Next);
+  if (Refused.m_Reason != RefusalReason::None)
+    return Refused;
+  Next.m_IsCall = !Next.m_Customer && From == m_Options.m_SelfAddress;
+  Next.m_Rank =
+      Next.m_IsCall ? CallRank : rankOf(*Next.m_Route, Next.m_Customer);
+  setTimes(Next, Now);
+  if (Next.m_CallId.empty())
+    return {RefusalReason::BadRequest};
+  if (Now >= Next.m_End)
+    return {RefusalReason::DeadlinePassed};
+  if (Next.m_Customer) {
+    if (!m_Rates.tryTake(Next.m_Customer->m_Name, Now))
+      return {RefusalReason::OverRate,
+              m_Rates.waitFor(Next.m_Customer->m_Name, Now)};
+    Next.m_HasToken = true;
+  }
+  return {};
+}
+
+EntryPath::Ending EntryPath::identifyCustomer(Pending &Next) const {
+  if (Next.m_Route->m_IsOpen || !m_Catalog->hasCustomers())
+    return {};
+  const std::string *Shown =
+      http::findHeader(Next.m_Message.m_Headers, m_Options.m_Dialect.m_Key);
+  const std::string &Scheme = m_Options.m_Dialect.m_KeyScheme;
+  if (!Shown || !Shown->starts_with(Scheme))
+    return {RefusalReason::BadKey};
+  Next.m_Customer =
+      m_Catalog->customerOf(std::string_view(*Shown).substr(Scheme.size()));
+  if (!Next.m_Customer)
+    return {RefusalReason::BadKey};
+  return {};
+}
+
+void EntryPath::setTimes(Pending &Next, absl::Time Now) const {
+  absl::Duration Left = Next.m_Route->m_Timeout;
+  auto Told = wholeNumber(http::findHeader(Next.m_Message.m_Headers,
+                                           m_Options.m_Dialect.m_TimeLeft));
+  Next.m_Deadline = Now + (Told ? absl::Milliseconds(*Told) : Left);
+  Next.m_End = std::min(Next.m_Deadline, Now + Left);
+}
+
+std::string EntryPath::partOf(const CatalogRoute &Route) {
+  if (Route.m_Parts.size() == 1)
+    return Route.m_Parts.front().m_Service;
+  auto Found = m_Wheels.find(Route.m_Name);
+  if (Found == m_Wheels.end()) {
+    std::vector<double> Weights;
+    for (const RoutePart &Part : Route.m_Parts)
+      Weights.push_back(Part.m_Weight);
+    policy::SplitWheel Wheel(Weights, absl::Uniform(m_Random, 0.0, 0.5));
+    Found = m_Wheels.emplace(Route.m_Name, std::move(Wheel)).first;
+  }
+  return Route.m_Parts[Found->second.next()].m_Service;
+}
+
+EntryPath::Service &EntryPath::serviceOf(const std::string &Name,
+                                         absl::Time Now) {
+  auto Found = m_Services.find(Name);
+  if (Found == m_Services.end()) {
+    Service Fresh{.m_Chooser = policy::TargetChooser(
+                      {.m_Region = m_Options.m_Self.m_Region,
+                       .m_DataCenter = m_Options.m_Self.m_DataCenter,
+                       .m_Seed = m_Options.m_Self.m_Incarnation}),
+                  .m_Repeats = policy::RetryBudget(m_Options.m_Repeats)};
+    Found = m_Services.emplace(Name, std::move(Fresh)).first;
+  }
+  refreshTargets(Name, Found->second, Now);
+  return Found->second;
+}
+
+void EntryPath::refreshTargets(const std::string &Name, Service &Of,
+                               absl::Time Now) {
+  if (Of.m_TargetsVersion == m_TargetsVersion)
+    return;
+  Of.m_TargetsVersion = m_TargetsVersion;
+  Of.m_Targets.clear();
+  std::vector<policy::TargetInfo> Infos;
+  for (PeerTarget &Target : m_Options.m_Hooks.m_TargetsOf(Name)) {
+    Infos.push_back({.m_Incarnation = Target.m_Member.m_Incarnation,
+                     .m_Name = Target.m_Member.m_Name,
+                     .m_Region = Target.m_Member.m_Region,
+                     .m_DataCenter = Target.m_Member.m_DataCenter,
+                     .m_IsWithdrawn = !Target.m_IsOpen});
+    Of.m_Targets.emplace(Target.m_Member.m_Incarnation, std::move(Target));
+  }
+  Of.m_Chooser.setTargets(Infos, Now);
+}
+
+void EntryPath::onLoad(const std::string &Name, model::Incarnation Daemon,
+                       const wire::Load &Load, absl::Time Now) {
+  auto Found = m_Services.find(Name);
+  if (Found == m_Services.end())
+    return;
+  if (auto Target = Found->second.m_Chooser.find(Daemon))
+    Found->second.m_Chooser.onLoad(*Target, feedbackOf(Load), Now);
+}
+
+void EntryPath::dispatch(PendingId Id, absl::Time Now) {
+  Pending &Next = m_Pending.at(Id);
+  Service &Of = serviceOf(Next.m_Service, Now);
+  while (true) {
+    auto Target =
+        Of.m_Chooser.choose({.m_Excluded = Next.m_Excluded}, m_Random, Now);
+    if (!Target)
+      break;
+    if (forward(Id, Next, Of, *Target, Now))
+      return;
+    Next.m_Excluded.push_back(*Target);
+  }
+  RefusalReason Reason =
+      Next.m_Refusals > 0 ? RefusalReason::Overloaded : RefusalReason::NoTarget;
+  end(Id, {Next.m_MayHaveRun ? RefusalReason::OutcomeUnknown : Reason}, Now);
+}
+
+bool EntryPath::forward(PendingId Id, Pending &Next, Service &Of,
+                        policy::TargetHandle Target, absl::Time Now) {
+  model::Incarnation Daemon = Of.m_Chooser.info(Target).m_Incarnation;
+  auto Found = Of.m_Targets.find(Daemon);
+  if (Found == Of.m_Targets.end())
+    return false;
+  std::uint64_t Sequence = m_LastSequence + 1;
+  wire::ForwardT Message = makeForward(Next, Found->second, Now);
+  Message.id = {m_Options.m_Self.m_Incarnation, Sequence};
+  if (!m_Options.m_Hooks.m_Forward(Found->second.m_Member, std::move(Message)))
+    return false;
+  m_LastSequence = Sequence;
+  Next.m_Sequence = Sequence;
+  Next.m_Target = Target;
+  Next.m_To = Found->second.m_Member;
+  Next.m_IsSent = true;
+  Next.m_Sent = Now;
+  m_BySequence.emplace(Sequence, Id);
+  Of.m_Chooser.onSent(Target, Now);
+  return true;
+}
+
+http::HeaderList EntryPath::headersFor(const Pending &Next) const {
+  const Dialect &Names = m_Options.m_Dialect;
+  http::HeaderList Headers;
+  Headers.reserve(Next.m_Message.m_Headers.size() + 2);
+  for (const http::HeaderField &Field : Next.m_Message.m_Headers) {
+    bool IsOwn = false;
+    for (const std::string *Set :
+         {&Names.m_Key, &Names.m_Customer, &Names.m_CallerService,
+          &Names.m_TimeLeft, &Names.m_Instance})
+      IsOwn = IsOwn || strcasecmp(Field.m_Name.c_str(), Set->c_str()) == 0;
+    if (!IsOwn && !http::isHopByHop(Field.m_Name))
+      Headers.push_back(Field);
+  }
+  Headers.push_back({Names.m_CallerService, m_Options.m_Self.m_Service});
+  if (Next.m_Customer)
+    Headers.push_back({Names.m_Customer, Next.m_Customer->m_Name});
+  return Headers;
+}
+
+wire::ForwardT EntryPath::makeForward(const Pending &Next, const PeerTarget &To,
+                                      absl::Time Now) const {
+  wire::ForwardT Message;
+  Message.to_incarnation = To.m_Member.m_Incarnation;
+  Message.method = Next.m_Message.m_Method;
+  Message.path = Next.m_Message.m_Path;
+  Message.headers = app::toWire(headersFor(Next));
+  Message.body = app::toBytes(Next.m_Message.m_Body);
+  Message.route = Next.m_Route->m_Name;
+  Message.service = Next.m_Service;
+  if (Next.m_Customer)
+    Message.customer = Next.m_Customer->m_Name;
+  Message.is_idempotent = Next.m_Route->m_IsIdempotent;
+  Message.remaining_us = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, absl::ToInt64Microseconds(Next.m_End - Now)));
+  absl::Duration Aim = Next.m_Received + Next.m_Route->m_Aim - Now;
+  Message.aim_us = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, absl::ToInt64Microseconds(Aim)));
+  Message.call_id = Next.m_CallId;
+  Message.rank = Next.m_Rank;
+  Message.instance = To.m_Instance;
+  return Message;
+}
+
+void EntryPath::onAnswer(wire::AnswerT &Answer, absl::Time Now) {
+  if (Answer.id.entry() != m_Options.m_Self.m_Incarnation)
+    return;
+  auto Found = m_BySequence.find(Answer.id.sequence());
+  if (Found == m_BySequence.end())
+    return; // The request has ended or moved on.
+  PendingId Id = Found->second;
+  m_BySequence.erase(Found);
+  onTargetAnswer(Id, Answer, Now);
+}
+
+void EntryPath::onTargetAnswer(PendingId Id, wire::AnswerT &Answer,
+                               absl::Time Now) {
+  Pending &Held = m_Pending.at(Id);
+  Held.m_IsSent = false;
+  auto Reason = static_cast<RefusalReason>(Answer.refusal);
+  auto DidRun = static_cast<Ran>(Answer.ran);
+  // A refusal that reached the target is the target's failure; one by its
+  // daemon is not.
+  bool HasArrived = DidRun != Ran::No || Answer.status != 0;
+  bool IsFailure = HasArrived && (Reason != RefusalReason::None ||
+                                  Answer.status >= FirstServerError);
+  Service &Of = serviceOf(Held.m_Service, Now);
+  Of.m_Chooser.onAnswer(Held.m_Target, feedbackOf(Answer.load), !IsFailure,
+                        Now - Held.m_Sent, Now);
+  Held.m_Arrivals += HasArrived ? 1 : 0;
+  if (DidRun != Ran::No)
+    Held.m_MayHaveRun = true;
+  if (!IsFailure && Reason == RefusalReason::None) {
+    pass(Id, Answer, Now);
+    return;
+  }
+  onTargetFailure(Id, &Answer, Now);
+}
+
+bool EntryPath::mayRepeat(const Pending &Held, bool DidNotRun, absl::Time Now) {
+  bool IsAllowed = DidNotRun || Held.m_Route->m_IsIdempotent;
+  if (!IsAllowed || Held.m_Arrivals >= Held.m_Route->m_MaxTargets ||
+      Held.m_End - Now < LeastRepeatTime)
+    return false;
+  return serviceOf(Held.m_Service, Now).m_Repeats.tryTake();
+}
+
+void EntryPath::onTargetFailure(PendingId Id, wire::AnswerT *Answer,
+                                absl::Time Now) {
+  Pending &Held = m_Pending.at(Id);
+  bool IsAnswered = Answer && Answer->refusal == 0;
+  bool DidNotRun = Answer && static_cast<Ran>(Answer->ran) == Ran::No;
+  bool HasArrived = !DidNotRun || Answer->status != 0;
+  Held.m_Excluded.push_back(Held.m_Target);
+  if (!HasArrived) {
+    ++m_Counts.m_Reroutes;
+    if (++Held.m_Refusals < m_Options.m_MaxRefusals && Now < Held.m_End) {
+      retry(Id, "refused by a target side", Now);
+      return;
+    }
+  } else if (mayRepeat(Held, DidNotRun && !Held.m_MayHaveRun, Now)) {
+    ++m_Counts.m_Repeats;
+    retry(Id, "failed at a target", Now);
+    return;
+  }
+  if (IsAnswered) {
+    pass(Id, *Answer, Now);
+    return;
+  }
+  Ending How;
+  How.m_Reason = Held.m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                                   : RefusalReason::Overloaded;
+  if (Answer)
+    How.m_ComeBack = absl::Microseconds(Answer->retry_after_us);
+  end(Id, How, Now);
+}
+
+void EntryPath::retry(PendingId Id, const char *Why, absl::Time Now) {
+  const Pending &Held = m_Pending.at(Id);
+  m_Log.notable("Sent to another target.", {{"id", Held.m_CallId},
+                                            {"why", Why},
+                                            {"target", Held.m_To.m_Name},
+                                            {"arrivals", Held.m_Arrivals},
+                                            {"refusals", Held.m_Refusals},
+                                            {"left", Held.m_End - Now}});
+  dispatch(Id, Now);
+}
+
+void EntryPath::pass(PendingId Id, wire::AnswerT &Answer, absl::Time Now) {
+  const Pending &Done = m_Pending.at(Id);
+  http::HttpResponse Response;
+  Response.m_Status = Answer.status;
+  Response.m_Headers = app::fromWire(std::move(Answer.headers));
+  Response.m_Body = app::toText(Answer.body);
+  ++m_Counts.m_Answered;
+  absl::Duration Took = Now - Done.m_Received;
+  m_Counts.m_Latency.add(Took);
+  if (Response.m_Status >= FirstServerError) {
+    ++m_Counts.m_TargetErrors;
+    m_Log.notable("Answered with the target's error.",
+                  {{"id", Done.m_CallId},
+                   {"status", Response.m_Status},
+                   {"route", Done.m_Route->m_Name},
+                   {"target", Done.m_To.m_Name},
+                   {"arrivals", Done.m_Arrivals},
+                   {"took", Took}});
+  } else {
+    m_Log.routine("Answered.", {{"id", Done.m_CallId},
+                                {"status", Response.m_Status},
+                                {"route", Done.m_Route->m_Name},
+                                {"target", Done.m_To.m_Name},
+                                {"took", Took}});
+  }
+  m_Options.m_Hooks.m_Answer(Done.m_Exchange, Response);
+  forget(Id);
+}
+
+absl::Duration EntryPath::comeBackAfter(const Pending &Refused,
+                                        absl::Duration Hint, absl::Time Now) {
+  double Turn = absl::Uniform(m_Random, 0.0, 1.0);
+  absl::Duration From = std::max(Hint, LeastComeBack);
+  absl::Duration After = From + Turn * std::max(From, ComeBackSpan);
+  if (!Refused.m_Route)
+    return After;
+  absl::Duration Most = (Refused.m_Deadline - Now) * ComeBackPart;
+  // What is cut to the most is spread as well.
+  return After <= Most
+             ? After
+             : std::max(absl::ZeroDuration(), Most * (0.5 + Turn / 2));
+}
+
+void EntryPath::end(PendingId Id, const Ending &How, absl::Time Now) {
+  Pending &Done = m_Pending.at(Id);
+  if (Done.m_HasToken && !Done.m_MayHaveRun)
+    m_Rates.putBack(Done.m_Customer->m_Name, Now);
+  refuse(Done.m_Exchange, Done, How, Now);
+  forget(Id);
+}
+
+void EntryPath::refuse(http::ExchangeId Id, const Pending &Refused,
+                       const Ending &How, absl::Time Now) {
+  ++m_Counts.m_Ended[static_cast<std::size_t>(How.m_Reason)];
+  http::HttpResponse Response;
+  Response.m_Status = model::httpStatusOf(How.m_Reason);
+  std::string_view Reason = model::RefusalReasonNames.nameOf(How.m_Reason);
+  std::string_view DidRun =
+      model::RanNames.nameOf(Refused.m_MayHaveRun ? Ran::Unknown : Ran::No);
+  Response.m_Headers = {{"Content-Type", "application/problem+json"}};
+  bool MayComeBack = Response.m_Status == 429 || Response.m_Status == 503;
+  absl::Duration ComeBack;
+  if (MayComeBack) {
+    ComeBack = comeBackAfter(Refused, How.m_ComeBack, Now);
+    Response.m_Headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.3f}", absl::ToDoubleSeconds(ComeBack))});
+  }
+  Response.m_Body =
+      fmt::format(R"({{"reason":"{}","ran":"{}"}})", Reason, DidRun);
+  m_Log.notable(
+      "Refused.",
+      {{"id", Refused.m_CallId},
+       {"reason", Reason},
+       {"ran", DidRun},
+       {"route", Refused.m_Route ? Refused.m_Route->m_Name : ""},
+       {"customer", Refused.m_Customer ? Refused.m_Customer->m_Name : ""},
+       {"config", m_Catalog ? m_Catalog->version() : 0},
+       {"held", Now - Refused.m_Received},
+       {"back", ComeBack}});
+  m_Options.m_Hooks.m_Answer(Id, Response);
+}
+
+void EntryPath::onGone(http::ExchangeId Exchange, absl::Time Now) {
+  auto Found = m_ByExchange.find(Exchange);
+  if (Found == m_ByExchange.end())
+    return;
+  PendingId Id = Found->second;
+  Pending &Held = m_Pending.at(Id);
+  ++m_Counts.m_Gone;
+  if (Held.m_IsSent) {
+    wire::CancelT Cancel;
+    Cancel.id = {m_Options.m_Self.m_Incarnation, Held.m_Sequence};
+    m_Options.m_Hooks.m_Cancel(Held.m_To, Cancel);
+    serviceOf(Held.m_Service, Now).m_Chooser.onCancelled(Held.m_Target);
+  }
+  m_Log.routine("The caller left.", {{"id", Held.m_CallId},
+                                     {"sent", Held.m_IsSent},
+                                     {"held", Now - Held.m_Received}});
+  forget(Id);
+}
+
+void EntryPath::onDaemonLost(model::Incarnation Daemon, absl::Time Now) {
+  std::vector<PendingId> Lost;
+  for (const auto &[Id, Held] : m_Pending)
+    if (Held.m_IsSent && Held.m_To.m_Incarnation == Daemon)
+      Lost.push_back(Id);
+  for (PendingId Id : Lost) {
+    Pending &Held = m_Pending.at(Id);
+    m_BySequence.erase(Held.m_Sequence);
+    Held.m_IsSent = false;
+    Held.m_MayHaveRun = true;
+    ++Held.m_Arrivals;
+    serviceOf(Held.m_Service, Now).m_Chooser.onLost(Held.m_Target, Now);
+    onTargetFailure(Id, nullptr, Now);
+  }
+}
+
+void EntryPath::setAlarm(PendingId Id, Pending &Held, absl::Time When) {
+  Held.m_Alarm = When;
+  m_Alarms.emplace(When, Id);
+}
+
+void EntryPath::tick(absl::Time Now) {
+  while (!m_Alarms.empty() && m_Alarms.begin()->first <= Now)
+    onAlarm(m_Alarms.begin()->second, Now);
+}
+
+void EntryPath::onAlarm(PendingId Id, absl::Time Now) {
+  Pending &Held = m_Pending.at(Id);
+  if (Held.m_IsSent) {
+    Held.m_MayHaveRun = true;
+    wire::CancelT Cancel;
+    Cancel.id = {m_Options.m_Self.m_Incarnation, Held.m_Sequence};
+    m_Options.m_Hooks.m_Cancel(Held.m_To, Cancel);
+    serviceOf(Held.m_Service, Now).m_Chooser.onLost(Held.m_Target, Now);
+  }
+  end(Id, {RefusalReason::DeadlinePassed}, Now);
+}
+
+void EntryPath::forget(PendingId Id) {
+  auto Found = m_Pending.find(Id);
+  Pending &Done = Found->second;
+  m_ByExchange.erase(Done.m_Exchange);
+  if (Done.m_IsSent)
+    m_BySequence.erase(Done.m_Sequence);
+  m_Alarms.erase({Done.m_Alarm, Id});
+  m_Pending.erase(Found);
+}
+
+std::vector<std::string> EntryPath::servicesInUse() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Of] : m_Services)
+    Names.push_back(Name);
+  return Names;
+}
+
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -0,0 +1,340 @@
+#include "NodeImpl.h"
+
+#include "mesh/MemberRecord.h"
+
+#include "absl/random/distributions.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+
+namespace knapweedloft::mesh {
+namespace {
+
+/// Waits and time-outs are found this late at most while there is work.
+constexpr absl::Duration BusyTick = absl::Milliseconds(20);
+constexpr absl::Duration IdleTick = absl::Milliseconds(100);
+constexpr absl::Duration RatesInterval = absl::Milliseconds(250);
+/// A peer is asked for records so often at most.
+constexpr absl::Duration RecordsAskInterval = absl::Milliseconds(200);
+/// A write of the own record that failed is repeated after this.
+constexpr absl::Duration WriteAgainAfter = absl::Milliseconds(500);
+/// A daemon that has its configuration is ready this long after its start,
+/// whoever else it has found.
+constexpr absl::Duration ReadyAfter = absl::Seconds(2);
+/// Callers learn from two questions in a row, one a second, that the daemon
+/// stops; until then their requests are taken.
+constexpr absl::Duration StopNotice = absl::Milliseconds(2300);
+
+template <typename MessageT> MessageT *as(wire::MessageUnion &Message) {
+  return Message.type == wire::MessageUnionTraits<MessageT>::enum_value
+             ? static_cast<MessageT *>(Message.value)
+             : nullptr;
+}
+
+} // namespace
+
+void Node::Impl::start() {
+  m_Log.state("Started.", {{"name", m_Self.m_Name},
+                           {"incarnation", m_Self.m_Incarnation},
+                           {"data_center", m_Self.m_DataCenter},
+                           {"service", m_Self.m_Service},
+                           {"restart", m_Settings.m_IsRestart}});
+  m_Operator->start(io::monotonicNow());
+  writeMember();
+  tick();
+}
+
+void Node::Impl::writeMember() {
+  StoredRecord Own;
+  Own.m_Key = m_Self.m_Name;
+  Own.m_Value = toRecordText(m_Self);
+  m_Ports.m_Store.m_Write(
+      m_Ports.m_MemberTopic, Own, [this](StoreOutcome How, absl::Time Now) {
+        if (How != StoreOutcome::Done) {
+          m_Log.state("The own record was not written.",
+                      {{"how", StoreOutcomeNames.nameOf(How)}});
+          m_Loop.post([this] { writeMember(); },
+                      WriteAgainAfter *
+                          (0.5 + absl::Uniform(m_Random, 0.0, 1.0)));
+        }
+        // Whoever reads after its own record is written either sees another or
+        // is seen by it.
+        if (!m_Members->hasRead())
+          m_Members->start(Now);
+      });
+}
+
+void Node::Impl::onMemberRecord(const StoredRecord &Record, absl::Time Now) {
+  if (Record.m_IsDeleted) {
+    m_Peers->onMemberGone(Record.m_Key);
+    return;
+  }
+  auto Who = memberFromRecord(Record.m_Value);
+  if (!Who || Who->m_Name != Record.m_Key) {
+    m_Log.state("Skipped an unreadable member.",
+                {{"key", Record.m_Key}, {"offset", Record.m_Offset}});
+    return;
+  }
+  m_Peers->onMember(*Who, Now);
+}
+
+void Node::Impl::onOperatorRecord(const StoredRecord &Record, absl::Time Now) {
+  OperatorWord Word = m_Ports.m_Interpret(Record);
+  if (auto *Next = std::get_if<Catalog>(&Word)) {
+    setCatalog(std::move(*Next), Now);
+  } else if (auto *Place = std::get_if<DataCenterWord>(&Word)) {
+    if (Place->m_IsWithdrawn)
+      m_WithdrawnDataCenters.insert(Place->m_DataCenter);
+    else
+      m_WithdrawnDataCenters.erase(Place->m_DataCenter);
+    m_Log.state(
+        Place->m_IsWithdrawn ? "A data centre is withdrawn."
+                             : "A data centre takes part again.",
+        {{"data_center", Place->m_DataCenter}, {"offset", Record.m_Offset}});
+    m_Target->setWithdrawn(m_WithdrawnDataCenters.contains(m_Self.m_DataCenter),
+                           Now);
+  } else if (auto *Broken = std::get_if<UnreadableWord>(&Word)) {
+    m_Log.state("Skipped an unreadable record.", {{"key", Record.m_Key},
+                                                  {"offset", Record.m_Offset},
+                                                  {"why", Broken->m_Why}});
+  }
+}
+
+void Node::Impl::setCatalog(Catalog Next, absl::Time Now) {
+  if (m_Catalog && Next.m_Version <= m_Catalog->version())
+    return;
+  m_Log.state("A configuration is in force.",
+              {{"version", Next.m_Version},
+               {"routes", Next.m_Routes.size()},
+               {"customers", Next.m_Customers.size()}});
+  const CatalogLimits &Limits = Next.m_Limits;
+  m_Callers->setLimits({.m_MaxHeaderBytes = Limits.m_MaxHeaderBytes,
+                        .m_MaxBodyBytes = Limits.m_MaxBodyBytes,
+                        .m_HeaderTimeout = Limits.m_HeaderTimeout,
+                        .m_IdleTimeout = Limits.m_IdleTimeout});
+  m_Catalog = std::make_shared<const CatalogIndex>(std::move(Next));
+  m_Entry->setCatalog(m_Catalog, Now);
+  m_Target->setCatalog(m_Catalog, Now);
+}
+
+void Node::Impl::onUp(link::PeerHandle Link, const model::Member &Who) {
+  m_Peers->onUp(Link, Who, io::monotonicNow());
+  m_Entry->onTargetsChanged();
+  m_Links->send(Link, news());
+}
+
+void Node::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
+  absl::Time Now = io::monotonicNow();
+  const model::Member *Known = m_Peers->memberOf(Link);
+  model::Incarnation Daemon = Known ? Known->m_Incarnation : 0;
+  m_Peers->onDown(Link, Reason, Now);
+  m_Target->onLinkLost(Link, Now);
+  m_Entry->onTargetsChanged();
+  // What was under way on this link may be lost even if another is up.
+  if (Known)
+    m_Entry->onDaemonLost(Daemon, Now);
+}
+
+void Node::Impl::onMessage(link::PeerHandle From, wire::MessageUnion &Message) {
+  absl::Time Now = io::monotonicNow();
+  if (auto *Forward = as<wire::ForwardT>(Message)) {
+    m_Target->onForward(From, *Forward, Now);
+  } else if (auto *Answer = as<wire::AnswerT>(Message)) {
+    m_Entry->onAnswer(*Answer, Now);
+  } else if (auto *Cancel = as<wire::CancelT>(Message)) {
+    m_Target->onCancel({Cancel->id.entry(), Cancel->id.sequence()}, Now);
+  } else if (auto *Beat = as<wire::HeartbeatT>(Message)) {
+    onHeartbeat(From, *Beat, Now);
+  } else if (auto *News = as<wire::TargetNewsT>(Message)) {
+    m_Peers->onNews(From, *News);
+    m_Entry->onTargetsChanged();
+  } else if (auto *Ask = as<wire::StoredRecordsAskT>(Message)) {
+    sendRecords(From, Ask->from);
+  } else if (auto *Records = as<wire::StoredRecordsT>(Message)) {
+    takeRecords(*Records, Now);
+  }
+}
+
+void Node::Impl::onHeartbeat(link::PeerHandle From,
+                             const wire::HeartbeatT &Beat, absl::Time Now) {
+  const model::Member *Peer = m_Peers->memberOf(From);
+  if (!Peer)
+    return;
+  m_Entry->onLoad(Peer->m_Service, Peer->m_Incarnation, Beat.load, Now);
+  for (const auto &Demand : Beat.demands)
+    m_Entry->rates().onDemand(Peer->m_Name, Demand->customer,
+                              Demand->per_second, Now);
+  // The store may be away for this daemon alone.
+  if (Beat.records_end > m_Operator->end() && Now >= m_NextRecordsAsk) {
+    m_NextRecordsAsk = Now + RecordsAskInterval;
+    wire::StoredRecordsAskT Ask;
+    Ask.from = m_Operator->end();
+    m_Links->send(From, Ask);
+  }
+}
+
+void Node::Impl::fillHeartbeat(wire::HeartbeatT &Beat) {
+  Beat.load = m_Target->load();
+  Beat.records_end = m_Operator->end();
+  for (policy::RateShares::Demand &Own :
+       m_Entry->rates().demands(io::monotonicNow())) {
+    auto Demand = std::make_unique<wire::DemandT>();
+    Demand->customer = std::move(Own.m_Customer);
+    Demand->per_second = static_cast<float>(Own.m_PerSecond);
+    Beat.demands.push_back(std::move(Demand));
+  }
+}
+
+void Node::Impl::sendRecords(link::PeerHandle To, std::uint64_t From) {
+  wire::StoredRecordsT Message;
+  Message.end = m_Operator->end();
+  for (StoredRecord &Held : m_Operator->since(From)) {
+    auto Record = std::make_unique<wire::StoredRecordT>();
+    Record->key = std::move(Held.m_Key);
+    Record->value.assign(Held.m_Value.begin(), Held.m_Value.end());
+    Record->is_deleted = Held.m_IsDeleted;
+    Record->offset = Held.m_Offset;
+    Message.records.push_back(std::move(Record));
+  }
+  m_Links->send(To, std::move(Message));
+}
+
+void Node::Impl::takeRecords(const wire::StoredRecordsT &Message,
+                             absl::Time Now) {
+  std::vector<StoredRecord> Records;
+  for (const auto &Told : Message.records)
+    Records.push_back({.m_Key = Told->key,
+                       .m_Value = {Told->value.begin(), Told->value.end()},
+                       .m_IsDeleted = Told->is_deleted,
+                       .m_Offset = Told->offset});
+  m_Operator->take(Records, Now);
+}
+
+bool Node::Impl::forward(const model::Member &To, wire::ForwardT Message) {
+  if (To.m_Incarnation != m_Self.m_Incarnation) {
+    link::PeerHandle Link = m_Peers->linkTo(To);
+    return Link.isValid() && m_Links->send(Link, std::move(Message));
+  }
+  auto Shared = std::make_shared<wire::ForwardT>(std::move(Message));
+  m_Loop.post([this, Shared] {
+    m_Target->onForward(SelfLink, *Shared, io::monotonicNow());
+  });
+  return true;
+}
+
+void Node::Impl::cancel(const model::Member &To, const wire::CancelT &Message) {
+  if (To.m_Incarnation != m_Self.m_Incarnation) {
+    link::PeerHandle Link = m_Peers->linkTo(To);
+    if (Link.isValid())
+      m_Links->send(Link, Message);
+    return;
+  }
+  m_Loop.post([this, Id = Message.id] {
+    m_Target->onCancel({Id.entry(), Id.sequence()}, io::monotonicNow());
+  });
+}
+
+void Node::Impl::answer(link::PeerHandle To, wire::AnswerT Answer) {
+  if (To != SelfLink) {
+    m_Links->send(To, std::move(Answer));
+    return;
+  }
+  auto Shared = std::make_shared<wire::AnswerT>(std::move(Answer));
+  m_Loop.post(
+      [this, Shared] { m_Entry->onAnswer(*Shared, io::monotonicNow()); });
+}
+
+std::vector<PeerTarget>
+Node::Impl::targetsOf(const std::string &Service) const {
+  std::vector<PeerTarget> Targets = m_Peers->targetsOf(Service);
+  if (Service == m_Self.m_Service)
+    Targets.push_back({.m_Member = m_Self,
+                       .m_Instance = m_Target->state().instance(),
+                       .m_IsOpen = m_Target->state().isOpen()});
+  for (PeerTarget &Target : Targets)
+    if (m_WithdrawnDataCenters.contains(Target.m_Member.m_DataCenter))
+      Target.m_IsOpen = false;
+  return Targets;
+}
+
+wire::TargetNewsT Node::Impl::news() const {
+  wire::TargetNewsT News;
+  News.sequence = m_NewsSequence;
+  News.service = m_Self.m_Service;
+  News.instance = m_Target->state().instance();
+  News.is_open = m_Target->state().isOpen();
+  News.is_cold = m_Target->isCold(io::monotonicNow());
+  return News;
+}
+
+void Node::Impl::tellNews(absl::Time /*Now*/) {
+  ++m_NewsSequence;
+  m_Entry->onTargetsChanged();
+  for (link::PeerHandle Link : m_Peers->links())
+    m_Links->send(Link, news());
+}
+
+TargetState::Reception Node::Impl::onTargetReport(const TargetReport &Report) {
+  return m_Target->onReport(Report, io::monotonicNow());
+}
+
+bool Node::Impl::isReady() const {
+  if (!m_Catalog || m_StopBegan != absl::InfiniteFuture())
+    return false;
+  return m_HasMembers || m_Peers->linked() > 0 ||
+         io::monotonicNow() - m_Started > ReadyAfter;
+}
+
+void Node::Impl::beginStop(std::function<void()> OnStopped) {
+  if (m_StopBegan != absl::InfiniteFuture())
+    return;
+  absl::Time Now = io::monotonicNow();
+  m_Log.state("Stopping.",
+              {{"entry", m_Entry->pending()}, {"target", m_Target->pending()}});
+  m_StopBegan = Now;
+  m_OnStopped = std::move(OnStopped);
+  m_Target->stop(Now);
+  m_Callers->beginClosing();
+}
+
+void Node::Impl::checkStopped(absl::Time Now) {
+  if (m_StopBegan == absl::InfiniteFuture() || !m_OnStopped)
+    return;
+  absl::Duration Passed = Now - m_StopBegan;
+  bool IsIdle = m_Entry->pending() == 0 && m_Target->pending() == 0 &&
+                m_Callers->pending() == 0 && m_Callers->unsentBytes() == 0;
+  if (Passed < StopNotice || (!IsIdle && Passed < m_Settings.m_StopWithin))
+    return;
+  m_Log.state("Stopped.", {{"entry", m_Entry->pending()},
+                           {"target", m_Target->pending()},
+                           {"took", Passed}});
+  m_Callers->stopAccepting();
+  std::exchange(m_OnStopped, nullptr)();
+}
+
+void Node::Impl::tick() {
+  absl::Time Now = io::monotonicNow();
+  m_Entry->tick(Now);
+  m_Target->tick(Now);
+  m_Peers->tick(Now);
+  if (Now >= m_NextRates) {
+    m_NextRates = Now + RatesInterval;
+    m_Entry->rates().setDaemons(m_Peers->daemons());
+    m_Entry->rates().update(Now);
+  }
+  if (isReady() != m_WasReady) {
+    m_WasReady = !m_WasReady;
+    m_Log.state(m_WasReady ? "Ready." : "Not ready.",
+                {{"config", m_Catalog ? m_Catalog->version() : 0},
+                 {"peers", m_Peers->linked()},
+                 {"members", m_Peers->daemons()}});
+  }
+  m_EventLog.flush(absl::Now());
+  checkStopped(Now);
+  bool IsBusy = m_Entry->pending() > 0 || m_Target->pending() > 0;
+  m_Loop.post([this] { tick(); }, IsBusy ? BusyTick : IdleTick);
+}
+
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/src/NodeImpl.h
@@ -0,0 +1,100 @@
+#ifndef KNAPWEEDLOFT_MESH_NODEIMPL_H
+#define KNAPWEEDLOFT_MESH_NODEIMPL_H
+
+#include "http/LoopClient.h"
+#include "http/LoopServer.h"
+#include "io/MonotonicClock.h"
+#include "link/LinkNode.h"
+#include "mesh/EntryPath.h"
+#include "mesh/Node.h"
+#include "mesh/PeerLinks.h"
+#include "mesh/RecordFollower.h"
+#include "mesh/TargetPath.h"
+
+#include "absl/container/btree_set.h"
+#include "absl/random/random.h"
+
+#include <memory>
+#include <string>
+
+namespace knapweedloft::mesh {
+
+/// The components of a daemon on one thread and the hooks between them.
+class Node::Impl {
+public:
+  Impl(io::EventLoop &Loop, const NodeSettings &Settings, NodePorts Ports,
+       telemetry::EventLog &Log);
+  ~Impl();
+
+  void start();
+  TargetState::Reception onTargetReport(const TargetReport &Report);
+  [[nodiscard]] bool isReady() const;
+  void beginStop(std::function<void()> OnStopped);
+  [[nodiscard]] std::string metricsText() const;
+
+private:
+  // NodeSetup.cpp
+  void makeEntry();
+  void makeTarget();
+  void makeLinks();
+  void makePeers();
+  void makeFollowers();
+  [[nodiscard]] RecordFollower::Options followerOptions();
+
+  // NodeImpl.cpp
+  void onUp(link::PeerHandle Link, const model::Member &Who);
+  void onDown(link::PeerHandle Link, link::LinkEnd Reason);
+  void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
+  void onHeartbeat(link::PeerHandle From, const wire::HeartbeatT &Beat,
+                   absl::Time Now);
+  void fillHeartbeat(wire::HeartbeatT &Beat);
+  bool forward(const model::Member &To, wire::ForwardT Message);
+  void cancel(const model::Member &To, const wire::CancelT &Message);
+  void answer(link::PeerHandle To, wire::AnswerT Answer);
+  [[nodiscard]] std::vector<PeerTarget>
+  targetsOf(const std::string &Service) const;
+  [[nodiscard]] wire::TargetNewsT news() const;
+  void tellNews(absl::Time Now);
+  void onOperatorRecord(const StoredRecord &Record, absl::Time Now);
+  void setCatalog(Catalog Next, absl::Time Now);
+  void onMemberRecord(const StoredRecord &Record, absl::Time Now);
+  void writeMember();
+  void sendRecords(link::PeerHandle To, std::uint64_t From);
+  void takeRecords(const wire::StoredRecordsT &Message, absl::Time Now);
+  void tick();
+  void checkStopped(absl::Time Now);
+
+  /// Stands for the daemon itself where a link is asked for.
+  static constexpr link::PeerHandle SelfLink{link::PeerHandle::Invalid - 1};
+
+  io::EventLoop &m_Loop;
+  NodeSettings m_Settings;
+  NodePorts m_Ports;
+  telemetry::EventLog &m_EventLog;
+  Reporter m_Log;
+  absl::BitGen m_Random;
+  model::Member m_Self;
+  absl::Time m_Started;
+  std::uint64_t m_NewsSequence = 1;
+  CatalogPtr m_Catalog;
+  absl::btree_set<std::string> m_WithdrawnDataCenters;
+  absl::Time m_NextRecordsAsk = absl::InfinitePast();
+  absl::Time m_NextRates = absl::InfinitePast();
+  absl::Time m_StopBegan = absl::InfiniteFuture();
+  bool m_HasMembers = false;
+  bool m_WasReady = false;
+  std::function<void()> m_OnStopped;
+
+  std::unique_ptr<http::LoopClient> m_Client;
+  std::unique_ptr<link::LinkNode> m_Links;
+  std::unique_ptr<PeerLinks> m_Peers;
+  std::unique_ptr<TargetPath> m_Target;
+  std::unique_ptr<EntryPath> m_Entry;
+  std::unique_ptr<RecordFollower> m_Operator;
+  std::unique_ptr<RecordFollower> m_Members;
+  std::unique_ptr<http::LoopServer> m_Callers;
+};
+
+} // namespace knapweedloft::mesh
+
+#endif // KNAPWEEDLOFT_MESH_NODEIMPL_H
--- /dev/null
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -0,0 +1,79 @@
+#include "NodeImpl.h"
+
+#include "fmt/format.h"
+
+#include <iterator>
+
+namespace knapweedloft::mesh {
+namespace {
+
+void append(std::string &Text, std::string_view Name, double Value) {
+  fmt::format_to(std::back_inserter(Text), "knapweedloft_{} {}\n", Name, Value);
+}
+
+void appendLatency(std::string &Text, std::string_view Name,
+                   const app::LatencyHistogram &Latency) {
+  for (double Share : {0.5, 0.9, 0.99})
+    fmt::format_to(std::back_inserter(Text),
+                   "knapweedloft_{}_seconds{{quantile=\"{}\"}} {}\n", Name,
+                   Share, absl::ToDoubleSeconds(Latency.quantile(Share)));
+  fmt::format_to(std::back_inserter(Text), "knapweedloft_{}_seconds_count {}\n",
+                 Name, Latency.total());
+}
+
+} // namespace
+
+std::string Node::Impl::metricsText() const {
+  std::string Text;
+  const EntryCounts &Entry = m_Entry->counts();
+  append(Text, "entry_requests_total", static_cast<double>(Entry.m_Requests));
+  append(Text, "entry_calls_total", static_cast<double>(Entry.m_Calls));
+  append(Text, "entry_answered_total", static_cast<double>(Entry.m_Answered));
+  append(Text, "entry_target_errors_total",
+         static_cast<double>(Entry.m_TargetErrors));
+  append(Text, "entry_repeats_total", static_cast<double>(Entry.m_Repeats));
+  append(Text, "entry_reroutes_total", static_cast<double>(Entry.m_Reroutes));
+  append(Text, "entry_gone_total", static_cast<double>(Entry.m_Gone));
+  append(Text, "entry_pending", static_cast<double>(m_Entry->pending()));
+  for (std::size_t Index = 0; Index < Entry.m_Ended.size(); ++Index) {
+    if (Entry.m_Ended[Index] == 0)
+      continue;
+    auto Reason = static_cast<model::RefusalReason>(Index);
+    fmt::format_to(std::back_inserter(Text),
+                   "knapweedloft_entry_refused_total{{reason=\"{}\"}} {}\n",
+                   model::RefusalReasonNames.nameOf(Reason),
+                   Entry.m_Ended[Index]);
+  }
+  appendLatency(Text, "entry_latency", Entry.m_Latency);
+  const TargetCounts &Target = m_Target->counts();
+  append(Text, "target_forwards_total", static_cast<double>(Target.m_Forwards));
+  append(Text, "target_started_total", static_cast<double>(Target.m_Started));
+  append(Text, "target_answered_total", static_cast<double>(Target.m_Answered));
+  append(Text, "target_refused_total", static_cast<double>(Target.m_Refused));
+  append(Text, "target_shed_total", static_cast<double>(Target.m_TargetShed));
+  append(Text, "target_broken_total", static_cast<double>(Target.m_Broken));
+  append(Text, "target_cancelled_total",
+         static_cast<double>(Target.m_Cancelled));
+  append(Text, "target_checks_total", static_cast<double>(Target.m_Checks));
+  append(Text, "target_queued", static_cast<double>(m_Target->waiting()));
+  append(Text, "target_open", m_Target->state().isOpen() ? 1 : 0);
+  appendLatency(Text, "target_wait", Target.m_Wait);
+  appendLatency(Text, "target_run", Target.m_Run);
+  append(Text, "config_version",
+         m_Catalog ? static_cast<double>(m_Catalog->version()) : 0);
+  append(Text, "store_reached", m_Operator->isReached() ? 1 : 0);
+  append(Text, "peers_linked", static_cast<double>(m_Peers->linked()));
+  append(Text, "peers_known", static_cast<double>(m_Peers->daemons() - 1));
+  append(Text, "connections_opened_total",
+         static_cast<double>(m_Client->opened()));
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    auto Kind = static_cast<telemetry::Importance>(Index);
+    fmt::format_to(std::back_inserter(Text),
+                   "knapweedloft_log_dropped_total{{kind=\"{}\"}} {}\n",
+                   telemetry::ImportanceNames.nameOf(Kind),
+                   m_EventLog.dropped(Kind));
+  }
+  return Text;
+}
+
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/src/TargetState.cpp
@@ -0,0 +1,99 @@
+#include "mesh/TargetState.h"
+
+#include <algorithm>
+
+namespace knapweedloft::mesh {
+
+bool TargetState::isOutdated(const TargetReport &Report) const {
+  if (m_Instance.empty())
+    return false;
+  bool KnowsBirths = Report.m_BornMs != 0 && m_BornMs != 0;
+  if (KnowsBirths && Report.m_BornMs != m_BornMs)
+    return Report.m_BornMs < m_BornMs;
+  if (Report.m_Instance != m_Instance)
+    return false;
+  // That it leaves is true in whatever order it is told.
+  return Report.m_Sequence <= m_Sequence &&
+         Report.m_Condition == TargetCondition::Ready;
+}
+
+TargetState::Reception TargetState::onReport(const TargetReport &Report,
+                                             absl::Time /*Now*/) {
+  if (Report.m_Condition != TargetCondition::Gone &&
+      (Report.m_Service != m_Settings.m_Service ||
+       Report.m_At != m_Settings.m_At))
+    return Reception::Foreign;
+  if (Report.m_Condition == TargetCondition::Gone &&
+      Report.m_Instance != m_Instance)
+    return m_Instance.empty() ? Reception::Taken : Reception::Outdated;
+  if (isOutdated(Report))
+    return Reception::Outdated;
+  bool IsNewLife = Report.m_Instance != m_Instance ||
+                   (Report.m_BornMs != 0 && Report.m_BornMs != m_BornMs);
+  if (IsNewLife && !m_Instance.empty()) {
+    m_IsLeaving = false;
+    m_NeedsCheck = false; // It began while this process was here.
+  }
+  if (IsNewLife)
+    m_Sequence = 0;
+  m_Instance = Report.m_Instance;
+  if (Report.m_BornMs != 0)
+    m_BornMs = Report.m_BornMs;
+  m_Sequence = std::max(m_Sequence, Report.m_Sequence);
+  if (Report.m_Condition != TargetCondition::Ready)
+    m_IsLeaving = true;
+  m_IsDown = false;
+  return Reception::Taken;
+}
+
+void TargetState::onCheck(const std::string &Instance, bool IsHealthy,
+                          absl::Time /*Now*/) {
+  m_HasCheckFailed = !IsHealthy;
+  if (!IsHealthy)
+    return;
+  if (Instance != m_Instance) {
+    m_IsLeaving = false;
+    m_Sequence = 0;
+    m_BornMs = 0;
+  }
+  m_Instance = Instance;
+  m_NeedsCheck = false;
+  m_IsDown = false;
+}
+
+void TargetState::onOtherInstance(const std::string &Instance) {
+  if (Instance == m_Instance)
+    return;
+  // Until a report or a check tells more of it, it gets nothing.
+  m_Instance = Instance;
+  m_BornMs = 0;
+  m_Sequence = 0;
+  m_IsLeaving = false;
+  m_NeedsCheck = true;
+}
+
+void TargetState::onRefusedConnection() { m_IsDown = true; }
+
+void TargetState::setWithdrawn(bool IsWithdrawn) {
+  m_IsWithdrawn = IsWithdrawn;
+}
+
+TargetGate TargetState::gate() const {
+  if (m_IsStopping)
+    return TargetGate::Stopping;
+  if (m_IsWithdrawn)
+    return TargetGate::Withdrawn;
+  if (m_IsLeaving)
+    return TargetGate::Leaving;
+  if (m_Instance.empty() || m_NeedsCheck)
+    return TargetGate::Unknown;
+  return m_IsDown ? TargetGate::Down : TargetGate::Open;
+}
+
+bool TargetState::wantsCheck() const {
+  if (m_IsStopping || m_IsLeaving)
+    return false;
+  return m_Instance.empty() || m_NeedsCheck || m_IsDown;
+}
+
+} // namespace knapweedloft::mesh
--- a/libs/policy/include/policy/TargetChooser.h
+++ b/libs/policy/include/policy/TargetChooser.h
@@ -61,6 +61,8 @@
                 bool IsSuccess, absl::Duration Latency, absl::Time Now);
   /// A request was sent and no answer will come.
   void onLost(TargetHandle Target, absl::Time Now);
+  /// A request was given up before its answer, for no fault of the target.
+  void onCancelled(TargetHandle Target);
   /// A load that came without an answer, such as with a heartbeat.
   void onLoad(TargetHandle Target, const TargetFeedback &Feedback,
               absl::Time Now);
--- /dev/null
+++ b/libs/policy/src/ColdPacer.cpp
@@ -0,0 +1,47 @@
+#include "policy/ColdPacer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedloft::policy {
+namespace {
+
+constexpr absl::Duration Window = absl::Seconds(1);
+
+std::size_t allowed(double PerSecond) {
+  return static_cast<std::size_t>(std::max(1.0, std::floor(PerSecond)));
+}
+
+} // namespace
+
+void ColdPacer::setCold(absl::Time Until, double PerSecond) {
+  m_Until = Until;
+  m_PerSecond = PerSecond;
+}
+
+void ColdPacer::expire(absl::Time Now) {
+  while (!m_Starts.empty() && m_Starts.front() + Window <= Now)
+    m_Starts.pop_front();
+}
+
+bool ColdPacer::tryStart(absl::Time Now) {
+  expire(Now);
+  if (isCold(Now) && m_Starts.size() >= allowed(m_PerSecond))
+    return false;
+  m_Starts.push_back(Now);
+  return true;
+}
+
+void ColdPacer::note(absl::Time Now) {
+  expire(Now);
+  m_Starts.push_back(Now);
+}
+
+absl::Time ColdPacer::nextStart(absl::Time Now) const {
+  std::size_t Bound = allowed(m_PerSecond);
+  if (!isCold(Now) || m_Starts.size() < Bound)
+    return Now;
+  return std::min(m_Starts[m_Starts.size() - Bound] + Window, m_Until);
+}
+
+} // namespace knapweedloft::policy
--- a/libs/policy/src/TargetChooser.cpp
+++ b/libs/policy/src/TargetChooser.cpp
@@ -29,6 +29,10 @@
   m_Impl->onAnswer(Target, Feedback, IsSuccess, Now);
 }
 
+void TargetChooser::onCancelled(TargetHandle Target) {
+  m_Impl->onCancelled(Target);
+}
+
 void TargetChooser::onLost(TargetHandle Target, absl::Time Now) {
   m_Impl->onLost(Target, Now);
 }
--- a/libs/policy/src/TargetChooserImpl.cpp
+++ b/libs/policy/src/TargetChooserImpl.cpp
@@ -211,6 +211,10 @@
     noteFailure(Target, Now);
 }
 
+void TargetChooser::Impl::onCancelled(TargetHandle Target) {
+  noteAnswered(at(Target));
+}
+
 void TargetChooser::Impl::onLost(TargetHandle Target, absl::Time Now) {
   noteAnswered(at(Target));
   noteFailure(Target, Now);
--- a/libs/policy/src/TargetChooserImpl.h
+++ b/libs/policy/src/TargetChooserImpl.h
@@ -23,6 +23,7 @@
   void onSent(TargetHandle Target);
   void onAnswer(TargetHandle Target, const TargetFeedback &Feedback,
                 bool IsSuccess, absl::Time Now);
+  void onCancelled(TargetHandle Target);
   void onLost(TargetHandle Target, absl::Time Now);
   void onLoad(TargetHandle Target, const TargetFeedback &Feedback,
               absl::Time Now);
