Let entrances admit what the narrowest service below can do

Change: target sides measure work offered against their slots and tell the part of new work to let in; entrances learn which services targets call and refuse the rest at once, urgent and returning requests first. Shares of rates use the demand that was told, not the newer own one.

--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -53,6 +53,7 @@
 void LinkNode::Impl::stop() {
   if (m_OwnLoop)
     return m_OwnLoop->stop();
+  m_Settings.m_Hooks = {};
   m_Loop.unwatch(m_ListenerWatch);
   m_Listener = {};
   while (!m_Connections.empty())
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -11,6 +11,7 @@
 #include "mesh/PeerTarget.h"
 #include "mesh/Reporter.h"
 #include "model/RefusalReason.h"
+#include "policy/DoorOrder.h"
 #include "policy/RateShares.h"
 #include "policy/RetryBudget.h"
 #include "policy/SplitWheel.h"
@@ -55,6 +56,7 @@
     Dialect m_Dialect;
     policy::RetryBudget::Options m_Repeats;
     policy::RateShares::Options m_Rates;
+    policy::DoorOrder::Options m_Door;
     /// Targets tried for a request that each refused it unrun.
     unsigned m_MaxRefusals = 4;
     /// How long past the end of a request's time its target's own answer is
@@ -81,6 +83,15 @@
   void onDaemonLost(model::Incarnation Daemon, absl::Time Now);
   void tick(absl::Time Now);
 
+  /// Turns away new requests, but for calls of the own target, from then on.
+  void stopAfter(absl::Time When) { m_StopsAt = When; }
+
+  /// Looks which services the own target calls. \returns whether that changed.
+  bool updateCalls();
+  [[nodiscard]] const std::vector<std::string> &calledServices() const {
+    return m_CalledServices;
+  }
+
   [[nodiscard]] policy::RateShares &rates() { return m_Rates; }
   [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
   [[nodiscard]] const EntryCounts &counts() const { return m_Counts; }
@@ -116,11 +127,23 @@
     absl::Time m_Sent;
   };
 
+  /// What the target side of one daemon fed back.
+  struct Gauge {
+    double m_Shed = 0; ///< Part of new work not to be let in.
+    double m_Limit = 1;
+    absl::Time m_Heard;
+  };
+
   struct Service {
     policy::TargetChooser m_Chooser;
     policy::RetryBudget m_Repeats;
     std::uint64_t m_TargetsVersion = 0;
     absl::flat_hash_map<model::Incarnation, PeerTarget> m_Targets;
+    std::uint64_t m_Calls = 0; ///< By the own target, since the last look.
+    /// What its targets let in, by daemon, and what they can run.
+    absl::flat_hash_map<model::Incarnation, Gauge> m_Gauges;
+    double m_Admitted = 1; ///< By it and what lies below it.
+    absl::Time m_AdmittedAt = absl::InfinitePast();
   };
 
   struct Ending {
@@ -135,6 +158,14 @@
   [[nodiscard]] std::string partOf(const CatalogRoute &Route);
   Service &serviceOf(const std::string &Name, absl::Time Now);
   void refreshTargets(const std::string &Name, Service &Of, absl::Time Now);
+  void noteLoad(Service &Of, model::Incarnation Daemon, const wire::Load &Load,
+                absl::Time Now);
+  /// \returns the part of new work for \p Name that it and the services below
+  /// it can do.
+  [[nodiscard]] double admittedTo(const std::string &Name, absl::Time Now);
+  [[nodiscard]] double admittedBy(const Service &Of, absl::Time Now) const;
+  [[nodiscard]] bool isReturning(const Pending &Next);
+  [[nodiscard]] bool passesDoor(const Pending &Next, absl::Time Now);
   void dispatch(PendingId Id, absl::Time Now);
   [[nodiscard]] bool forward(PendingId Id, Pending &Next, Service &Of,
                              policy::TargetHandle Target, absl::Time Now);
@@ -170,6 +201,11 @@
   absl::node_hash_map<std::string, Service> m_Services;
   absl::flat_hash_map<std::string, policy::SplitWheel> m_Wheels; ///< By route.
   std::set<std::pair<absl::Time, PendingId>> m_Alarms;
+  policy::DoorOrder m_Door;
+  /// The longest time that callers of a route have given, by route.
+  absl::flat_hash_map<std::string, absl::Duration> m_FullTimes;
+  std::vector<std::string> m_CalledServices;
+  absl::Time m_StopsAt = absl::InfiniteFuture();
   EntryCounts m_Counts;
 };
 
--- a/libs/mesh/include/mesh/PeerTarget.h
+++ b/libs/mesh/include/mesh/PeerTarget.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace knapweedloft::mesh {
 
@@ -13,6 +14,7 @@
   model::Member m_Member;
   std::string m_Instance;
   bool m_IsOpen = false; ///< Takes requests, and its daemon is linked.
+  std::vector<std::string> m_Calls; ///< Services that the target calls.
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -13,6 +13,7 @@
 #include "model/ForwardId.h"
 #include "model/Ran.h"
 #include "model/RefusalReason.h"
+#include "policy/DemandGauge.h"
 #include "policy/WorkGate.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -52,6 +53,7 @@
     Dialect m_Dialect;
     bool m_IsRestart = false;
     policy::WorkGate::Options m_Gate;
+    policy::DemandGauge::Options m_Demand;
     /// A health check that is not answered is over after this.
     absl::Duration m_CheckTimeout = absl::Milliseconds(500);
     /// Time between two health checks; they cost the target a slot each.
@@ -133,6 +135,7 @@
   CatalogPtr m_Catalog;
   TargetState m_State;
   policy::WorkGate m_Gate;
+  policy::DemandGauge m_Demand;
   JobId m_LastJob = 0;
   absl::flat_hash_map<JobId, Run> m_Runs;
   absl::flat_hash_map<model::ForwardId, JobId> m_Jobs;
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -27,6 +27,10 @@
 /// stops; until then their requests are taken.
 constexpr absl::Duration StopNotice = absl::Milliseconds(2300);
 
+/// New requests are turned away from then on. Those read before have the rest
+/// of the platform's grace time.
+constexpr absl::Duration StopIntake = absl::Milliseconds(2800);
+
 template <typename MessageT> MessageT *as(wire::MessageUnion &Message) {
   return Message.type == wire::MessageUnionTraits<MessageT>::enum_value
              ? static_cast<MessageT *>(Message.value)
@@ -178,8 +182,7 @@
 void Node::Impl::fillHeartbeat(wire::HeartbeatT &Beat) {
   Beat.load = m_Target->load();
   Beat.records_end = m_Operator->end();
-  for (policy::RateShares::Demand &Own :
-       m_Entry->rates().demands(io::monotonicNow())) {
+  for (policy::RateShares::Demand &Own : m_Entry->rates().demands()) {
     auto Demand = std::make_unique<wire::DemandT>();
     Demand->customer = std::move(Own.m_Customer);
     Demand->per_second = static_cast<float>(Own.m_PerSecond);
@@ -252,7 +255,8 @@
   if (Service == m_Self.m_Service)
     Targets.push_back({.m_Member = m_Self,
                        .m_Instance = m_Target->state().instance(),
-                       .m_IsOpen = m_Target->state().isOpen()});
+                       .m_IsOpen = m_Target->state().isOpen(),
+                       .m_Calls = m_Entry->calledServices()});
   for (PeerTarget &Target : Targets)
     if (m_WithdrawnDataCenters.contains(Target.m_Member.m_DataCenter))
       Target.m_IsOpen = false;
@@ -266,6 +270,11 @@
   News.instance = m_Target->state().instance();
   News.is_open = m_Target->state().isOpen();
   News.is_cold = m_Target->isCold(io::monotonicNow());
+  for (const std::string &Service : m_Entry->calledServices()) {
+    auto Share = std::make_unique<wire::CallShareT>();
+    Share->service = Service;
+    News.calls.push_back(std::move(Share));
+  }
   return News;
 }
 
@@ -296,6 +305,7 @@
   m_StopBegan = Now;
   m_OnStopped = std::move(OnStopped);
   m_Target->stop(Now);
+  m_Entry->stopAfter(Now + StopIntake);
   m_Callers->beginClosing();
 }
 
@@ -323,6 +333,8 @@
     m_NextRates = Now + RatesInterval;
     m_Entry->rates().setDaemons(m_Peers->daemons());
     m_Entry->rates().update(Now);
+    if (m_Entry->updateCalls())
+      tellNews(Now);
   }
   if (isReady() != m_WasReady) {
     m_WasReady = !m_WasReady;
--- a/libs/mesh/src/PeerLinks.cpp
+++ b/libs/mesh/src/PeerLinks.cpp
@@ -83,6 +83,9 @@
     Known.m_News.is_open = News.is_open;
     Known.m_News.is_cold = News.is_cold;
     Known.m_News.slots = News.slots;
+    Known.m_Calls.clear();
+    for (const auto &Called : News.calls)
+      Known.m_Calls.push_back(Called->service);
   }
 }
 
@@ -126,7 +129,8 @@
       Targets.push_back(
           {.m_Member = Known.m_Member,
            .m_Instance = Known.m_News.instance,
-           .m_IsOpen = Known.m_News.is_open && !Known.m_Links.empty()});
+           .m_IsOpen = Known.m_News.is_open && !Known.m_Links.empty(),
+           .m_Calls = Known.m_Calls});
   return Targets;
 }
 
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -45,7 +45,7 @@
       m_State({.m_Service = m_Options.m_Service,
                .m_At = m_Options.m_At,
                .m_NeedsCheck = m_Options.m_IsRestart}),
-      m_Gate(m_Options.m_Gate),
+      m_Gate(m_Options.m_Gate), m_Demand(m_Options.m_Demand),
       m_NextCheck(m_Options.m_IsRestart ? Now
                                         : Now + m_Options.m_FirstCheckAfter) {}
 
@@ -166,8 +166,10 @@
   // lose most of their worth past their aim.
   Job.m_EndBy =
       IsCall || Aim <= Now ? Next.m_Deadline : std::min(Aim, Next.m_Deadline);
+  // What another target has refused before was counted there.
+  if (Next.m_Message.refusals == 0)
+    m_Demand.onOffered(m_Gate.latencyOf(Job.m_Kind));
   m_Jobs.emplace(Id, Job.m_Id);
-  std::string CallId = Next.m_Message.call_id;
   m_Runs.emplace(Job.m_Id, std::move(Next));
   switch (m_Gate.offer(Job, Now)) {
   case policy::WorkGate::Verdict::Run:
@@ -409,6 +411,7 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
+  m_Demand.update(m_Gate.limit(), Now);
   poll(Now);
   bool IsWanted = m_State.wantsCheck() || (!m_KnowsCold && m_State.isOpen());
   if (IsWanted && !m_IsChecking && Now >= m_NextCheck)
@@ -473,7 +476,7 @@
   return {static_cast<float>(Load.m_Limit),
           Load.m_Running,
           Load.m_Queued,
-          0,
+          static_cast<float>(1 - m_Demand.admitted()),
           static_cast<std::uint32_t>(absl::ToInt64Microseconds(Load.m_Latency)),
           false};
 }
--- a/libs/policy/include/policy/RateShares.h
+++ b/libs/policy/include/policy/RateShares.h
@@ -77,10 +77,13 @@
   [[nodiscard]] absl::Duration waitFor(const std::string &Customer,
                                        absl::Time Now) const;
 
-  /// \returns the own demand for the customers that have any.
-  [[nodiscard]] std::vector<Demand> demands(absl::Time Now);
+  /// \returns what is told to others: the own demand as of the last update(),
+  /// for the customers that have any.
+  [[nodiscard]] std::vector<Demand> demands() const;
 
-  /// Computes the shares anew; to be called a few times a second.
+  /// Computes the shares anew; to be called a few times a second. The own
+  /// demand counts as it was told, not as it is now: if all demands rise at
+  /// once, a daemon that knew its own rise only would take too much.
   void update(absl::Time Now);
 
   /// \returns this daemon's part of the customer's rate, 0 to 1.
@@ -96,8 +99,10 @@
     TokenBucket::Options m_Rate{};
     TokenBucket m_Bucket;
     double m_Share = 1;
-    double m_OwnDemand = 0; ///< Requests a second, decaying average.
-    absl::Time m_Counted;   ///< When m_OwnDemand was last brought up to date.
+    double m_OwnDemand = 0;  ///< Requests a second, decaying average.
+    absl::Time m_Counted;    ///< When m_OwnDemand was last brought up to date.
+    double m_ToldDemand = 0; ///< As of the last update.
+    double m_FormerDemand = 0; ///< As of the one before, as others know it.
     absl::flat_hash_map<std::string, Heard> m_Others;
   };
 
--- /dev/null
+++ b/libs/policy/src/DemandGauge.cpp
@@ -0,0 +1,29 @@
+#include "policy/DemandGauge.h"
+
+#include <algorithm>
+
+namespace knapweedloft::policy {
+namespace {
+
+/// Weight of the newest interval.
+constexpr double Smoothing = 0.5;
+
+} // namespace
+
+void DemandGauge::update(double Slots, absl::Time Now) {
+  if (m_Since == absl::InfinitePast())
+    m_Since = Now;
+  absl::Duration Passed = Now - m_Since;
+  if (Passed < m_Settings.m_Interval)
+    return;
+  double Offered = m_OfferedSeconds / absl::ToDoubleSeconds(Passed);
+  m_Load += Smoothing * (Offered - m_Load);
+  m_OfferedSeconds = 0;
+  m_Since = Now;
+  double Aim = m_Settings.m_Aim * std::max(Slots, 1.0);
+  double Factor = m_Load > 0 ? Aim / m_Load : m_Settings.m_MostRise;
+  Factor = std::clamp(Factor, m_Settings.m_MostCut, m_Settings.m_MostRise);
+  m_Admitted = std::clamp(m_Admitted * Factor, m_Settings.m_Least, 1.0);
+}
+
+} // namespace knapweedloft::policy
--- a/libs/policy/src/RateShares.cpp
+++ b/libs/policy/src/RateShares.cpp
@@ -77,13 +77,11 @@
                                    : Found->second.m_Bucket.waitFor(1, Now);
 }
 
-std::vector<RateShares::Demand> RateShares::demands(absl::Time Now) {
+std::vector<RateShares::Demand> RateShares::demands() const {
   std::vector<Demand> Own;
-  for (auto &[Customer, Of] : m_Accounts) {
-    decay(Of, Now);
-    if (Of.m_OwnDemand >= LeastDemand)
-      Own.push_back({Customer, Of.m_OwnDemand});
-  }
+  for (const auto &[Customer, Of] : m_Accounts)
+    if (Of.m_ToldDemand >= LeastDemand)
+      Own.push_back({Customer, Of.m_ToldDemand});
   return Own;
 }
 
@@ -96,9 +94,10 @@
   double Others = 0;
   for (const auto &[Daemon, Words] : Of.m_Others)
     Others += Words.m_PerSecond;
-  double Sum = Others + Of.m_OwnDemand;
+  double Own = Of.m_FormerDemand;
+  double Sum = Others + Own;
   double Even = 1.0 / static_cast<double>(std::max<std::size_t>(m_Daemons, 1));
-  double ByDemand = Sum > 0 ? Of.m_OwnDemand / Sum : Even;
+  double ByDemand = Sum > 0 ? Own / Sum : Even;
   Of.m_Share =
       m_Settings.m_EvenPart * Even + (1 - m_Settings.m_EvenPart) * ByDemand;
   Of.m_Bucket.setLimits(limitsOf(Of), Now);
@@ -107,6 +106,8 @@
 void RateShares::update(absl::Time Now) {
   for (auto &[Customer, Of] : m_Accounts) {
     decay(Of, Now);
+    Of.m_FormerDemand = Of.m_ToldDemand;
+    Of.m_ToldDemand = Of.m_OwnDemand;
     absl::erase_if(Of.m_Others, [&](const auto &One) {
       return Now - One.second.m_At > m_Settings.m_KeepFor;
     });
