--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -12,7 +12,7 @@
 #include "mesh/Reporter.h"
 #include "model/RefusalReason.h"
 #include "policy/DoorOrder.h"
-#include "policy/RateShares.h"
+#include "policy/RateLedger.h"
 #include "policy/RetryBudget.h"
 #include "policy/SplitWheel.h"
 #include "policy/TargetChooser.h"
@@ -55,7 +55,7 @@
     std::string m_SelfAddress; ///< Calls of the own target come from here.
     Dialect m_Dialect;
     policy::RetryBudget::Options m_Repeats;
-    policy::RateShares::Options m_Rates;
+    policy::RateLedger::Options m_Rates;
     policy::DoorOrder::Options m_Door;
     /// Targets tried for a request that each refused it unrun.
     unsigned m_MaxRefusals = 4;
@@ -92,7 +92,7 @@
     return m_CalledServices;
   }
 
-  [[nodiscard]] policy::RateShares &rates() { return m_Rates; }
+  [[nodiscard]] policy::RateLedger &rates() { return m_Rates; }
   [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
   [[nodiscard]] const EntryCounts &counts() const { return m_Counts; }
   /// \returns the services that requests were sent to.
@@ -190,7 +190,7 @@
   Options m_Options;
   Reporter m_Log;
   CatalogPtr m_Catalog;
-  policy::RateShares m_Rates;
+  policy::RateLedger m_Rates;
   absl::BitGen m_Random;
   PendingId m_LastId = 0;
   std::uint64_t m_LastSequence = 0;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -90,7 +90,8 @@
   for (const CatalogCustomer &Customer : Catalog->catalog().m_Customers)
     if (Customer.m_PerSecond > 0)
       m_Rates.setRate(Customer.m_Name,
-                      {Customer.m_PerSecond, std::max(1.0, Customer.m_Burst)},
+                      {.m_PerSecond = Customer.m_PerSecond,
+                       .m_Burst = std::max(1.0, Customer.m_Burst)},
                       Now);
   m_Catalog = std::move(Catalog);
   m_Wheels.clear();
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -15,7 +15,8 @@
 /// Waits and time-outs are found this late at most while there is work.
 constexpr absl::Duration BusyTick = absl::Milliseconds(20);
 constexpr absl::Duration IdleTick = absl::Milliseconds(100);
-constexpr absl::Duration RatesInterval = absl::Milliseconds(250);
+/// Which services the own target calls is looked at so often.
+constexpr absl::Duration CallsLookInterval = absl::Milliseconds(250);
 /// A peer is asked for records so often at most.
 constexpr absl::Duration RecordsAskInterval = absl::Milliseconds(200);
 /// A write of the own record that failed is repeated after this.
@@ -126,14 +127,17 @@
 void Node::Impl::onUp(link::PeerHandle Link, const model::Member &Who) {
   m_Peers->onUp(Link, Who, io::monotonicNow());
   m_Entry->onTargetsChanged();
+  m_Entry->rates().onDaemon(Who.m_Name, true, io::monotonicNow());
   m_Links->send(Link, news());
+  m_Links->send(Link, spentNews(m_Entry->rates().all()));
 }
 
 void Node::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
   absl::Time Now = io::monotonicNow();
   const model::Member *Known = m_Peers->memberOf(Link);
   model::Incarnation Daemon = Known ? Known->m_Incarnation : 0;
-  m_Peers->onDown(Link, Reason, Now);
+  if (const model::Member *Unheard = m_Peers->onDown(Link, Reason, Now))
+    m_Entry->rates().onDaemon(Unheard->m_Name, false, Now);
   m_Target->onLinkLost(Link, Now);
   m_Entry->onTargetsChanged();
   // What was under way on this link may be lost even if another is up.
@@ -154,6 +158,8 @@
   } else if (auto *News = as<wire::TargetNewsT>(Message)) {
     m_Peers->onNews(From, *News);
     m_Entry->onTargetsChanged();
+  } else if (auto *Spent = as<wire::SpentNewsT>(Message)) {
+    onSpent(From, *Spent, Now);
   } else if (auto *Ask = as<wire::StoredRecordsAskT>(Message)) {
     sendRecords(From, Ask->from);
   } else if (auto *Records = as<wire::StoredRecordsT>(Message)) {
@@ -167,9 +173,6 @@
   if (!Peer)
     return;
   m_Entry->onLoad(Peer->m_Service, Peer->m_Incarnation, Beat.load, Now);
-  for (const auto &Demand : Beat.demands)
-    m_Entry->rates().onDemand(Peer->m_Name, Demand->customer,
-                              Demand->per_second, Now);
   // The store may be away for this daemon alone.
   if (Beat.records_end > m_Operator->end() && Now >= m_NextRecordsAsk) {
     m_NextRecordsAsk = Now + RecordsAskInterval;
@@ -182,12 +185,35 @@
 void Node::Impl::fillHeartbeat(wire::HeartbeatT &Beat) {
   Beat.load = m_Target->load();
   Beat.records_end = m_Operator->end();
-  for (policy::RateShares::Demand &Own : m_Entry->rates().demands()) {
-    auto Demand = std::make_unique<wire::DemandT>();
-    Demand->customer = std::move(Own.m_Customer);
-    Demand->per_second = static_cast<float>(Own.m_PerSecond);
-    Beat.demands.push_back(std::move(Demand));
-  }
+}
+
+wire::SpentNewsT
+Node::Impl::spentNews(const std::vector<policy::RateLedger::Spent> &Spent) {
+  wire::SpentNewsT News;
+  for (const policy::RateLedger::Spent &One : Spent)
+    News.customers.emplace_back(One.m_Customer, One.m_Total);
+  return News;
+}
+
+void Node::Impl::tellSpent(absl::Time Now) {
+  if (!m_Entry->rates().update(Now, m_Random))
+    return;
+  std::vector<policy::RateLedger::Spent> Changed =
+      m_Entry->rates().takeChanged();
+  if (Changed.empty())
+    return;
+  for (link::PeerHandle Link : m_Peers->links())
+    m_Links->send(Link, spentNews(Changed));
+}
+
+void Node::Impl::onSpent(link::PeerHandle From, const wire::SpentNewsT &News,
+                         absl::Time Now) {
+  const model::Member *Peer = m_Peers->memberOf(From);
+  if (!Peer)
+    return;
+  for (const wire::Spent &One : News.customers)
+    m_Entry->rates().onSpent(Peer->m_Name, Peer->m_Incarnation, One.customer(),
+                             One.total(), Now);
 }
 
 void Node::Impl::sendRecords(link::PeerHandle To, std::uint64_t From) {
@@ -329,10 +355,9 @@
   m_Entry->tick(Now);
   m_Target->tick(Now);
   m_Peers->tick(Now);
-  if (Now >= m_NextRates) {
-    m_NextRates = Now + RatesInterval;
-    m_Entry->rates().setDaemons(m_Peers->daemons());
-    m_Entry->rates().update(Now);
+  tellSpent(Now);
+  if (Now >= m_NextCallsLook) {
+    m_NextCallsLook = Now + CallsLookInterval;
     if (m_Entry->updateCalls())
       tellNews(Now);
   }
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -16,6 +16,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace knapweedloft::mesh {
 
@@ -59,6 +60,11 @@
   void setCatalog(Catalog Next, absl::Time Now);
   void onMemberRecord(const StoredRecord &Record, absl::Time Now);
   void writeMember();
+  [[nodiscard]] static wire::SpentNewsT
+  spentNews(const std::vector<policy::RateLedger::Spent> &Spent);
+  void tellSpent(absl::Time Now);
+  void onSpent(link::PeerHandle From, const wire::SpentNewsT &News,
+               absl::Time Now);
   void sendRecords(link::PeerHandle To, std::uint64_t From);
   void takeRecords(const wire::StoredRecordsT &Message, absl::Time Now);
   void tick();
@@ -79,7 +85,7 @@
   CatalogPtr m_Catalog;
   absl::btree_set<std::string> m_WithdrawnDataCenters;
   absl::Time m_NextRecordsAsk = absl::InfinitePast();
-  absl::Time m_NextRates = absl::InfinitePast();
+  absl::Time m_NextCallsLook = absl::InfinitePast();
   absl::Time m_StopBegan = absl::InfiniteFuture();
   bool m_HasMembers = false;
   bool m_WasReady = false;
--- /dev/null
+++ b/libs/policy/src/RateLedger.cpp
@@ -0,0 +1,205 @@
+#include "policy/RateLedger.h"
+
+#include "absl/random/distributions.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweedloft::policy {
+namespace {
+
+/// Part of the burst above which a customer is taken to be inside its rate.
+constexpr double HalfFull = 0.5;
+/// The least of a rate that a daemon goes on by, so that a wait ends.
+constexpr double LeastPart = 0.01;
+
+} // namespace
+
+CustomerHash customerHash(std::string_view Name) {
+  constexpr CustomerHash Offset = 0xcbf29ce484222325;
+  constexpr CustomerHash Prime = 0x100000001b3;
+  CustomerHash Hash = Offset;
+  for (char Character : Name)
+    Hash = (Hash ^ static_cast<unsigned char>(Character)) * Prime;
+  return Hash;
+}
+
+void RateLedger::setRate(const std::string &Customer, const Rate &Limit,
+                         absl::Time Now) {
+  auto Found = m_Accounts.find(Customer);
+  if (Found != m_Accounts.end()) {
+    accrue(Found->second, Now);
+    Found->second.m_Rate = Limit;
+    Found->second.m_Level = std::min(Found->second.m_Level, Limit.m_Burst);
+    return;
+  }
+  Account Fresh;
+  Fresh.m_Rate = Limit;
+  Fresh.m_Level = Limit.m_Burst * m_Settings.m_StartPart;
+  Fresh.m_Updated = Now;
+  Fresh.m_RoundLimit = std::max(1.0, m_Settings.m_FreeTokens);
+  m_Accounts.emplace(Customer, std::move(Fresh));
+  m_Names[customerHash(Customer)] = Customer;
+}
+
+void RateLedger::clearRate(const std::string &Customer) {
+  m_Accounts.erase(Customer);
+  m_Names.erase(customerHash(Customer));
+}
+
+void RateLedger::onDaemon(const std::string &Name, bool IsHeard,
+                          absl::Time Now) {
+  m_Daemons[Name] = {IsHeard, Now};
+}
+
+void RateLedger::onSpent(const std::string &From, std::uint64_t Incarnation,
+                         CustomerHash Customer, double Total, absl::Time Now) {
+  auto Named = m_Names.find(Customer);
+  if (Named == m_Names.end())
+    return;
+  Account &Of = m_Accounts.at(Named->second);
+  Other &Known = Of.m_Others[From];
+  if (Known.m_Incarnation != Incarnation) {
+    // What it took before it was heard is older than this copy, or was taken
+    // since its start, which is no more than its part of the level.
+    Known.m_Incarnation = Incarnation;
+    Known.m_Total = Total;
+    return;
+  }
+  double Taken = Total - Known.m_Total;
+  Known.m_Total = Total;
+  Known.m_PerSecond += Taken / absl::ToDoubleSeconds(m_Settings.m_Over);
+  accrue(Of, Now);
+  Of.m_Level = std::min(Of.m_Level - Taken, Of.m_Rate.m_Burst);
+}
+
+void RateLedger::accrue(Account &Of, absl::Time Now) const {
+  absl::Duration Passed = std::max(Now - Of.m_Updated, absl::ZeroDuration());
+  double Accrued =
+      absl::ToDoubleSeconds(Passed) * Of.m_Rate.m_PerSecond * Of.m_LeftPart;
+  Of.m_Level = std::min(Of.m_Level + Accrued, Of.m_Rate.m_Burst);
+  Of.m_Updated = std::max(Of.m_Updated, Now);
+}
+
+bool RateLedger::tryTake(const std::string &Customer, absl::Time Now) {
+  auto Found = m_Accounts.find(Customer);
+  if (Found == m_Accounts.end())
+    return true;
+  Account &Of = Found->second;
+  accrue(Of, Now);
+  if (Of.m_Level < 1 || Of.m_RoundTaken + 1 > Of.m_RoundLimit)
+    return false;
+  Of.m_Level -= 1;
+  Of.m_RoundTaken += 1;
+  Of.m_OwnTotal += 1;
+  Of.m_OwnPerSecond += 1 / absl::ToDoubleSeconds(m_Settings.m_Over);
+  return true;
+}
+
+void RateLedger::putBack(const std::string &Customer, absl::Time Now) {
+  auto Found = m_Accounts.find(Customer);
+  if (Found == m_Accounts.end())
+    return;
+  Account &Of = Found->second;
+  accrue(Of, Now);
+  Of.m_Level = std::min(Of.m_Level + 1, Of.m_Rate.m_Burst);
+  Of.m_RoundTaken -= 1;
+  Of.m_OwnTotal -= 1;
+}
+
+absl::Duration RateLedger::waitFor(const std::string &Customer,
+                                   absl::Time Now) const {
+  auto Found = m_Accounts.find(Customer);
+  if (Found == m_Accounts.end())
+    return absl::ZeroDuration();
+  const Account &Of = Found->second;
+  absl::Duration Round =
+      std::max(m_RoundBegan + m_Settings.m_Round - Now, absl::ZeroDuration());
+  double PerSecond = Of.m_Rate.m_PerSecond * std::max(Of.m_LeftPart, LeastPart);
+  if (PerSecond <= 0)
+    return absl::InfiniteDuration();
+  double Missing = std::max(0.0, 1 - Of.m_Level);
+  return std::max(Round, absl::Seconds(Missing / PerSecond));
+}
+
+bool RateLedger::update(absl::Time Now, absl::BitGenRef Random) {
+  if (Now - m_RoundBegan < m_Settings.m_Round)
+    return false;
+  absl::Duration Passed = std::min(Now - m_RoundBegan, m_Settings.m_Over);
+  m_RoundBegan = Now;
+  absl::erase_if(m_Daemons, [&](const auto &One) {
+    return !One.second.m_IsHeard &&
+           Now - One.second.m_Since > m_Settings.m_KeepFor;
+  });
+  double Decay = std::exp(-absl::FDivDuration(Passed, m_Settings.m_Over));
+  for (auto &[Customer, Of] : m_Accounts) {
+    accrue(Of, Now);
+    beginRound(Of, Decay, Random);
+  }
+  return true;
+}
+
+void RateLedger::beginRound(Account &Of, double Decay,
+                            absl::BitGenRef Random) const {
+  Of.m_OwnPerSecond *= Decay;
+  double Heard = Of.m_OwnPerSecond;
+  double Unheard = 0;
+  for (auto &[Name, Known] : Of.m_Others) {
+    auto Found = m_Daemons.find(Name);
+    if (Found == m_Daemons.end()) {
+      Known.m_PerSecond = 0;
+      continue;
+    }
+    // What an unheard one took last stands as it was.
+    if (Found->second.m_IsHeard)
+      Known.m_PerSecond *= Decay;
+    (Found->second.m_IsHeard ? Heard : Unheard) += Known.m_PerSecond;
+  }
+  double Count = 1;
+  double UnheardCount = 0;
+  for (const auto &[Name, Known] : m_Daemons)
+    (Known.m_IsHeard ? Count : UnheardCount) += 1;
+  double Even = UnheardCount / (Count + UnheardCount);
+  double ByTaking = Heard + Unheard > 0 ? Unheard / (Heard + Unheard) : Even;
+  double Left = 1 - (m_Settings.m_EvenPart * Even +
+                     (1 - m_Settings.m_EvenPart) * ByTaking);
+  Of.m_LeftPart = Left;
+  double Part = m_Settings.m_EvenPart / Count;
+  Part += (1 - m_Settings.m_EvenPart) *
+          (Heard > 0 ? Of.m_OwnPerSecond / Heard : 1 / Count);
+  double Refill =
+      Of.m_Rate.m_PerSecond * Left * absl::ToDoubleSeconds(m_Settings.m_Round);
+  double Limit = std::max(0.0, Of.m_Level + Refill) * Part;
+  // Rounded at random, so that small parts add up to what they should.
+  double Whole = std::floor(Limit);
+  Limit = Whole + (absl::Uniform(Random, 0.0, 1.0) < Limit - Whole ? 1 : 0);
+  if (Of.m_Level > HalfFull * Of.m_Rate.m_Burst)
+    Limit = std::max(Limit, m_Settings.m_FreeTokens);
+  Of.m_RoundLimit = Limit;
+  Of.m_RoundTaken = 0;
+}
+
+std::vector<RateLedger::Spent> RateLedger::takeChanged() {
+  std::vector<Spent> Changed;
+  for (auto &[Customer, Of] : m_Accounts) {
+    if (Of.m_OwnTotal == Of.m_ToldTotal)
+      continue;
+    Of.m_ToldTotal = Of.m_OwnTotal;
+    Changed.push_back({customerHash(Customer), Of.m_OwnTotal});
+  }
+  return Changed;
+}
+
+std::vector<RateLedger::Spent> RateLedger::all() const {
+  std::vector<Spent> Totals;
+  for (const auto &[Customer, Of] : m_Accounts)
+    Totals.push_back({customerHash(Customer), Of.m_OwnTotal});
+  return Totals;
+}
+
+double RateLedger::levelOf(const std::string &Customer) const {
+  auto Found = m_Accounts.find(Customer);
+  return Found == m_Accounts.end() ? 0 : Found->second.m_Level;
+}
+
+} // namespace knapweedloft::policy
