--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -127,6 +127,7 @@
                   absl::Time Now);
   void setCold(absl::Duration For, absl::Time Now);
   void readLoad(const http::HttpResponse &Response);
+  void noteDemand();
   void beginCheck(absl::Time Now);
   void onChecked(const http::HttpResult &Result, absl::Time Now);
 
@@ -145,6 +146,7 @@
   absl::Time m_NextCheck;
   bool m_IsChecking = false;
   bool m_KnowsCold = true; ///< How long the target stays cold has been told.
+  double m_NotedAdmitted = 1; ///< As it was last logged.
   TargetCounts m_Counts;
 };
 
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -255,7 +255,10 @@
   double Admitted = 0;
   double Weights = 0;
   for (const auto &[Daemon, Told] : Of.m_Gauges) {
-    if (Now - Told.m_Heard > GaugeLife)
+    // A target that takes nothing has room, but for nobody.
+    auto Target = Of.m_Targets.find(Daemon);
+    bool IsOpen = Target != Of.m_Targets.end() && Target->second.m_IsOpen;
+    if (!IsOpen || Now - Told.m_Heard > GaugeLife)
       continue;
     Admitted += Told.m_Limit * (1 - Told.m_Shed);
     Weights += Told.m_Limit;
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -3,8 +3,11 @@
 #include "app/WireConvert.h"
 #include "http/MessageText.h"
 
+#include "fmt/format.h"
+
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace knapweedloft::mesh {
@@ -22,6 +25,9 @@
 /// When to come back to a target that takes nothing now.
 constexpr absl::Duration ClosedComeBack = absl::Milliseconds(500);
 
+/// Changes of the part of new work to let in that are worth a line.
+constexpr double NotedChange = 0.05;
+
 std::optional<std::uint64_t> numberAt(std::string_view Text,
                                       std::size_t Index) {
   for (; Index > 0; --Index) {
@@ -166,9 +172,6 @@
   // lose most of their worth past their aim.
   Job.m_EndBy =
       IsCall || Aim <= Now ? Next.m_Deadline : std::min(Aim, Next.m_Deadline);
-  // What another target has refused before was counted there.
-  if (Next.m_Message.refusals == 0)
-    m_Demand.onOffered(m_Gate.latencyOf(Job.m_Kind));
   m_Jobs.emplace(Id, Job.m_Id);
   m_Runs.emplace(Job.m_Id, std::move(Next));
   switch (m_Gate.offer(Job, Now)) {
@@ -357,6 +360,10 @@
                  {"running", m_Gate.load().m_Running},
                  {"queued", m_Gate.load().m_Queued},
                  {"limit", m_Gate.load().m_Limit}});
+  // What another target has refused before was counted there.
+  bool IsFirst = Refused.m_Message.refusals == 0;
+  if (Reason == RefusalReason::Overloaded && IsFirst)
+    m_Demand.onTurnedAway(m_Gate.latencyOf(kindOf(Refused.m_Message.route)));
   refuse(Refused.m_From, Refused.m_Id, Reason, Ran::No, ComeBack);
 }
 
@@ -395,8 +402,10 @@
 }
 
 void TargetPath::poll(absl::Time Now) {
-  if (!m_State.isOpen())
+  if (!m_State.isOpen()) {
+    m_Demand.onRunning(m_Gate.load().m_Running, Now);
     return;
+  }
   std::vector<JobId> ToRun = std::move(m_ToRun);
   std::vector<policy::WorkGate::Refusal> ToRefuse = std::move(m_ToRefuse);
   ToRun.clear();
@@ -408,16 +417,33 @@
     refuseWaiting(One.m_Id, RefusalReason::Overloaded, One.m_RetryAfter, Now);
   m_ToRun = std::move(ToRun);
   m_ToRefuse = std::move(ToRefuse);
+  m_Demand.onRunning(m_Gate.load().m_Running, Now);
 }
 
 void TargetPath::tick(absl::Time Now) {
   m_Demand.update(m_Gate.limit(), Now);
+  noteDemand();
   poll(Now);
   bool IsWanted = m_State.wantsCheck() || (!m_KnowsCold && m_State.isOpen());
   if (IsWanted && !m_IsChecking && Now >= m_NextCheck)
     beginCheck(Now);
 }
 
+void TargetPath::noteDemand() {
+  double Admitted = m_Demand.admitted();
+  if (std::abs(Admitted - m_NotedAdmitted) < NotedChange)
+    return;
+  m_NotedAdmitted = Admitted;
+  policy::WorkGate::Load Load = m_Gate.load();
+  m_Log.state("The part of new work to let in changed.",
+              {{"part", fmt::format("{:.2f}", Admitted)},
+               {"offered", fmt::format("{:.1f}", m_Demand.offered())},
+               {"limit", Load.m_Limit},
+               {"running", Load.m_Running},
+               {"queued", Load.m_Queued},
+               {"mean", Load.m_Latency}});
+}
+
 void TargetPath::beginCheck(absl::Time Now) {
   const CatalogService *Own =
       m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
--- a/libs/policy/include/policy/DoorOrder.h
+++ b/libs/policy/include/policy/DoorOrder.h
@@ -19,8 +19,8 @@
 class DoorOrder {
 public:
   struct Options {
-    double m_Softness = 0.3; ///< Width of the edge, as a part of all requests.
-    double m_MostRefused = 0.8;
+    double m_Softness = 0.2; ///< Width of the edge, as a part of all requests.
+    double m_MostRefused = 0.9;
     double m_Forgetting = 0.998; ///< Of what came, with each request.
   };
 
@@ -33,7 +33,7 @@
 
 private:
   Options m_Settings;
-  std::map<std::uint32_t, double> m_Seen; ///< Decaying counts by rank.
+  std::map<std::uint32_t, double> m_Seen; ///< Decaying counts by band.
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/src/DoorOrder.cpp
+++ b/libs/policy/src/DoorOrder.cpp
@@ -18,19 +18,19 @@
     Seen->second *= m_Settings.m_Forgetting;
     Seen = Seen->second < LeastCount ? m_Seen.erase(Seen) : std::next(Seen);
   }
-  m_Seen[Rank] += 1;
+  // Those that return stand in front of the others of their rank.
+  std::uint32_t Band = 2 * Rank + (IsReturning ? 0 : 1);
+  m_Seen[Band] += 1;
   if (Admitted >= 1)
     return true;
   double Before = 0;
   double Total = 0;
   for (const auto &[Other, Count] : m_Seen) {
     Total += Count;
-    Before += Other < Rank ? Count : 0;
+    Before += Other < Band ? Count : 0;
   }
-  double Own = m_Seen[Rank];
-  // Within its rank a request stands at random, one that returns in front.
-  double Turn = IsReturning ? 0 : absl::Uniform(Random, 0.0, 1.0);
-  double Position = (Before + Turn * Own) / Total;
+  double Turn = absl::Uniform(Random, 0.0, 1.0);
+  double Position = (Before + Turn * m_Seen[Band]) / Total;
   double Refused =
       std::clamp((Position - Admitted) / m_Settings.m_Softness + 0.5, 0.0,
                  m_Settings.m_MostRefused);
