--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace knapweedloft::http {
 
@@ -61,6 +62,9 @@
 
   /// Answers a request; ignored if its peer is gone.
   void answer(ExchangeId Id, const HttpResponse &Response);
+  /// Answers with header lines that are passed on as they are.
+  void answer(ExchangeId Id, int Status, std::string_view Lines,
+              std::string_view Body);
   /// Ends the connection of a request without an answer.
   void abandon(ExchangeId Id);
 
--- a/libs/http/src/LoopServer.cpp
+++ b/libs/http/src/LoopServer.cpp
@@ -1,6 +1,7 @@
 #include "http/LoopServer.h"
 
 #include "LoopServerImpl.h"
+#include "http/MessageText.h"
 
 #include <utility>
 
@@ -12,7 +13,13 @@
 LoopServer::~LoopServer() = default;
 
 void LoopServer::answer(ExchangeId Id, const HttpResponse &Response) {
-  m_Impl->answer(Id, Response);
+  m_Impl->answer(Id, Response.m_Status, headerLines(Response.m_Headers),
+                 Response.m_Body);
+}
+
+void LoopServer::answer(ExchangeId Id, int Status, std::string_view Lines,
+                        std::string_view Body) {
+  m_Impl->answer(Id, Status, Lines, Body);
 }
 
 void LoopServer::abandon(ExchangeId Id) { m_Impl->abandon(Id); }
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -190,10 +190,11 @@
   std::uint64_t Sequence = ++Held.m_LastSequence;
   Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
   ++m_Pending;
-  answer({Held.m_Id, Sequence}, {.m_Status = statusOf(Reason)});
+  answer({Held.m_Id, Sequence}, statusOf(Reason), "", "");
 }
 
-void LoopServer::Impl::answer(ExchangeId Id, const HttpResponse &Response) {
+void LoopServer::Impl::answer(ExchangeId Id, int Status, std::string_view Lines,
+                              std::string_view Body) {
   ServerConnection *Held = find(Id.m_Connection);
   if (!Held)
     return;
@@ -209,7 +210,7 @@
   if (m_IsClosing && IsLast && !Held->m_Parser.hasMessage())
     Found->m_KeepsOpen = false;
   Found->m_Answer.emplace();
-  appendResponse(*Found->m_Answer, Response, !Found->m_KeepsOpen,
+  appendResponse(*Found->m_Answer, Status, Lines, Body, !Found->m_KeepsOpen,
                  Found->m_IsHead);
   fillOutput(*Held);
 }
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace knapweedloft::http {
@@ -19,7 +20,8 @@
   Impl(io::EventLoop &Loop, Options Settings);
   ~Impl();
 
-  void answer(ExchangeId Id, const HttpResponse &Response);
+  void answer(ExchangeId Id, int Status, std::string_view Lines,
+              std::string_view Body);
   void abandon(ExchangeId Id);
   void beginClosing();
   void stopAccepting();
--- a/libs/http/src/MessageText.cpp
+++ b/libs/http/src/MessageText.cpp
@@ -49,17 +49,6 @@
   }
 }
 
-void appendHeaders(std::string &To, const HeaderList &Headers) {
-  for (const HeaderField &Field : Headers) {
-    if (isHopByHop(Field.m_Name))
-      continue;
-    To += Field.m_Name;
-    To += ": ";
-    To += Field.m_Value;
-    To += "\r\n";
-  }
-}
-
 } // namespace
 
 bool isHopByHop(std::string_view Name) {
@@ -70,40 +59,60 @@
   return false;
 }
 
-void appendResponse(std::string &To, const HttpResponse &Response,
-                    bool IsClosing, bool LeavesOutBody) {
-  fmt::format_to(std::back_inserter(To), "HTTP/1.1 {} {}\r\n",
-                 Response.m_Status, reasonOf(Response.m_Status));
-  appendHeaders(To, Response.m_Headers);
+std::string headerLines(const HeaderList &Headers) {
+  std::string Lines;
+  for (const HeaderField &Field : Headers) {
+    if (isHopByHop(Field.m_Name))
+      continue;
+    Lines += Field.m_Name;
+    Lines += ": ";
+    Lines += Field.m_Value;
+    Lines += "\r\n";
+  }
+  return Lines;
+}
+
+void appendResponse(std::string &To, int Status, std::string_view Lines,
+                    std::string_view Body, bool IsClosing, bool LeavesOutBody) {
+  fmt::format_to(std::back_inserter(To), "HTTP/1.1 {} {}\r\n", Status,
+                 reasonOf(Status));
+  To += Lines;
   if (IsClosing)
     To += "Connection: close\r\n";
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
-  bool HasLength =
-      Response.m_Status != NoContent && Response.m_Status != NotModified;
+  bool HasLength = Status != NoContent && Status != NotModified;
   if (HasLength)
     fmt::format_to(std::back_inserter(To), "Content-Length: {}\r\n",
-                   Response.m_Body.size());
+                   Body.size());
   To += "\r\n";
   if (HasLength && !LeavesOutBody)
-    To += Response.m_Body;
+    To += Body;
 }
 
-std::string requestText(const HttpRequest &Request) {
+std::string requestText(std::string_view Method, std::string_view Path,
+                        std::string_view Lines, std::string_view Body) {
+  constexpr std::size_t RoomForLength = 64;
   std::string Text;
-  Text.reserve(512 + Request.m_Body.size());
-  Text += Request.m_Method;
+  Text.reserve(Method.size() + Path.size() + Lines.size() + Body.size() +
+               RoomForLength);
+  Text += Method;
   Text += ' ';
-  Text += Request.m_Path;
+  Text += Path;
   Text += " HTTP/1.1\r\n";
-  appendHeaders(Text, Request.m_Headers);
-  bool MayHaveBody = Request.m_Method != "GET" && Request.m_Method != "HEAD";
-  if (MayHaveBody || !Request.m_Body.empty())
+  Text += Lines;
+  bool MayHaveBody = Method != "GET" && Method != "HEAD";
+  if (MayHaveBody || !Body.empty())
     fmt::format_to(std::back_inserter(Text), "Content-Length: {}\r\n",
-                   Request.m_Body.size());
+                   Body.size());
   Text += "\r\n";
-  Text += Request.m_Body;
+  Text += Body;
   return Text;
 }
 
+std::string requestText(const HttpRequest &Request) {
+  return requestText(Request.m_Method, Request.m_Path,
+                     headerLines(Request.m_Headers), Request.m_Body);
+}
+
 } // namespace knapweedloft::http
--- /dev/null
+++ b/libs/http/tests/LoopTest.cpp
@@ -0,0 +1,240 @@
+#include "RawSocket.h"
+#include "http/LoopClient.h"
+#include "http/LoopServer.h"
+#include "http/MessageText.h"
+#include "io/EventLoop.h"
+
+#include "absl/synchronization/notification.h"
+#include "gtest/gtest.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace knapweedloft::http {
+namespace {
+
+/// A server and a client on one loop of their own thread; whatever touches
+/// them is done there.
+class LoopTest : public testing::Test {
+protected:
+  LoopTest() { m_Loop.start("test"); }
+
+  ~LoopTest() override {
+    onLoop([this] {
+      m_Client.reset();
+      m_Server.reset();
+    });
+    m_Loop.stop();
+  }
+
+  void onLoop(const std::function<void()> &Task) {
+    absl::Notification Done;
+    m_Loop.post([&] {
+      Task();
+      Done.Notify();
+    });
+    Done.WaitForNotification();
+  }
+
+  /// A server that answers by hand if \p Handle is null, else by it.
+  void serve(std::function<HttpResponse(const ParsedMessage &)> Handle) {
+    onLoop([&] {
+      LoopServer::Options Options;
+      Options.m_At = {"127.0.0.1", 0};
+      Options.m_Limits.m_MaxBodyBytes = 1000;
+      Options.m_Hooks.m_OnRequest = [this, Handle](ExchangeId Id,
+                                                   ParsedMessage Message,
+                                                   const std::string &) {
+        m_Ids.push_back(Id);
+        if (Handle)
+          m_Server->answer(Id, Handle(Message));
+        if (m_Ids.size() >= m_AwaitedRequests)
+          notifyOnce(m_Arrived);
+      };
+      Options.m_Hooks.m_OnGone = [this](ExchangeId) {
+        ++m_Gone;
+        notifyOnce(m_Left);
+      };
+      m_Server = std::make_unique<LoopServer>(m_Loop, std::move(Options));
+    });
+  }
+
+  static void notifyOnce(absl::Notification &What) {
+    if (!What.HasBeenNotified())
+      What.Notify();
+  }
+
+  HttpResult call(const std::string &Path, const std::string &Tag = "") {
+    HttpResult Seen;
+    absl::Notification Done;
+    m_Loop.post([&] {
+      if (!m_Client)
+        m_Client = std::make_unique<LoopClient>(
+            m_Loop,
+            LoopClient::Options{.m_IsOwn = [](const HttpResponse &Response,
+                                              const std::string &Own) {
+              const std::string *Told =
+                  findHeader(Response.m_Headers, "Call-Id");
+              return Told == nullptr || *Told == Own;
+            }});
+      m_Client->send({.m_To = {"127.0.0.1", m_Port},
+                      .m_Text = requestText({.m_Method = "GET",
+                                             .m_Path = Path,
+                                             .m_Headers = {{"Host", "x"}}}),
+                      .m_Tag = Tag,
+                      .m_Timeout = absl::Seconds(5)},
+                     [&](HttpResult Result, absl::Time) {
+                       Seen = std::move(Result);
+                       Done.Notify();
+                     });
+    });
+    Done.WaitForNotification();
+    return Seen;
+  }
+
+  io::EventLoop m_Loop;
+  std::unique_ptr<LoopServer> m_Server;
+  std::unique_ptr<LoopClient> m_Client;
+  std::uint16_t m_Port = 0;
+  std::size_t m_AwaitedRequests = 1;
+  std::vector<ExchangeId> m_Ids;
+  int m_Gone = 0;
+  absl::Notification m_Arrived;
+  absl::Notification m_Left;
+};
+
+TEST_F(LoopTest, Server_PipelinedRequests_AnsweredInOrder) {
+  m_AwaitedRequests = 2;
+  serve(nullptr);
+  RawSocket Caller = RawSocket::connectTo(m_Server->port());
+  Caller.sendAll("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  m_Arrived.WaitForNotification();
+  onLoop([this] {
+    m_Server->answer(m_Ids[1], {.m_Body = "second"});
+    m_Server->answer(m_Ids[0], {.m_Body = "first"});
+  });
+  std::string Text = Caller.readUntil("second");
+  EXPECT_LT(Text.find("first"), Text.find("second"));
+}
+
+TEST_F(LoopTest, Server_CallerLeaves_RequestIsGivenUp) {
+  serve(nullptr);
+  {
+    RawSocket Caller = RawSocket::connectTo(m_Server->port());
+    Caller.sendAll("GET / HTTP/1.1\r\n\r\n");
+    m_Arrived.WaitForNotification();
+  }
+  m_Left.WaitForNotification();
+  EXPECT_EQ(m_Gone, 1);
+  onLoop([this] {
+    m_Server->answer(m_Ids[0], {});
+    EXPECT_EQ(m_Server->pending(), 0U);
+  });
+}
+
+TEST_F(LoopTest, Server_BrokenRequest_IsRefusedAndClosed) {
+  serve([](const ParsedMessage &) { return HttpResponse{}; });
+  RawSocket Caller = RawSocket::connectTo(m_Server->port());
+  Caller.sendAll("NONSENSE\r\n\r\n");
+  std::string Text = Caller.readToEnd();
+  EXPECT_NE(Text.find(" 400 "), std::string::npos);
+  EXPECT_NE(Text.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(LoopTest, Server_BodyPastTheLimit_IsRefused) {
+  serve([](const ParsedMessage &) { return HttpResponse{}; });
+  RawSocket Caller = RawSocket::connectTo(m_Server->port());
+  Caller.sendAll("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n");
+  EXPECT_NE(Caller.readToEnd().find(" 413 "), std::string::npos);
+}
+
+TEST_F(LoopTest, Server_Closing_LastAnswerSaysSo) {
+  serve(nullptr);
+  RawSocket Caller = RawSocket::connectTo(m_Server->port());
+  Caller.sendAll("GET / HTTP/1.1\r\n\r\n");
+  m_Arrived.WaitForNotification();
+  onLoop([this] {
+    m_Server->beginClosing();
+    m_Server->answer(m_Ids[0], {.m_Body = "last"});
+  });
+  EXPECT_NE(Caller.readToEnd().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(LoopTest, Client_KeptConnection_IsUsedAgain) {
+  serve([](const ParsedMessage &Message) {
+    return HttpResponse{.m_Body = Message.m_Path};
+  });
+  m_Port = m_Server->port();
+  EXPECT_EQ(call("/1").m_Response.m_Body, "/1");
+  EXPECT_EQ(call("/2").m_Response.m_Body, "/2");
+  onLoop([this] { EXPECT_EQ(m_Client->opened(), 1U); });
+}
+
+TEST_F(LoopTest, Client_NobodyListens_IsNotSent) {
+  RawSocket Listener = RawSocket::listenAnywhere();
+  m_Port = Listener.port();
+  { RawSocket Closed = std::move(Listener); }
+  EXPECT_EQ(call("/").m_Failure, Failure::NotSent);
+}
+
+/// What a faulty target sends, and what the client makes of it.
+struct Fault {
+  const char *m_Name;
+  const char *m_Bytes;
+  Failure m_Expected;
+  const char *m_Body;
+};
+
+class ClientFaultTest : public LoopTest,
+                        public testing::WithParamInterface<Fault> {};
+
+TEST_P(ClientFaultTest, Client_FaultyTarget_NeverPassesWhatIsNotTheAnswer) {
+  RawSocket Listener = RawSocket::listenAnywhere();
+  m_Port = Listener.port();
+  std::thread Target([&] {
+    RawSocket Caller = Listener.acceptOne();
+    (void)Caller.readUntil("\r\n\r\n");
+    Caller.sendAll(GetParam().m_Bytes);
+  });
+  HttpResult Result = call("/", "own");
+  Target.join();
+  EXPECT_EQ(Result.m_Failure, GetParam().m_Expected);
+  if (Result.m_Failure == Failure::None) {
+    EXPECT_EQ(Result.m_Response.m_Body, GetParam().m_Body);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, ClientFaultTest,
+    testing::Values(
+        Fault{"Whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+              Failure::None, "ok"},
+        Fault{"Cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+              Failure::Cut, ""},
+        Fault{"Rubbish", "\x01\x02 what is this\r\n\r\n", Failure::Cut, ""},
+        Fault{"EndsWithTheConnection", "HTTP/1.1 200 OK\r\n\r\nall of it",
+              Failure::None, "all of it"},
+        Fault{"CutChunks",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok",
+              Failure::Cut, ""},
+        Fault{"SecondAnswer",
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+              "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
+              Failure::None, "ok"},
+        Fault{"LateAnswerOfAnother",
+              "HTTP/1.1 200 OK\r\nCall-Id: other\r\nContent-Length: 3\r\n\r\n"
+              "badHTTP/1.1 200 OK\r\nCall-Id: own\r\nContent-Length: 2\r\n\r\n"
+              "ok",
+              Failure::None, "ok"},
+        Fault{"OnlyAnotherAnswer",
+              "HTTP/1.1 200 OK\r\nCall-Id: other\r\nContent-Length: 3\r\n\r\n"
+              "bad",
+              Failure::Cut, ""},
+        Fault{"Nothing", "", Failure::Cut, ""}),
+    [](const auto &Info) { return Info.param.m_Name; });
+
+} // namespace
+} // namespace knapweedloft::http
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -44,7 +45,10 @@
     /// Sends to the daemon beside a target. \returns false if it cannot.
     std::function<bool(const model::Member &To, wire::ForwardT)> m_Forward;
     std::function<void(const model::Member &To, wire::CancelT)> m_Cancel;
-    std::function<void(http::ExchangeId, const http::HttpResponse &)> m_Answer;
+    /// \p Lines are whole header lines.
+    std::function<void(http::ExchangeId, int Status, std::string_view Lines,
+                       std::string_view Body)>
+        m_Answer;
     /// \returns the targets of a service that are known.
     std::function<std::vector<PeerTarget>(const std::string &Service)>
         m_TargetsOf;
@@ -171,7 +175,7 @@
                              policy::TargetHandle Target, absl::Time Now);
   [[nodiscard]] wire::ForwardT
   makeForward(const Pending &Next, const PeerTarget &To, absl::Time Now) const;
-  [[nodiscard]] http::HeaderList headersFor(const Pending &Next) const;
+  [[nodiscard]] std::string linesFor(const Pending &Next) const;
   void onTargetAnswer(PendingId Id, wire::AnswerT &Answer, absl::Time Now);
   void onTargetFailure(PendingId Id, wire::AnswerT *Answer, absl::Time Now);
   [[nodiscard]] bool mayRepeat(const Pending &Held, bool DidNotRun,
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -145,7 +145,7 @@
   std::vector<policy::WorkGate::Refusal> m_ToRefuse;
   absl::Time m_NextCheck;
   bool m_IsChecking = false;
-  bool m_KnowsCold = true; ///< How long the target stays cold has been told.
+  bool m_KnowsCold = true;    ///< How long the target stays cold has been told.
   double m_NotedAdmitted = 1; ///< As it was last logged.
   TargetCounts m_Counts;
 };
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <strings.h>
 #include <utility>
 
@@ -18,6 +19,8 @@
 using model::Ran;
 using model::RefusalReason;
 
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
 constexpr int FirstServerError = 500;
 /// Callers honour a time up to this part of what they have left.
 constexpr double ComeBackPart = 1.0 / 3;
@@ -34,6 +37,10 @@
 constexpr absl::Duration GaugeLife = absl::Seconds(2);
 /// The services below a route are looked through so often at most.
 constexpr absl::Duration AdmittedLife = absl::Milliseconds(50);
+/// Bytes between data centres cost and gain nothing while the near target has
+/// a slot free: full, and by a third of its slots behind, it is worth leaving.
+constexpr double SpillPressure = 1.0;
+constexpr double TierPenalty = 0.3;
 /// Calls from the own target between two looks that show that it calls.
 constexpr std::uint64_t TellingCalls = 2;
 /// A repeat needs this much time at least.
@@ -63,6 +70,10 @@
   return Value;
 }
 
+std::string_view textOf(const std::vector<std::uint8_t> &Bytes) {
+  return {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()};
+}
+
 policy::TargetFeedback feedbackOf(const wire::Load &Load) {
   return {.m_Limit = Load.limit(),
           .m_InFlight = Load.in_flight(),
@@ -210,7 +221,10 @@
     Service Fresh{.m_Chooser = policy::TargetChooser(
                       {.m_Region = m_Options.m_Self.m_Region,
                        .m_DataCenter = m_Options.m_Self.m_DataCenter,
-                       .m_Seed = m_Options.m_Self.m_Incarnation}),
+                       .m_Seed = m_Options.m_Self.m_Incarnation,
+                       .m_SpillPressure = SpillPressure,
+                       .m_TierPenalty = TierPenalty,
+                       .m_UseRelativeFailures = true}),
                   .m_Repeats = policy::RetryBudget(m_Options.m_Repeats)};
     Found = m_Services.emplace(Name, std::move(Fresh)).first;
   }
@@ -352,10 +366,12 @@
   return true;
 }
 
-http::HeaderList EntryPath::headersFor(const Pending &Next) const {
+std::string EntryPath::linesFor(const Pending &Next) const {
   const Dialect &Names = m_Options.m_Dialect;
-  http::HeaderList Headers;
-  Headers.reserve(Next.m_Message.m_Headers.size() + 2);
+  std::string Lines;
+  auto Append = [&Lines](std::string_view Name, std::string_view Value) {
+    fmt::format_to(std::back_inserter(Lines), "{}: {}\r\n", Name, Value);
+  };
   for (const http::HeaderField &Field : Next.m_Message.m_Headers) {
     bool IsOwn = false;
     for (const std::string *Set :
@@ -363,12 +379,12 @@
           &Names.m_TimeLeft, &Names.m_Instance})
       IsOwn = IsOwn || strcasecmp(Field.m_Name.c_str(), Set->c_str()) == 0;
     if (!IsOwn && !http::isHopByHop(Field.m_Name))
-      Headers.push_back(Field);
+      Append(Field.m_Name, Field.m_Value);
   }
-  Headers.push_back({Names.m_CallerService, m_Options.m_Self.m_Service});
+  Append(Names.m_CallerService, m_Options.m_Self.m_Service);
   if (Next.m_Customer)
-    Headers.push_back({Names.m_Customer, Next.m_Customer->m_Name});
-  return Headers;
+    Append(Names.m_Customer, Next.m_Customer->m_Name);
+  return Lines;
 }
 
 wire::ForwardT EntryPath::makeForward(const Pending &Next, const PeerTarget &To,
@@ -377,7 +393,7 @@
   Message.to_incarnation = To.m_Member.m_Incarnation;
   Message.method = Next.m_Message.m_Method;
   Message.path = Next.m_Message.m_Path;
-  Message.headers = app::toWire(headersFor(Next));
+  Message.lines = linesFor(Next);
   Message.body = app::toBytes(Next.m_Message.m_Body);
   Message.route = Next.m_Route->m_Name;
   Message.service = Next.m_Service;
@@ -483,30 +499,28 @@
 
 void EntryPath::pass(PendingId Id, wire::AnswerT &Answer, absl::Time Now) {
   const Pending &Done = m_Pending.at(Id);
-  http::HttpResponse Response;
-  Response.m_Status = Answer.status;
-  Response.m_Headers = app::fromWire(std::move(Answer.headers));
-  Response.m_Body = app::toText(Answer.body);
+  int Status = Answer.status;
   ++m_Counts.m_Answered;
   absl::Duration Took = Now - Done.m_Received;
   m_Counts.m_Latency.add(Took);
-  if (Response.m_Status >= FirstServerError) {
+  if (Status >= FirstServerError) {
     ++m_Counts.m_TargetErrors;
     m_Log.notable("Answered with the target's error.",
                   {{"id", Done.m_CallId},
-                   {"status", Response.m_Status},
+                   {"status", Status},
                    {"route", Done.m_Route->m_Name},
                    {"target", Done.m_To.m_Name},
                    {"arrivals", Done.m_Arrivals},
                    {"took", Took}});
   } else {
     m_Log.routine("Answered.", {{"id", Done.m_CallId},
-                                {"status", Response.m_Status},
+                                {"status", Status},
                                 {"route", Done.m_Route->m_Name},
                                 {"target", Done.m_To.m_Name},
                                 {"took", Took}});
   }
-  m_Options.m_Hooks.m_Answer(Done.m_Exchange, Response);
+  m_Options.m_Hooks.m_Answer(Done.m_Exchange, Status, Answer.lines,
+                             textOf(Answer.body));
   forget(Id);
 }
 
@@ -535,21 +549,18 @@
 void EntryPath::refuse(http::ExchangeId Id, const Pending &Refused,
                        const Ending &How, absl::Time Now) {
   ++m_Counts.m_Ended[static_cast<std::size_t>(How.m_Reason)];
-  http::HttpResponse Response;
-  Response.m_Status = model::httpStatusOf(How.m_Reason);
+  int Status = model::httpStatusOf(How.m_Reason);
   std::string_view Reason = model::RefusalReasonNames.nameOf(How.m_Reason);
   std::string_view DidRun =
       model::RanNames.nameOf(Refused.m_MayHaveRun ? Ran::Unknown : Ran::No);
-  Response.m_Headers = {{"Content-Type", "application/problem+json"}};
-  bool MayComeBack = Response.m_Status == 429 || Response.m_Status == 503;
+  std::string Lines = "Content-Type: application/problem+json\r\n";
   absl::Duration ComeBack;
-  if (MayComeBack) {
+  if (Status == TooManyRequests || Status == ServiceUnavailable) {
     ComeBack = comeBackAfter(Refused, How.m_ComeBack, Now);
-    Response.m_Headers.push_back(
-        {"Retry-After",
-         fmt::format("{:.3f}", absl::ToDoubleSeconds(ComeBack))});
+    fmt::format_to(std::back_inserter(Lines), "Retry-After: {:.3f}\r\n",
+                   absl::ToDoubleSeconds(ComeBack));
   }
-  Response.m_Body =
+  std::string Body =
       fmt::format(R"({{"reason":"{}","ran":"{}"}})", Reason, DidRun);
   m_Log.notable(
       "Refused.",
@@ -561,7 +572,7 @@
        {"config", m_Catalog ? m_Catalog->version() : 0},
        {"held", Now - Refused.m_Received},
        {"back", ComeBack}});
-  m_Options.m_Hooks.m_Answer(Id, Response);
+  m_Options.m_Hooks.m_Answer(Id, Status, Lines, Body);
 }
 
 void EntryPath::onGone(http::ExchangeId Exchange, absl::Time Now) {
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -98,9 +98,10 @@
                                     wire::CancelT Message) {
     cancel(To, Message);
   };
-  Options.m_Hooks.m_Answer = [this](http::ExchangeId Id,
-                                    const http::HttpResponse &Response) {
-    m_Callers->answer(Id, Response);
+  Options.m_Hooks.m_Answer = [this](http::ExchangeId Id, int Status,
+                                    std::string_view Lines,
+                                    std::string_view Body) {
+    m_Callers->answer(Id, Status, Lines, Body);
   };
   Options.m_Hooks.m_TargetsOf = [this](const std::string &Service) {
     return targetsOf(Service);
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace knapweedloft::mesh {
@@ -190,16 +191,14 @@
 
 std::string TargetPath::requestFor(Run &Next, absl::Time Now) const {
   const Dialect &Names = m_Options.m_Dialect;
-  http::HttpRequest Request;
-  Request.m_Method = Next.m_Message.method;
-  Request.m_Path = Next.m_Message.path;
-  Request.m_Headers = app::fromWire(std::move(Next.m_Message.headers));
   std::int64_t LeftMs = absl::ToInt64Milliseconds(Next.m_Deadline - Now);
-  Request.m_Headers.push_back({Names.m_TimeLeft, std::to_string(LeftMs)});
-  Request.m_Headers.push_back({Names.m_Instance, Next.m_Instance});
-  Request.m_Body = app::toText(Next.m_Message.body);
-  Next.m_Message.body = {};
-  return http::requestText(Request);
+  std::string Lines = std::move(Next.m_Message.lines);
+  fmt::format_to(std::back_inserter(Lines), "{}: {}\r\n{}: {}\r\n",
+                 Names.m_TimeLeft, LeftMs, Names.m_Instance, Next.m_Instance);
+  std::vector<std::uint8_t> Body = std::move(Next.m_Message.body);
+  return http::requestText(
+      Next.m_Message.method, Next.m_Message.path, Lines,
+      {reinterpret_cast<const char *>(Body.data()), Body.size()});
 }
 
 void TargetPath::start(JobId Id, absl::Time Now) {
@@ -269,7 +268,7 @@
   Answer.id = app::toWire(Done.m_Id);
   Answer.ran = static_cast<std::uint8_t>(Ran::Yes);
   Answer.status = static_cast<std::uint16_t>(Response.m_Status);
-  Answer.headers = app::toWire(std::move(Response.m_Headers));
+  Answer.lines = http::headerLines(Response.m_Headers);
   Answer.body = app::toBytes(Response.m_Body);
   answer(Done, std::move(Answer));
 }
--- /dev/null
+++ b/libs/mesh/tests/RecordFollowerTest.cpp
@@ -0,0 +1,143 @@
+#include "mesh/RecordFollower.h"
+
+#include "gtest/gtest.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::mesh {
+namespace {
+
+/// A follower whose calls to the store wait for the test to answer them.
+class RecordFollowerTest : public testing::Test {
+protected:
+  struct Call {
+    bool m_IsAll = false;
+    std::uint64_t m_From = 0;
+    StorePort::OnRead m_OnRead;
+  };
+
+  RecordFollowerTest() : m_Follower(options()) { m_Follower.start(m_Now); }
+
+  RecordFollower::Options options() {
+    RecordFollower::Options Options;
+    Options.m_Topic = "operator";
+    Options.m_Port.m_ReadNewest = [this](const std::string &,
+                                         StorePort::OnRead OnRead) {
+      m_Calls.push_back({.m_IsAll = true, .m_OnRead = std::move(OnRead)});
+    };
+    Options.m_Port.m_ReadFrom = [this](const std::string &, std::uint64_t From,
+                                       absl::Duration,
+                                       StorePort::OnRead OnRead) {
+      m_Calls.push_back({.m_From = From, .m_OnRead = std::move(OnRead)});
+    };
+    Options.m_Later = [this](std::function<void()> Task, absl::Duration) {
+      m_Tasks.push_back(std::move(Task));
+    };
+    Options.m_Random = [] { return 0.5; };
+    Options.m_OnRecord = [this](const StoredRecord &Record, absl::Time) {
+      m_Seen.push_back(Record.m_Key + "=" +
+                       (Record.m_IsDeleted ? "gone" : Record.m_Value));
+    };
+    Options.m_OnReach = [this](bool IsReached, absl::Time) {
+      m_Reach.push_back(IsReached);
+    };
+    return Options;
+  }
+
+  void answer(StoreRead Read) {
+    Call Next = std::move(m_Calls.front());
+    m_Calls.pop_front();
+    Next.m_OnRead(std::move(Read), m_Now);
+  }
+
+  static StoreRead done(std::vector<StoredRecord> Records, std::uint64_t End) {
+    return {.m_Outcome = StoreOutcome::Done,
+            .m_Records = std::move(Records),
+            .m_End = End};
+  }
+
+  static StoredRecord record(const std::string &Key, const std::string &Value,
+                             std::uint64_t Offset) {
+    return {.m_Key = Key,
+            .m_Value = Value,
+            .m_IsDeleted = Value.empty(),
+            .m_Offset = Offset};
+  }
+
+  void runTasks() {
+    auto Tasks = std::move(m_Tasks);
+    m_Tasks.clear();
+    for (auto &Task : Tasks)
+      Task();
+  }
+
+  absl::Time m_Now = absl::FromUnixSeconds(1000);
+  std::deque<Call> m_Calls;
+  std::vector<std::function<void()>> m_Tasks;
+  std::vector<std::string> m_Seen;
+  std::vector<bool> m_Reach;
+  RecordFollower m_Follower;
+};
+
+using Seen = std::vector<std::string>;
+
+TEST_F(RecordFollowerTest, Start_ReadsAllThenFollows) {
+  answer(done({record("config", "v1", 4)}, 6));
+  ASSERT_EQ(m_Calls.size(), 1U);
+  EXPECT_EQ(m_Calls.front().m_From, 6U);
+  answer(done({record("config", "v2", 6)}, 7));
+  EXPECT_EQ(m_Seen, (Seen{"config=v1", "config=v2"}));
+  EXPECT_EQ(m_Calls.front().m_From, 7U);
+}
+
+TEST_F(RecordFollowerTest,
+       OnNew_HistoryExpired_ReadsAllAndFindsWhatWasDeleted) {
+  answer(done({record("config", "v1", 1), record("zone", "x", 2)}, 3));
+  answer({.m_Outcome = StoreOutcome::Expired});
+  ASSERT_TRUE(m_Calls.front().m_IsAll);
+  answer(done({record("config", "v3", 8)}, 9));
+  EXPECT_EQ(m_Seen, (Seen{"config=v1", "zone=x", "zone=gone", "config=v3"}));
+}
+
+TEST_F(RecordFollowerTest, OnAll_StaleList_DoesNotUndoWhatIsNewer) {
+  answer(done({record("config", "v5", 10)}, 11));
+  answer({.m_Outcome = StoreOutcome::Expired});
+  answer(done({record("config", "v4", 7)}, 8));
+  EXPECT_EQ(m_Seen, (Seen{"config=v5"}));
+}
+
+TEST_F(RecordFollowerTest, OnNew_NoAnswer_TellsOnceAndGoesOn) {
+  answer(done({}, 0));
+  answer({.m_Outcome = StoreOutcome::Unknown});
+  runTasks();
+  answer({.m_Outcome = StoreOutcome::Refused});
+  runTasks();
+  answer(done({record("config", "v1", 0)}, 1));
+  EXPECT_EQ(m_Reach, (std::vector<bool>{true, false, true}));
+  EXPECT_EQ(m_Seen, (Seen{"config=v1"}));
+}
+
+TEST_F(RecordFollowerTest, Take_StoreAway_LearnsFromAPeer) {
+  answer({.m_Outcome = StoreOutcome::Unknown});
+  m_Follower.take({record("config", "v1", 4)}, m_Now);
+  EXPECT_EQ(m_Seen, (Seen{"config=v1"}));
+  EXPECT_EQ(m_Follower.end(), 5U);
+  // The store's own list comes later and is older.
+  runTasks();
+  answer(done({record("config", "v0", 2)}, 3));
+  EXPECT_EQ(m_Seen, (Seen{"config=v1"}));
+}
+
+TEST_F(RecordFollowerTest, Since_GivesWhatAPeerLacksOldestFirst) {
+  answer(done({record("b", "2", 5), record("a", "1", 9), record("c", "0", 1)},
+              10));
+  std::vector<StoredRecord> Newer = m_Follower.since(5);
+  ASSERT_EQ(Newer.size(), 2U);
+  EXPECT_EQ(Newer[0].m_Key, "b");
+  EXPECT_EQ(Newer[1].m_Key, "a");
+}
+
+} // namespace
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/tests/TargetStateTest.cpp
@@ -0,0 +1,109 @@
+#include "mesh/TargetState.h"
+
+#include "gtest/gtest.h"
+
+namespace knapweedloft::mesh {
+namespace {
+
+using Reception = TargetState::Reception;
+
+class TargetStateTest : public testing::Test {
+protected:
+  static TargetReport
+  report(const std::string &Instance, std::uint64_t Sequence,
+         std::int64_t BornMs,
+         TargetCondition Condition = TargetCondition::Ready) {
+    return {.m_Instance = Instance,
+            .m_Service = "orders",
+            .m_At = {"10.0.0.1", 80},
+            .m_Condition = Condition,
+            .m_Slots = 10,
+            .m_Sequence = Sequence,
+            .m_BornMs = BornMs};
+  }
+
+  absl::Time m_Now = absl::FromUnixSeconds(1000);
+  TargetState m_State{{.m_Service = "orders", .m_At = {"10.0.0.1", 80}}};
+};
+
+TEST_F(TargetStateTest, OnReport_FirstReady_Opens) {
+  EXPECT_EQ(m_State.gate(), TargetGate::Unknown);
+  EXPECT_EQ(m_State.onReport(report("a", 1, 100), m_Now), Reception::Taken);
+  EXPECT_TRUE(m_State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnReport_OtherServiceOrAddress_IsForeign) {
+  TargetReport Wrong = report("a", 1, 100);
+  Wrong.m_Service = "archive";
+  EXPECT_EQ(m_State.onReport(Wrong, m_Now), Reception::Foreign);
+  Wrong = report("a", 1, 100);
+  Wrong.m_At.m_Port = 81;
+  EXPECT_EQ(m_State.onReport(Wrong, m_Now), Reception::Foreign);
+  EXPECT_FALSE(m_State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnReport_LateReadyAfterDraining_StaysClosed) {
+  m_State.onReport(report("a", 1, 100), m_Now);
+  m_State.onReport(report("a", 3, 100, TargetCondition::Draining), m_Now);
+  EXPECT_EQ(m_State.onReport(report("a", 2, 100), m_Now), Reception::Outdated);
+  EXPECT_EQ(m_State.gate(), TargetGate::Leaving);
+  m_State.onReport(report("a", 4, 100), m_Now);
+  EXPECT_EQ(m_State.gate(), TargetGate::Leaving);
+}
+
+TEST_F(TargetStateTest, OnReport_DelayedFromAFormerLife_ChangesNothing) {
+  m_State.onReport(report("b", 1, 200), m_Now);
+  EXPECT_EQ(
+      m_State.onReport(report("a", 9, 100, TargetCondition::Draining), m_Now),
+      Reception::Outdated);
+  EXPECT_EQ(m_State.instance(), "b");
+  EXPECT_TRUE(m_State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnReport_SameIdBornAgain_OpensAnew) {
+  m_State.onReport(report("a", 7, 100, TargetCondition::Draining), m_Now);
+  EXPECT_EQ(m_State.onReport(report("a", 1, 200), m_Now), Reception::Taken);
+  EXPECT_TRUE(m_State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnReport_GoneWithoutDraining_Closes) {
+  m_State.onReport(report("a", 1, 100), m_Now);
+  m_State.onReport({.m_Instance = "a", .m_Condition = TargetCondition::Gone},
+                   m_Now);
+  EXPECT_EQ(m_State.gate(), TargetGate::Leaving);
+}
+
+TEST_F(TargetStateTest, OnReport_AfterARestart_OpensOnlyAfterACheck) {
+  // The process before may have acknowledged that the target leaves, and this
+  // report may have been under way since before.
+  TargetState State(
+      {.m_Service = "orders", .m_At = {"10.0.0.1", 80}, .m_NeedsCheck = true});
+  State.onReport(report("a", 4, 100), m_Now);
+  EXPECT_FALSE(State.isOpen());
+  EXPECT_TRUE(State.wantsCheck());
+  State.onCheck("a", false, m_Now);
+  EXPECT_FALSE(State.isOpen());
+  State.onCheck("a", true, m_Now);
+  EXPECT_TRUE(State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnOtherInstance_GetsNothingUntilChecked) {
+  m_State.onReport(report("a", 1, 100), m_Now);
+  m_State.onOtherInstance("b");
+  EXPECT_FALSE(m_State.isOpen());
+  m_State.onCheck("b", true, m_Now);
+  EXPECT_TRUE(m_State.isOpen());
+  EXPECT_EQ(m_State.instance(), "b");
+}
+
+TEST_F(TargetStateTest, SetWithdrawn_GoesBeforeWhatTheTargetSays) {
+  m_State.onReport(report("a", 1, 100), m_Now);
+  m_State.setWithdrawn(true);
+  m_State.onReport(report("a", 2, 100), m_Now);
+  EXPECT_EQ(m_State.gate(), TargetGate::Withdrawn);
+  m_State.setWithdrawn(false);
+  EXPECT_TRUE(m_State.isOpen());
+}
+
+} // namespace
+} // namespace knapweedloft::mesh
--- a/libs/policy/include/policy/TargetChooser.h
+++ b/libs/policy/include/policy/TargetChooser.h
@@ -39,6 +39,13 @@
     bool m_UseLocality = true;
     bool m_UseFeedback = true; ///< Else only requests of its own count.
     bool m_UseEjection = true;
+    /// Pressure of the near tier from which further ones are looked at.
+    double m_SpillPressure = 0.9;
+    /// Pressure by which a further target must be less pressed, a tier.
+    double m_TierPenalty = 0.1;
+    /// Failures count as far as they exceed those of the others: where all
+    /// fail, what lies behind them does, and no choice helps.
+    bool m_UseRelativeFailures = false;
   };
 
   explicit TargetChooser(Options Settings);
--- a/libs/policy/src/DemandGauge.cpp
+++ b/libs/policy/src/DemandGauge.cpp
@@ -25,8 +25,8 @@
   if (Passed < m_Settings.m_Interval)
     return;
   onRunning(m_Running, Now);
-  double Offered = (m_RunningSeconds + m_TurnedAwaySeconds) /
-                   absl::ToDoubleSeconds(Passed);
+  double Offered =
+      (m_RunningSeconds + m_TurnedAwaySeconds) / absl::ToDoubleSeconds(Passed);
   m_Load += Smoothing * (Offered - m_Load);
   m_RunningSeconds = m_TurnedAwaySeconds = 0;
   m_Since = Now;
--- a/libs/policy/src/TargetChooserImpl.cpp
+++ b/libs/policy/src/TargetChooserImpl.cpp
@@ -10,10 +10,6 @@
 namespace knapweedloft::policy {
 namespace {
 
-/// Pressure of the near tier from which further ones are looked at.
-constexpr double SpillPressure = 0.9;
-/// Pressure by which a further target must be less pressed, for each tier.
-constexpr double TierPenalty = 0.1;
 /// A load counts half when it is so old.
 constexpr absl::Duration LoadHalfLife = absl::Milliseconds(500);
 /// Assumed of a target that has fed nothing back yet.
@@ -148,7 +144,7 @@
     if (Pressure < Best.m_Pressure)
       Best = {{*Second}, Pressure};
   }
-  Best.m_Pressure += TierPenalty * static_cast<double>(Tier);
+  Best.m_Pressure += m_Settings.m_TierPenalty * static_cast<double>(Tier);
   return Best;
 }
 
@@ -162,7 +158,7 @@
       continue;
     if (!Best || Next->m_Pressure < Best->m_Pressure)
       Best = Next;
-    if (Best->m_Pressure < SpillPressure)
+    if (Best->m_Pressure < m_Settings.m_SpillPressure)
       break;
   }
   if (!Best)
@@ -173,6 +169,8 @@
 double TargetChooser::Impl::pressure(const Slot &One, absl::Time Now) const {
   // A target on trial is to be tried.
   double Failures = One.m_Health.isEjected() ? 0 : One.m_Health.failureShare();
+  if (m_Settings.m_UseRelativeFailures)
+    Failures = std::max(0.0, Failures - meanFailureShare());
   double Penalty = FailurePenalty * Failures;
   double Own = One.m_Outstanding;
   if (!m_Settings.m_UseFeedback)
@@ -188,6 +186,17 @@
   return Requests / std::max(1.0F, One.m_Load.m_Limit) + Penalty;
 }
 
+double TargetChooser::Impl::meanFailureShare() const {
+  double Sum = 0;
+  int Count = 0;
+  for (const auto &Tier : m_Tiers)
+    for (std::uint32_t Index : Tier) {
+      Sum += m_Slots[Index].m_Health.failureShare();
+      ++Count;
+    }
+  return Count > 0 ? Sum / Count : 0;
+}
+
 void TargetChooser::Impl::onSent(TargetHandle Target) {
   Slot &One = at(Target);
   ++One.m_Outstanding;
--- a/libs/policy/src/TargetChooserImpl.h
+++ b/libs/policy/src/TargetChooserImpl.h
@@ -64,6 +64,7 @@
   drawLessPressed(std::size_t Tier, const ChoiceContext &Context,
                   absl::BitGenRef Random, absl::Time Now) const;
   [[nodiscard]] double pressure(const Slot &One, absl::Time Now) const;
+  [[nodiscard]] double meanFailureShare() const;
   void noteAnswered(Slot &One);
   void noteFailure(TargetHandle Target, absl::Time Now);
   [[nodiscard]] bool isWorseThanOthers(TargetHandle Target) const;
