--- a/build.sh
+++ b/build.sh
@@ -54,6 +54,7 @@
 }
 
 lint() {
+  tools/lint/names.sh
   sources | xargs clang-format --dry-run --Werror
   # Unchanged files are skipped: a stamp holds the hash of what clang-tidy read.
   sources | grep '\.cpp$' | grep -v /fuzz/ |
--- a/libs/mesh/include/mesh/RecordFollower.h
+++ b/libs/mesh/include/mesh/RecordFollower.h
@@ -29,9 +29,9 @@
   struct Options {
     std::string m_Topic;
     StorePort m_Port;
-    /// A poll that is silent for longer is taken for broken. Configuration has
-    /// to be in force within seconds, so the wait is shorter than these.
-    absl::Duration m_Wait = absl::Seconds(5);
+    /// How long a poll waits for news at most. A connection that has gone
+    /// silent is found when that is over. Null: 5 s.
+    std::function<absl::Duration()> m_Wait;
     /// Finite: all keys are read again so often, and nothing is polled for.
     absl::Duration m_ReadAllEvery = absl::InfiniteDuration();
     absl::Duration m_LeastPause = absl::Milliseconds(100);
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -41,6 +41,7 @@
   void makePeers();
   void makeFollowers();
   [[nodiscard]] RecordFollower::Options followerOptions();
+  [[nodiscard]] absl::Duration pollWait();
 
   // NodeImpl.cpp
   void onUp(link::PeerHandle Link, const model::Member &Who);
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -15,7 +15,13 @@
 /// the rest.
 constexpr double CallerDescriptors = 0.6;
 /// Members are read again so often, besides the links that newcomers open.
-constexpr absl::Duration MembersEvery = absl::Seconds(20);
+constexpr absl::Duration MembersEvery = absl::Minutes(2);
+/// If every connection to the store went silent at once, some daemon of those
+/// that are linked begins another poll about so often, finds it, and tells the
+/// others by its heartbeats. Configuration has to be in force within seconds.
+constexpr absl::Duration PollEvery = absl::Milliseconds(600);
+constexpr absl::Duration LeastPollWait = absl::Seconds(4);
+constexpr absl::Duration MostPollWait = absl::Seconds(25); // The store's is 30.
 /// Of the allowed repeats a call tree four deep may use a quarter at each
 /// level, since the calls of a repeated run are repeats too.
 constexpr double RepeatLevels = 4;
@@ -184,12 +190,19 @@
   return Options;
 }
 
+absl::Duration Node::Impl::pollWait() {
+  absl::Duration Even = PollEvery * static_cast<double>(m_Peers->linked() + 1);
+  return std::clamp(Even, LeastPollWait, MostPollWait) *
+         absl::Uniform(m_Random, 0.5, 1.0);
+}
+
 void Node::Impl::makeFollowers() {
   RecordFollower::Options Operator = followerOptions();
   Operator.m_Topic = m_Ports.m_OperatorTopic;
   Operator.m_OnRecord = [this](const StoredRecord &Record, absl::Time Now) {
     onOperatorRecord(Record, Now);
   };
+  Operator.m_Wait = [this] { return pollWait(); };
   Operator.m_OnReach = [this](bool IsReached, absl::Time) {
     m_Log.state(IsReached ? "The store is reached." : "The store is away.",
                 {{"config", m_Catalog ? m_Catalog->version() : 0}});
--- a/libs/mesh/src/RecordFollower.cpp
+++ b/libs/mesh/src/RecordFollower.cpp
@@ -5,6 +5,11 @@
 #include <utility>
 
 namespace knapweedloft::mesh {
+namespace {
+
+constexpr absl::Duration DefaultWait = absl::Seconds(5);
+
+} // namespace
 
 RecordFollower::RecordFollower(Options Settings)
     : m_Settings(std::move(Settings)) {}
@@ -19,7 +24,8 @@
 
 void RecordFollower::poll() {
   m_Settings.m_Port.m_ReadFrom(
-      m_Settings.m_Topic, m_Next, m_Settings.m_Wait,
+      m_Settings.m_Topic, m_Next,
+      m_Settings.m_Wait ? m_Settings.m_Wait() : DefaultWait,
       [this](StoreRead Read, absl::Time Now) { onNew(std::move(Read), Now); });
 }
 
--- a/libs/mesh/tests/PathTest.cpp
+++ b/libs/mesh/tests/PathTest.cpp
@@ -26,7 +26,7 @@
                     .m_NotRun = "Not-Run",
                     .m_Proof = "Proof",
                     .m_TargetLoad = "Load",
-                    .m_ColdLeft = "Cold-Ms"};
+                    .m_ColdLeft = "Cold-Left"};
 
 CatalogPtr makeCatalog() {
   Catalog Made;
@@ -495,7 +495,7 @@
   EXPECT_NE(m_Calls[1].m_Call.m_Text.find("GET /health"), std::string::npos);
   finish(
       1, http::Failure::None,
-      {.m_Status = 200, .m_Headers = {{"I-Am", "i-2"}, {"Cold-Ms", "2000"}}});
+      {.m_Status = 200, .m_Headers = {{"I-Am", "i-2"}, {"Cold-Left", "2000"}}});
   EXPECT_TRUE(m_Path.state().isOpen());
   EXPECT_TRUE(m_Path.isCold(m_Now));
 }
