--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -2,6 +2,7 @@
 #include "CheckCommand.h"
 #include "DeleteCommand.h"
 #include "ExitCode.h"
+#include "ExplainCommand.h"
 #include "GetCommand.h"
 #include "NodeCommand.h"
 #include "ReportCommand.h"
@@ -44,6 +45,7 @@
   App.require_subcommand(1);
   addRunCommand(App);
   addNodeCommand(App);
+  addExplainCommand(App);
   addCheckCommand(App);
   addReportCommand(App);
   addApplyCommand(App);
--- a/libs/app/src/Log.cpp
+++ b/libs/app/src/Log.cpp
@@ -1,5 +1,7 @@
 #include "app/Log.h"
 
+#include "telemetry/LogText.h"
+
 #include "absl/time/clock.h"
 
 #include <algorithm>
@@ -14,25 +16,6 @@
   return Level;
 }
 
-bool isPlain(char Character) {
-  return Character > ' ' && Character < 127 && Character != '"' &&
-         Character != '\\' && Character != '=';
-}
-
-void appendQuoted(std::string &Line, std::string_view Value) {
-  Line += '"';
-  for (char Character : Value) {
-    auto Byte = static_cast<unsigned char>(Character);
-    if (Character == '"' || Character == '\\')
-      Line += '\\';
-    if (Byte < ' ' || Byte == 127)
-      fmt::format_to(std::back_inserter(Line), "\\x{:02x}", Byte);
-    else
-      Line += Character;
-  }
-  Line += '"';
-}
-
 } // namespace
 
 std::string formatLogLine(absl::Time WallTime, LogLevel Level,
@@ -44,11 +27,7 @@
                  LogLevelNames.nameOf(Level), Part, Sentence);
   for (const LogField &Field : Values) {
     fmt::format_to(std::back_inserter(Line), " {}=", Field.m_Key);
-    const std::string &Value = Field.m_Value;
-    if (!Value.empty() && std::all_of(Value.begin(), Value.end(), isPlain))
-      Line += Value;
-    else
-      appendQuoted(Line, Value);
+    telemetry::appendLogValue(Line, Field.m_Value);
   }
   Line += '\n';
   return Line;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -569,6 +569,7 @@
        {"ran", DidRun},
        {"route", Refused.m_Route ? Refused.m_Route->m_Name : ""},
        {"customer", Refused.m_Customer ? Refused.m_Customer->m_Name : ""},
+       {"target", Refused.m_To.m_Name},
        {"config", m_Catalog ? m_Catalog->version() : 0},
        {"held", Now - Refused.m_Received},
        {"back", ComeBack}});
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -264,6 +264,12 @@
   }
   ++m_Counts.m_Answered;
   m_Counts.m_Run.add(Now - Done.m_Started);
+  m_Log.routine("Ran.", {{"id", Done.m_Message.call_id},
+                         {"status", Response.m_Status},
+                         {"instance", Done.m_Instance},
+                         {"rank", Done.m_Message.rank},
+                         {"waited", Done.m_Started - Done.m_Arrived},
+                         {"took", Now - Done.m_Started}});
   wire::AnswerT Answer;
   Answer.id = app::toWire(Done.m_Id);
   Answer.ran = static_cast<std::uint8_t>(Ran::Yes);
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/EventLog.h"
 
+#include "telemetry/LogText.h"
+
 #include <algorithm>
 #include <iterator>
 #include <poll.h>
@@ -11,25 +13,6 @@
 /// A pipe that is ready takes this much without blocking (POSIX PIPE_BUF).
 constexpr std::size_t AtomicPipeBytes = 4096;
 
-bool isPlain(char Character) {
-  return Character > ' ' && Character < 127 && Character != '"' &&
-         Character != '\\' && Character != '=';
-}
-
-void appendQuoted(std::string &Line, std::string_view Value) {
-  Line += '"';
-  for (char Character : Value) {
-    auto Byte = static_cast<unsigned char>(Character);
-    if (Character == '"' || Character == '\\')
-      Line += '\\';
-    if (Byte < ' ' || Byte == 127)
-      fmt::format_to(std::back_inserter(Line), "\\x{:02x}", Byte);
-    else
-      Line += Character;
-  }
-  Line += '"';
-}
-
 } // namespace
 
 EventLog::Field::Field(std::string_view Key, absl::Duration Value)
@@ -72,11 +55,7 @@
   fmt::format_to(std::back_inserter(m_Waiting), " {}: {}", Part, Sentence);
   for (const Field &One : Values) {
     fmt::format_to(std::back_inserter(m_Waiting), " {}=", One.m_Key);
-    const std::string &Value = One.m_Value;
-    if (!Value.empty() && std::all_of(Value.begin(), Value.end(), isPlain))
-      m_Waiting += Value;
-    else
-      appendQuoted(m_Waiting, Value);
+    appendLogValue(m_Waiting, One.m_Value);
   }
   m_Waiting += '\n';
   m_UsedBytes += m_Waiting.size() - Before;
--- a/tools/lint/tidy.sh
+++ b/tools/lint/tidy.sh
@@ -9,10 +9,10 @@
 HASH=$({
   cat .clang-tidy "$FILE"
   # -MG: a header that is not found must not end the script without a word.
-  g++ -std=c++20 -MM -MG $(printf -- '-I%s ' libs/*/include tools/*/include) \
+  g++ -std=c++20 -MM -MG $(printf -- '-I%s ' libs/*/include tools/*/include platform/include) \
     -I"$(dirname "$FILE")" -I"$(dirname "$FILE")/../src" \
     -I"$(dirname "$FILE")/../include" "$FILE" 2>/dev/null |
-    tr ' \\' '\n\n' | grep -E '^(libs|apps|tools)/' | sort -u | xargs -r cat
+    tr ' \\' '\n\n' | grep -E '^(libs|apps|tools|platform)/' | sort -u | xargs -r cat
 } | sha256sum | cut -d' ' -f1)
 STAMP=$STAMPS/$HASH
 [ -e "$STAMP" ] && exit 0
