--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -3,6 +3,8 @@
 #include "io/MonotonicClock.h"
 #include "io/Sockets.h"
 
+#include "fmt/format.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
@@ -21,6 +23,10 @@
 constexpr absl::Duration IdleMargin = absl::Seconds(1);
 constexpr int FirstFinalStatus = 200;
 
+std::string addressOf(const model::Endpoint &To) {
+  return fmt::format("{}:{}", To.m_Address, To.m_Port);
+}
+
 /// \returns the time that the server keeps the connection open while idle.
 std::optional<absl::Duration> keepAliveOf(const HttpResponse &Response) {
   const std::string *Value = findHeader(Response.m_Headers, "Keep-Alive");
@@ -83,7 +89,7 @@
 }
 
 ClientConnection *LoopClient::Impl::takeIdle(const Call &Next, absl::Time Now) {
-  std::vector<std::uint64_t> &Idle = m_Idle[Next.m_To];
+  std::vector<std::uint64_t> &Idle = m_Idle[addressOf(Next.m_To)];
   while (!Idle.empty()) {
     ClientConnection *Held = find(Idle.back());
     if (Held && Now < Held->m_IdleUntil &&
@@ -241,7 +247,7 @@
 
 void LoopClient::Impl::keep(ClientConnection &Held, const HttpResponse &Last,
                             absl::Time Now) {
-  std::vector<std::uint64_t> &Idle = m_Idle[Held.m_To];
+  std::vector<std::uint64_t> &Idle = m_Idle[addressOf(Held.m_To)];
   if (Idle.size() >= m_Settings.m_MaxIdle)
     return close(Held.m_Id);
   absl::Duration IdleFor = m_Settings.m_MaxIdleFor;
@@ -279,7 +285,7 @@
   std::unique_ptr<ClientConnection> Held = std::move(Found->second);
   m_Connections.erase(Found);
   m_Loop.unwatch(Held->m_Watch);
-  auto Kept = m_Idle.find(Held->m_To);
+  auto Kept = m_Idle.find(addressOf(Held->m_To));
   if (Kept != m_Idle.end())
     std::erase(Kept->second, Id);
 }
@@ -314,7 +320,7 @@
 }
 
 void LoopClient::Impl::dropIdle(const model::Endpoint &To) {
-  auto Found = m_Idle.find(To);
+  auto Found = m_Idle.find(addressOf(To));
   if (Found == m_Idle.end())
     return;
   std::vector<std::uint64_t> Idle = Found->second;
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -6,9 +6,9 @@
 
 #include "absl/container/flat_hash_map.h"
 
-#include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -63,8 +63,8 @@
   absl::flat_hash_map<CallId, ActiveCall> m_Calls;
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<ClientConnection>>
       m_Connections;
-  /// Idle connections, the one used last at the back.
-  std::map<model::Endpoint, std::vector<std::uint64_t>> m_Idle;
+  /// Idle connections by address, the one used last at the back.
+  absl::flat_hash_map<std::string, std::vector<std::uint64_t>> m_Idle;
   std::set<std::pair<absl::Time, CallId>> m_Dues;
   absl::Time m_NextSweep = absl::InfiniteFuture();
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
--- a/libs/http/tests/LoopTest.cpp
+++ b/libs/http/tests/LoopTest.cpp
@@ -46,7 +46,7 @@
       Options.m_At = {"127.0.0.1", 0};
       Options.m_Limits.m_MaxBodyBytes = 1000;
       Options.m_Hooks.m_OnRequest = [this, Handle](ExchangeId Id,
-                                                   ParsedMessage Message,
+                                                   const ParsedMessage &Message,
                                                    const std::string &) {
         m_Ids.push_back(Id);
         if (Handle)
--- a/libs/mesh/include/mesh/RecordFollower.h
+++ b/libs/mesh/include/mesh/RecordFollower.h
@@ -70,8 +70,8 @@
   void goOn();
   void poll();
   void readAll();
-  void onAll(StoreRead Read, absl::Time Now);
-  void onNew(StoreRead Read, absl::Time Now);
+  void onAll(const StoreRead &Read, absl::Time Now);
+  void onNew(const StoreRead &Read, absl::Time Now);
   void put(const StoredRecord &Record, absl::Time Now);
   void onFailure(absl::Time Now);
   void onAnswer(absl::Time Now);
--- a/libs/mesh/src/RecordFollower.cpp
+++ b/libs/mesh/src/RecordFollower.cpp
@@ -19,17 +19,17 @@
 void RecordFollower::readAll() {
   m_Settings.m_Port.m_ReadNewest(
       m_Settings.m_Topic,
-      [this](StoreRead Read, absl::Time Now) { onAll(std::move(Read), Now); });
+      [this](const StoreRead &Read, absl::Time Now) { onAll(Read, Now); });
 }
 
 void RecordFollower::poll() {
   m_Settings.m_Port.m_ReadFrom(
       m_Settings.m_Topic, m_Next,
       m_Settings.m_Wait ? m_Settings.m_Wait() : DefaultWait,
-      [this](StoreRead Read, absl::Time Now) { onNew(std::move(Read), Now); });
+      [this](const StoreRead &Read, absl::Time Now) { onNew(Read, Now); });
 }
 
-void RecordFollower::onAll(StoreRead Read, absl::Time Now) {
+void RecordFollower::onAll(const StoreRead &Read, absl::Time Now) {
   if (Read.m_Outcome != StoreOutcome::Done)
     return onFailure(Now);
   std::vector<StoredRecord> Missing;
@@ -62,7 +62,7 @@
                      m_Settings.m_ReadAllEvery * (0.5 + m_Settings.m_Random()));
 }
 
-void RecordFollower::onNew(StoreRead Read, absl::Time Now) {
+void RecordFollower::onNew(const StoreRead &Read, absl::Time Now) {
   if (Read.m_Outcome == StoreOutcome::Expired) {
     onAnswer(Now);
     return readAll();
--- a/libs/policy/include/policy/RateLedger.h
+++ b/libs/policy/include/policy/RateLedger.h
@@ -56,13 +56,13 @@
 
   struct Options {
     /// Time between two rounds of words.
-    absl::Duration m_Round = absl::Milliseconds(250);
+    absl::Duration m_Round = absl::Milliseconds(500);
     /// Part of the level that is divided evenly, for demand that moves.
     double m_EvenPart = 0.2;
     /// Part of the burst that is there at a start.
     double m_StartPart = 0.25;
     /// Tokens that are free in a round while the bucket is half full.
-    double m_FreeTokens = 2;
+    double m_FreeTokens = 3;
     /// How long a daemon that is not heard any more keeps its part.
     absl::Duration m_KeepFor = absl::Seconds(15);
     /// Over this time takings are averaged.
--- a/libs/policy/tests/SplitWheelTest.cpp
+++ b/libs/policy/tests/SplitWheelTest.cpp
@@ -13,6 +13,7 @@
   constexpr std::array<double, 2> Weights{90, 10};
   SplitWheel Wheel(Weights, 0.3);
   std::vector<std::size_t> Parts;
+  Parts.reserve(1000);
   for (int Index = 0; Index < 1000; ++Index)
     Parts.push_back(Wheel.next());
   for (std::size_t From = 0; From + 100 <= Parts.size(); ++From) {
