--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -465,11 +465,12 @@
   Call.m_To = m_Options.m_At;
   Call.m_Text = http::requestText(Request);
   Call.m_Timeout = m_Options.m_CheckTimeout;
-  m_Options.m_Hooks.m_Call(std::move(Call),
-                           [this](http::HttpResult Result, absl::Time Ended) {
-                             m_IsChecking = false;
-                             onChecked(Result, Ended);
-                           });
+  m_Options.m_Hooks.m_Call(
+      std::move(Call),
+      [this](const http::HttpResult &Result, absl::Time Ended) {
+        m_IsChecking = false;
+        onChecked(Result, Ended);
+      });
 }
 
 void TargetPath::onChecked(const http::HttpResult &Result, absl::Time Now) {
