--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -65,8 +65,6 @@
   /// Answers with header lines that are passed on as they are.
   void answer(ExchangeId Id, int Status, std::string_view Lines,
               std::string_view Body);
-  /// Ends the connection of a request without an answer.
-  void abandon(ExchangeId Id);
 
   /// For requests and connections from now on.
   void setLimits(const Limits &Changed);
--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -319,15 +319,6 @@
   }
 }
 
-void LoopClient::Impl::dropIdle(const model::Endpoint &To) {
-  auto Found = m_Idle.find(addressOf(To));
-  if (Found == m_Idle.end())
-    return;
-  std::vector<std::uint64_t> Idle = Found->second;
-  for (std::uint64_t Id : Idle)
-    close(Id);
-}
-
 void LoopClient::Impl::scheduleSweep(absl::Time Due) {
   if (Due >= m_NextSweep)
     return;
--- a/libs/http/src/LoopServer.cpp
+++ b/libs/http/src/LoopServer.cpp
@@ -22,8 +22,6 @@
   m_Impl->answer(Id, Status, Lines, Body);
 }
 
-void LoopServer::abandon(ExchangeId Id) { m_Impl->abandon(Id); }
-
 void LoopServer::setLimits(const Limits &Changed) {
   m_Impl->m_Settings.m_Limits = Changed;
 }
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -215,8 +215,6 @@
   fillOutput(*Held);
 }
 
-void LoopServer::Impl::abandon(ExchangeId Id) { close(Id.m_Connection); }
-
 void LoopServer::Impl::fillOutput(ServerConnection &Held) {
   std::uint64_t Id = Held.m_Id;
   bool WasFull = Held.m_Exchanges.size() >= m_Settings.m_MaxPipelined;
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -22,7 +22,6 @@
 
   void answer(ExchangeId Id, int Status, std::string_view Lines,
               std::string_view Body);
-  void abandon(ExchangeId Id);
   void beginClosing();
   void stopAccepting();
 
--- a/libs/mesh/include/mesh/NodeSettings.h
+++ b/libs/mesh/include/mesh/NodeSettings.h
@@ -30,9 +30,8 @@
   absl::Duration m_StopWithin =
       absl::Seconds(5); ///< After a stop is asked for.
   /// Requests that reach a service beyond the first arrival of each, for each
-  /// request for it, over the whole fleet and any BudgetWindow; besides some.
+  /// request for it, over the whole fleet.
   double m_RepeatRatio = 0.2;
-  double m_RepeatSlack = 20;
 
   friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -26,6 +26,10 @@
 /// level, since the calls of a repeated run are repeats too.
 constexpr double RepeatLevels = 4;
 
+/// Of one daemon to one service. The rules grant the whole fleet some dozens
+/// beyond the ratio, which 13 to 77 daemons share with the levels above.
+constexpr double MostRepeatsAtOnce = 2;
+
 model::Incarnation drawIncarnation() {
   std::random_device Source;
   model::Incarnation Bits = 0;
@@ -95,7 +99,7 @@
   Options.m_SelfAddress = m_Settings.m_Target.m_Address;
   Options.m_Dialect = m_Settings.m_Dialect;
   Options.m_Repeats.m_Ratio = m_Settings.m_RepeatRatio / RepeatLevels;
-  Options.m_Repeats.m_MaxTokens = 2;
+  Options.m_Repeats.m_MaxTokens = MostRepeatsAtOnce;
   Options.m_Hooks.m_Forward = [this](const model::Member &To,
                                      wire::ForwardT Message) {
     return forward(To, std::move(Message));
--- a/libs/policy/include/policy/ColdPacer.h
+++ b/libs/policy/include/policy/ColdPacer.h
@@ -18,14 +18,9 @@
   void setCold(absl::Time Until, double PerSecond);
 
   [[nodiscard]] bool isCold(absl::Time Now) const { return Now < m_Until; }
-  [[nodiscard]] absl::Time until() const { return m_Until; }
 
   /// Records a start if it is within the bound.
   [[nodiscard]] bool tryStart(absl::Time Now);
-  /// Records a start that was not asked for, such as one of a target that was
-  /// not known to be cold.
-  void note(absl::Time Now);
-
   /// \returns when the next start is within the bound.
   [[nodiscard]] absl::Time nextStart(absl::Time Now) const;
 
--- a/libs/policy/include/policy/RateLedger.h
+++ b/libs/policy/include/policy/RateLedger.h
@@ -104,8 +104,6 @@
   /// \returns all that was taken, for a daemon that is heard anew.
   [[nodiscard]] std::vector<Spent> all() const;
 
-  [[nodiscard]] double levelOf(const std::string &Customer) const;
-
 private:
   struct Other {
     std::uint64_t m_Incarnation = 0;
--- a/libs/policy/src/ColdPacer.cpp
+++ b/libs/policy/src/ColdPacer.cpp
@@ -32,11 +32,6 @@
   return true;
 }
 
-void ColdPacer::note(absl::Time Now) {
-  expire(Now);
-  m_Starts.push_back(Now);
-}
-
 absl::Time ColdPacer::nextStart(absl::Time Now) const {
   std::size_t Bound = allowed(m_PerSecond);
   if (!isCold(Now) || m_Starts.size() < Bound)
--- a/libs/policy/src/RateLedger.cpp
+++ b/libs/policy/src/RateLedger.cpp
@@ -197,9 +197,4 @@
   return Totals;
 }
 
-double RateLedger::levelOf(const std::string &Customer) const {
-  auto Found = m_Accounts.find(Customer);
-  return Found == m_Accounts.end() ? 0 : Found->second.m_Level;
-}
-
 } // namespace knapweedloft::policy
