Keep one cast of link messages; drop a review of settings that never ran

Found on reading the whole change: NodeImpl and DaemonLinks each had the cast of a message union, now link/MessageCast.h. NodeCommand held a task that was never posted: settings are read again on SIGHUP only, as before. No behaviour changes.

--- a/apps/knapweedloft/NodeCommand.cpp
+++ b/apps/knapweedloft/NodeCommand.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr const char *SettingsVariable = "KNAPWEEDLOFT_SETTINGS";
-/// The platform may change the settings without a signal.
-constexpr absl::Duration ReloadInterval = absl::Seconds(10);
 
 adapter::AdapterSettings load(const std::string &Path) {
   try {
@@ -40,10 +38,6 @@
     else
       Node.beginStop([&Loop] { Loop.stop(); });
   });
-  std::function<void()> Review = [&] {
-    Node.reload(Path, "time");
-    Loop.post(Review, ReloadInterval);
-  };
   Node.start();
   Loop.run();
   Log.flush(absl::Now());
--- a/libs/app/src/DaemonLinks.cpp
+++ b/libs/app/src/DaemonLinks.cpp
@@ -3,6 +3,7 @@
 #include "app/Clock.h"
 #include "app/KeyHomes.h"
 #include "app/Log.h"
+#include "link/MessageCast.h"
 
 #include "fmt/format.h"
 
@@ -12,13 +13,9 @@
 
 namespace {
 
-constexpr Log LinkLog{"link"};
+using link::as;
 
-template <typename MessageT> MessageT *as(link::wire::MessageUnion &Message) {
-  return Message.type == link::wire::MessageUnionTraits<MessageT>::enum_value
-             ? static_cast<MessageT *>(Message.value)
-             : nullptr;
-}
+constexpr Log LinkLog{"link"};
 
 } // namespace
 
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -1,5 +1,6 @@
 #include "NodeImpl.h"
 
+#include "link/MessageCast.h"
 #include "mesh/MemberRecord.h"
 
 #include "absl/random/distributions.h"
@@ -12,6 +13,8 @@
 namespace knapweedloft::mesh {
 namespace {
 
+using link::as;
+
 /// Waits and time-outs are found this late at most while there is work.
 constexpr absl::Duration BusyTick = absl::Milliseconds(20);
 constexpr absl::Duration IdleTick = absl::Milliseconds(100);
@@ -32,12 +35,6 @@
 /// of the platform's grace time.
 constexpr absl::Duration StopIntake = absl::Milliseconds(2800);
 
-template <typename MessageT> MessageT *as(wire::MessageUnion &Message) {
-  return Message.type == wire::MessageUnionTraits<MessageT>::enum_value
-             ? static_cast<MessageT *>(Message.value)
-             : nullptr;
-}
-
 } // namespace
 
 void Node::Impl::start() {
