Attribute a target's calls to routes; one order of the door a bottleneck

Change: calls expire with what makes them (the users' page), so the daemon beside the target finds the route that made a call by its deadline and tells pairs of routes; the door follows these and keeps an order for each narrowest service. Links speak protocol 3.

--- a/libs/link/src/Greeting.h
+++ b/libs/link/src/Greeting.h
@@ -9,7 +9,7 @@
 namespace knapweedloft::link {
 
 /// The protocol of the frames; peers of another number are refused.
-inline constexpr std::uint16_t ProtocolNumber = 2;
+inline constexpr std::uint16_t ProtocolNumber = 3;
 
 wire::HelloT helloOf(const model::Member &Self, absl::Time Now);
 
--- a/libs/mesh/include/mesh/CatalogIndex.h
+++ b/libs/mesh/include/mesh/CatalogIndex.h
@@ -21,6 +21,7 @@
   /// host, or null. \p Path may carry a query.
   [[nodiscard]] const CatalogRoute *findRoute(std::string_view Host,
                                               std::string_view Path) const;
+  [[nodiscard]] const CatalogRoute *route(std::string_view Name) const;
   [[nodiscard]] const CatalogCustomer *customerOf(std::string_view Key) const;
   [[nodiscard]] const CatalogService *service(std::string_view Name) const;
 
@@ -35,6 +36,7 @@
   Catalog m_Catalog;
   /// By host, the longest prefix first.
   absl::flat_hash_map<std::string, std::vector<const CatalogRoute *>> m_Hosts;
+  absl::flat_hash_map<std::string, const CatalogRoute *> m_Routes;
   absl::flat_hash_map<std::string, const CatalogCustomer *> m_Keys;
   absl::flat_hash_map<std::string, const CatalogService *> m_Services;
 };
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -5,13 +5,14 @@
 #include "http/HttpMessage.h"
 #include "http/ParsedMessage.h"
 #include "link/generated/link_generated.h"
+#include "mesh/CallObserver.h"
 #include "mesh/CatalogIndex.h"
 #include "mesh/Dialect.h"
 #include "mesh/EntryCounts.h"
+#include "mesh/EntryDoor.h"
 #include "mesh/PeerTarget.h"
 #include "mesh/Reporter.h"
 #include "model/RefusalReason.h"
-#include "policy/DoorOrder.h"
 #include "policy/RateLedger.h"
 #include "policy/RetryBudget.h"
 #include "policy/SplitWheel.h"
@@ -52,6 +53,9 @@
     /// \returns the targets of a service that are known.
     std::function<std::vector<PeerTarget>(const std::string &Service)>
         m_TargetsOf;
+    /// \returns the route of what the own target runs with the deadline
+    /// \p End; an empty name if that is not certain.
+    std::function<std::string(absl::Time End)> m_RouteRunningUntil;
   };
 
   struct Options {
@@ -73,7 +77,7 @@
 
   void setCatalog(CatalogPtr Catalog, absl::Time Now);
   /// Targets have come, gone, opened or closed.
-  void onTargetsChanged() { ++m_TargetsVersion; }
+  void onTargetsChanged();
   void onLoad(const std::string &Service, model::Incarnation Daemon,
               const wire::Load &Load, absl::Time Now);
 
@@ -90,10 +94,10 @@
   /// Turns away new requests, but for calls of the own target, from then on.
   void stopAfter(absl::Time When) { m_StopsAt = When; }
 
-  /// Looks which services the own target calls. \returns whether that changed.
-  bool updateCalls();
-  [[nodiscard]] const std::vector<std::string> &calledServices() const {
-    return m_CalledServices;
+  /// Looks which routes the own target calls. \returns whether that changed.
+  bool updateCalls() { return m_Calls.update(); }
+  [[nodiscard]] const std::vector<CallEdge> &calls() const {
+    return m_Calls.edges();
   }
 
   [[nodiscard]] policy::RateLedger &rates() { return m_Rates; }
@@ -131,23 +135,11 @@
     absl::Time m_Sent;
   };
 
-  /// What the target side of one daemon fed back.
-  struct Gauge {
-    double m_Shed = 0; ///< Part of new work not to be let in.
-    double m_Limit = 1;
-    absl::Time m_Heard;
-  };
-
   struct Service {
     policy::TargetChooser m_Chooser;
     policy::RetryBudget m_Repeats;
     std::uint64_t m_TargetsVersion = 0;
     absl::flat_hash_map<model::Incarnation, PeerTarget> m_Targets;
-    std::uint64_t m_Calls = 0; ///< By the own target, since the last look.
-    /// What its targets let in, by daemon, and what they can run.
-    absl::flat_hash_map<model::Incarnation, Gauge> m_Gauges;
-    double m_Admitted = 1; ///< By it and what lies below it.
-    absl::Time m_AdmittedAt = absl::InfinitePast();
   };
 
   struct Ending {
@@ -162,13 +154,6 @@
   [[nodiscard]] std::string partOf(const CatalogRoute &Route);
   Service &serviceOf(const std::string &Name, absl::Time Now);
   void refreshTargets(const std::string &Name, Service &Of, absl::Time Now);
-  void noteLoad(Service &Of, model::Incarnation Daemon, const wire::Load &Load,
-                absl::Time Now);
-  /// \returns the part of new work for \p Name that it and the services below
-  /// it can do.
-  [[nodiscard]] double admittedTo(const std::string &Name, absl::Time Now);
-  [[nodiscard]] double admittedBy(const Service &Of, absl::Time Now) const;
-  [[nodiscard]] bool isReturning(const Pending &Next);
   [[nodiscard]] bool passesDoor(const Pending &Next, absl::Time Now);
   void dispatch(PendingId Id, absl::Time Now);
   [[nodiscard]] bool forward(PendingId Id, Pending &Next, Service &Of,
@@ -205,10 +190,8 @@
   absl::node_hash_map<std::string, Service> m_Services;
   absl::flat_hash_map<std::string, policy::SplitWheel> m_Wheels; ///< By route.
   std::set<std::pair<absl::Time, PendingId>> m_Alarms;
-  policy::DoorOrder m_Door;
-  /// The longest time that callers of a route have given, by route.
-  absl::flat_hash_map<std::string, absl::Duration> m_FullTimes;
-  std::vector<std::string> m_CalledServices;
+  EntryDoor m_Door;
+  CallObserver m_Calls{{}};
   absl::Time m_StopsAt = absl::InfiniteFuture();
   EntryCounts m_Counts;
 };
--- a/libs/mesh/include/mesh/PeerLinks.h
+++ b/libs/mesh/include/mesh/PeerLinks.h
@@ -75,7 +75,7 @@
     model::Member m_Member;
     std::vector<link::PeerHandle> m_Links;
     wire::TargetNewsT m_News; ///< But for the calls.
-    std::vector<std::string> m_Calls;
+    std::vector<CallEdge> m_Calls;
     absl::Time m_NextTry;
     absl::Duration m_Pause;
   };
--- a/libs/mesh/include/mesh/PeerTarget.h
+++ b/libs/mesh/include/mesh/PeerTarget.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_MESH_PEERTARGET_H
 #define KNAPWEEDLOFT_MESH_PEERTARGET_H
 
+#include "mesh/CallEdge.h"
 #include "model/Member.h"
 
 #include <cstdint>
@@ -13,8 +14,8 @@
 struct PeerTarget {
   model::Member m_Member;
   std::string m_Instance;
-  bool m_IsOpen = false; ///< Takes requests, and its daemon is linked.
-  std::vector<std::string> m_Calls; ///< Services that the target calls.
+  bool m_IsOpen = false;         ///< Takes requests, and its daemon is linked.
+  std::vector<CallEdge> m_Calls; ///< That the target makes.
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -84,6 +84,10 @@
   /// Takes nothing more; what runs goes on.
   void stop(absl::Time Now);
 
+  /// \returns the route of what runs with the deadline \p End, if all of that
+  /// is of one route; else an empty name.
+  [[nodiscard]] std::string routeRunningUntil(absl::Time End) const;
+
   [[nodiscard]] const TargetState &state() const { return m_State; }
   [[nodiscard]] wire::Load load() const;
   [[nodiscard]] bool isCold(absl::Time Now) const { return m_Gate.isCold(Now); }
--- a/libs/mesh/src/CatalogIndex.cpp
+++ b/libs/mesh/src/CatalogIndex.cpp
@@ -8,6 +8,8 @@
 CatalogIndex::CatalogIndex(Catalog Source) : m_Catalog(std::move(Source)) {
   for (const CatalogRoute &Route : m_Catalog.m_Routes)
     m_Hosts[Route.m_Host].push_back(&Route);
+  for (const CatalogRoute &Route : m_Catalog.m_Routes)
+    m_Routes.emplace(Route.m_Name, &Route);
   for (auto &[Host, Routes] : m_Hosts)
     std::stable_sort(Routes.begin(), Routes.end(),
                      [](const CatalogRoute *Left, const CatalogRoute *Right) {
@@ -33,6 +35,11 @@
   return nullptr;
 }
 
+const CatalogRoute *CatalogIndex::route(std::string_view Name) const {
+  auto Found = m_Routes.find(absl::string_view(Name.data(), Name.size()));
+  return Found == m_Routes.end() ? nullptr : Found->second;
+}
+
 const CatalogCustomer *CatalogIndex::customerOf(std::string_view Key) const {
   auto Found = m_Keys.find(absl::string_view(Key.data(), Key.size()));
   return Found == m_Keys.end() ? nullptr : Found->second;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -31,18 +31,10 @@
 /// When there may be room after a refusal at the door, whose part changes
 /// within a second.
 constexpr absl::Duration DoorComeBack = absl::Milliseconds(400);
-/// A caller that gives less than this part of the usual time has used the rest.
-constexpr double ReturningPart = 0.95;
-/// What a daemon fed back counts for so long.
-constexpr absl::Duration GaugeLife = absl::Seconds(2);
-/// The services below a route are looked through so often at most.
-constexpr absl::Duration AdmittedLife = absl::Milliseconds(50);
 /// Bytes between data centres cost and gain nothing while the near target has
 /// a slot free: full, and by a third of its slots behind, it is worth leaving.
 constexpr double SpillPressure = 1.0;
 constexpr double TierPenalty = 0.3;
-/// Calls from the own target between two looks that show that it calls.
-constexpr std::uint64_t TellingCalls = 2;
 /// A repeat needs this much time at least.
 constexpr absl::Duration LeastRepeatTime = absl::Milliseconds(20);
 
@@ -87,7 +79,7 @@
 
 EntryPath::EntryPath(Options Settings, Reporter Log)
     : m_Options(std::move(Settings)), m_Log(Log), m_Rates(m_Options.m_Rates),
-      m_Door(m_Options.m_Door) {}
+      m_Door({m_Options.m_Door, m_Options.m_Hooks.m_TargetsOf}) {}
 
 void EntryPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
   if (m_Catalog)
@@ -104,6 +96,7 @@
                       {.m_PerSecond = Customer.m_PerSecond,
                        .m_Burst = std::max(1.0, Customer.m_Burst)},
                       Now);
+  m_Door.setCatalog(Catalog);
   m_Catalog = std::move(Catalog);
   m_Wheels.clear();
 }
@@ -132,7 +125,9 @@
   Of.m_Repeats.deposit();
   if (Next.m_IsCall) {
     ++m_Counts.m_Calls;
-    ++Of.m_Calls;
+    std::string From = m_Options.m_Hooks.m_RouteRunningUntil(Next.m_Deadline);
+    if (!From.empty())
+      m_Calls.onCall(From, Next.m_Route->m_Name);
   }
   PendingId Number = ++m_LastId;
   absl::Time End = Next.m_End;
@@ -252,79 +247,25 @@
 
 void EntryPath::onLoad(const std::string &Name, model::Incarnation Daemon,
                        const wire::Load &Load, absl::Time Now) {
+  m_Door.onLoad(Name, Daemon, Load.shed_level(), Load.limit(), Now);
   auto Found = m_Services.find(Name);
   if (Found == m_Services.end())
     return;
   if (auto Target = Found->second.m_Chooser.find(Daemon))
     Found->second.m_Chooser.onLoad(*Target, feedbackOf(Load), Now);
-  noteLoad(Found->second, Daemon, Load, Now);
-}
-
-void EntryPath::noteLoad(Service &Of, model::Incarnation Daemon,
-                         const wire::Load &Load, absl::Time Now) {
-  Of.m_Gauges[Daemon] = {Load.shed_level(), std::max(1.0F, Load.limit()), Now};
-}
-
-double EntryPath::admittedBy(const Service &Of, absl::Time Now) const {
-  double Admitted = 0;
-  double Weights = 0;
-  for (const auto &[Daemon, Told] : Of.m_Gauges) {
-    // A target that takes nothing has room, but for nobody.
-    auto Target = Of.m_Targets.find(Daemon);
-    bool IsOpen = Target != Of.m_Targets.end() && Target->second.m_IsOpen;
-    if (!IsOpen || Now - Told.m_Heard > GaugeLife)
-      continue;
-    Admitted += Told.m_Limit * (1 - Told.m_Shed);
-    Weights += Told.m_Limit;
-  }
-  return Weights > 0 ? Admitted / Weights : 1;
-}
-
-double EntryPath::admittedTo(const std::string &Name, absl::Time Now) {
-  Service &Entered = serviceOf(Name, Now);
-  if (Now - Entered.m_AdmittedAt < AdmittedLife)
-    return Entered.m_Admitted;
-  double Least = 1;
-  std::vector<std::string> Reached{Name};
-  for (std::size_t Next = 0; Next < Reached.size(); ++Next) {
-    // A copy: serviceOf() may add another.
-    std::string Service = Reached[Next];
-    const auto &Of = serviceOf(Service, Now);
-    Least = std::min(Least, admittedBy(Of, Now));
-    for (const auto &[Daemon, Target] : Of.m_Targets)
-      for (const std::string &Called : Target.m_Calls)
-        if (std::find(Reached.begin(), Reached.end(), Called) == Reached.end())
-          Reached.push_back(Called);
-  }
-  Entered.m_Admitted = Least;
-  Entered.m_AdmittedAt = Now;
-  return Least;
-}
-
-bool EntryPath::isReturning(const Pending &Next) {
-  absl::Duration Given = Next.m_Deadline - Next.m_Received;
-  absl::Duration &Full = m_FullTimes[Next.m_Route->m_Name];
-  Full = std::max(Full, Given);
-  return Given < Full * ReturningPart;
 }
 
 bool EntryPath::passesDoor(const Pending &Next, absl::Time Now) {
-  return m_Door.pass(Next.m_Rank, isReturning(Next),
-                     admittedTo(Next.m_Service, Now), m_Random);
+  return m_Door.pass({.m_Route = Next.m_Route,
+                      .m_Service = &Next.m_Service,
+                      .m_Rank = Next.m_Rank,
+                      .m_Given = Next.m_Deadline - Next.m_Received},
+                     Now, m_Random);
 }
 
-bool EntryPath::updateCalls() {
-  std::vector<std::string> Called = m_CalledServices;
-  for (auto &[Name, Of] : m_Services) {
-    if (Of.m_Calls >= TellingCalls &&
-        std::find(Called.begin(), Called.end(), Name) == Called.end())
-      Called.push_back(Name);
-    Of.m_Calls = 0;
-  }
-  if (Called == m_CalledServices)
-    return false;
-  m_CalledServices = std::move(Called);
-  return true;
+void EntryPath::onTargetsChanged() {
+  ++m_TargetsVersion;
+  m_Door.onTargetsChanged();
 }
 
 void EntryPath::dispatch(PendingId Id, absl::Time Now) {
@@ -437,7 +378,8 @@
   Service &Of = serviceOf(Held.m_Service, Now);
   Of.m_Chooser.onAnswer(Held.m_Target, feedbackOf(Answer.load), !IsFailure,
                         Now - Held.m_Sent, Now);
-  noteLoad(Of, Held.m_To.m_Incarnation, Answer.load, Now);
+  m_Door.onLoad(Held.m_Service, Held.m_To.m_Incarnation,
+                Answer.load.shed_level(), Answer.load.limit(), Now);
   Held.m_Arrivals += HasArrived ? 1 : 0;
   if (DidRun != Ran::No)
     Held.m_MayHaveRun = true;
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -18,7 +18,7 @@
 /// Waits and time-outs are found this late at most while there is work.
 constexpr absl::Duration BusyTick = absl::Milliseconds(20);
 constexpr absl::Duration IdleTick = absl::Milliseconds(100);
-/// Which services the own target calls is looked at so often.
+/// Which routes the own target calls is looked at so often.
 constexpr absl::Duration CallsLookInterval = absl::Milliseconds(250);
 /// A peer is asked for records so often at most.
 constexpr absl::Duration RecordsAskInterval = absl::Milliseconds(200);
@@ -27,6 +27,9 @@
 /// A daemon that has its configuration is ready this long after its start,
 /// whoever else it has found.
 constexpr absl::Duration ReadyAfter = absl::Seconds(2);
+/// Rates are granted this long after the start even if the members could not
+/// be read: by then those that run have linked up.
+constexpr absl::Duration UnreadMembersAfter = absl::Seconds(1);
 /// Callers learn from two questions in a row, one a second, that the daemon
 /// stops; until then their requests are taken.
 constexpr absl::Duration StopNotice = absl::Milliseconds(2300);
@@ -80,6 +83,8 @@
     return;
   }
   m_Peers->onMember(*Who, Now);
+  if (Who->m_Name != m_Self.m_Name)
+    m_Entry->rates().onMember(Who->m_Name, Now);
 }
 
 void Node::Impl::onOperatorRecord(const StoredRecord &Record, absl::Time Now) {
@@ -126,7 +131,7 @@
   m_Entry->onTargetsChanged();
   m_Entry->rates().onDaemon(Who.m_Name, true, io::monotonicNow());
   m_Links->send(Link, news());
-  m_Links->send(Link, spentNews(m_Entry->rates().all()));
+  m_Links->send(Link, spentNews(m_Entry->rates().all(), io::monotonicNow()));
 }
 
 void Node::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
@@ -185,8 +190,11 @@
 }
 
 wire::SpentNewsT
-Node::Impl::spentNews(const std::vector<policy::RateLedger::Spent> &Spent) {
+Node::Impl::spentNews(const std::vector<policy::RateLedger::Spent> &Spent,
+                      absl::Time Now) const {
   wire::SpentNewsT News;
+  News.since_start_us =
+      static_cast<std::uint64_t>(absl::ToInt64Microseconds(Now - m_Started));
   for (const policy::RateLedger::Spent &One : Spent)
     News.customers.emplace_back(One.m_Customer, One.m_Total);
   return News;
@@ -200,7 +208,7 @@
   if (Changed.empty())
     return;
   for (link::PeerHandle Link : m_Peers->links())
-    m_Links->send(Link, spentNews(Changed));
+    m_Links->send(Link, spentNews(Changed, Now));
 }
 
 void Node::Impl::onSpent(link::PeerHandle From, const wire::SpentNewsT &News,
@@ -208,9 +216,12 @@
   const model::Member *Peer = m_Peers->memberOf(From);
   if (!Peer)
     return;
+  policy::RateLedger::Teller Teller{
+      .m_Name = Peer->m_Name,
+      .m_Incarnation = Peer->m_Incarnation,
+      .m_Started = Now - absl::Microseconds(News.since_start_us)};
   for (const wire::Spent &One : News.customers)
-    m_Entry->rates().onSpent(Peer->m_Name, Peer->m_Incarnation, One.customer(),
-                             One.total(), Now);
+    m_Entry->rates().onSpent(Teller, One.customer(), One.total(), Now);
 }
 
 void Node::Impl::sendRecords(link::PeerHandle To, std::uint64_t From) {
@@ -279,7 +290,7 @@
     Targets.push_back({.m_Member = m_Self,
                        .m_Instance = m_Target->state().instance(),
                        .m_IsOpen = m_Target->state().isOpen(),
-                       .m_Calls = m_Entry->calledServices()});
+                       .m_Calls = m_Entry->calls()});
   for (PeerTarget &Target : Targets)
     if (m_WithdrawnDataCenters.contains(Target.m_Member.m_DataCenter))
       Target.m_IsOpen = false;
@@ -293,10 +304,11 @@
   News.instance = m_Target->state().instance();
   News.is_open = m_Target->state().isOpen();
   News.is_cold = m_Target->isCold(io::monotonicNow());
-  for (const std::string &Service : m_Entry->calledServices()) {
-    auto Share = std::make_unique<wire::CallShareT>();
-    Share->service = Service;
-    News.calls.push_back(std::move(Share));
+  for (const CallEdge &Edge : m_Entry->calls()) {
+    auto Told = std::make_unique<wire::CallEdgeT>();
+    Told->from_route = Edge.m_From;
+    Told->to_route = Edge.m_To;
+    News.calls.push_back(std::move(Told));
   }
   return News;
 }
@@ -352,6 +364,8 @@
   m_Entry->tick(Now);
   m_Target->tick(Now);
   m_Peers->tick(Now);
+  if (Now - m_Started > UnreadMembersAfter)
+    m_Entry->rates().onMembersKnown(Now, m_Random);
   tellSpent(Now);
   if (Now >= m_NextCallsLook) {
     m_NextCallsLook = Now + CallsLookInterval;
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -61,8 +61,9 @@
   void setCatalog(Catalog Next, absl::Time Now);
   void onMemberRecord(const StoredRecord &Record, absl::Time Now);
   void writeMember();
-  [[nodiscard]] static wire::SpentNewsT
-  spentNews(const std::vector<policy::RateLedger::Spent> &Spent);
+  [[nodiscard]] wire::SpentNewsT
+  spentNews(const std::vector<policy::RateLedger::Spent> &Spent,
+            absl::Time Now) const;
   void tellSpent(absl::Time Now);
   void onSpent(link::PeerHandle From, const wire::SpentNewsT &News,
                absl::Time Now);
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -116,6 +116,9 @@
   Options.m_Hooks.m_TargetsOf = [this](const std::string &Service) {
     return targetsOf(Service);
   };
+  Options.m_Hooks.m_RouteRunningUntil = [this](absl::Time End) {
+    return m_Target->routeRunningUntil(End);
+  };
   m_Entry = std::make_unique<EntryPath>(std::move(Options),
                                         Reporter(m_EventLog, "entry"));
 }
@@ -219,7 +222,10 @@
   Members.m_OnRecord = [this](const StoredRecord &Record, absl::Time Now) {
     onMemberRecord(Record, Now);
   };
-  Members.m_OnFirstRead = [this](absl::Time) { m_HasMembers = true; };
+  Members.m_OnFirstRead = [this](absl::Time Now) {
+    m_HasMembers = true;
+    m_Entry->rates().onMembersKnown(Now, m_Random);
+  };
   Members.m_OnReach = [](bool, absl::Time) {};
   m_Members = std::make_unique<RecordFollower>(std::move(Members));
 }
--- a/libs/mesh/src/PeerLinks.cpp
+++ b/libs/mesh/src/PeerLinks.cpp
@@ -84,8 +84,8 @@
     Known.m_News.is_cold = News.is_cold;
     Known.m_News.slots = News.slots;
     Known.m_Calls.clear();
-    for (const auto &Called : News.calls)
-      Known.m_Calls.push_back(Called->service);
+    for (const auto &Edge : News.calls)
+      Known.m_Calls.push_back({Edge->from_route, Edge->to_route});
   }
 }
 
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -26,6 +26,10 @@
 /// When to come back to a target that takes nothing now.
 constexpr absl::Duration ClosedComeBack = absl::Milliseconds(500);
 
+/// A call ends with what makes it. Both times are told in whole milliseconds,
+/// rounded down, and count from when they are read.
+constexpr absl::Duration EarliestCallEnd = absl::Milliseconds(-3);
+constexpr absl::Duration LatestCallEnd = absl::Milliseconds(8);
 /// Changes of the part of new work to let in that are worth a line.
 constexpr double NotedChange = 0.05;
 
@@ -503,6 +507,19 @@
   noteChange(Before, m_State.instance(), Now);
 }
 
+std::string TargetPath::routeRunningUntil(absl::Time End) const {
+  const std::string *Route = nullptr;
+  for (const auto &[Id, Held] : m_Runs) {
+    absl::Duration Later = End - Held.m_Deadline;
+    if (!Held.m_IsStarted || Later < EarliestCallEnd || Later > LatestCallEnd)
+      continue;
+    if (Route && *Route != Held.m_Message.route)
+      return {};
+    Route = &Held.m_Message.route;
+  }
+  return Route ? *Route : std::string();
+}
+
 wire::Load TargetPath::load() const {
   policy::WorkGate::Load Load = m_Gate.load();
   return {static_cast<float>(Load.m_Limit),
--- /dev/null
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -0,0 +1,273 @@
+#include "mesh/EntryPath.h"
+
+#include "TestSite.h"
+#include "model/Ran.h"
+
+#include "gtest/gtest.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::mesh {
+namespace {
+
+using model::Ran;
+using model::RefusalReason;
+using testing::makeCatalog;
+using testing::Names;
+
+/// An entry side in front of two daemons that answer by hand.
+class EntryPathTest : public ::testing::Test {
+protected:
+  struct Answered {
+    int m_Status;
+    std::string m_Lines;
+    std::string m_Body;
+  };
+
+  struct Sent {
+    std::string m_To;
+    wire::ForwardT m_Message;
+  };
+
+  EntryPathTest() : m_Entry(options(), Reporter(m_Log, "entry")) {
+    m_Entry.setCatalog(makeCatalog(), m_Now);
+  }
+
+  EntryPath::Options options() {
+    EntryPath::Options Options;
+    Options.m_Self = {.m_Name = "self",
+                      .m_Incarnation = 1,
+                      .m_Region = "r",
+                      .m_DataCenter = "a",
+                      .m_Service = "web"};
+    Options.m_SelfAddress = "10.0.0.1";
+    Options.m_Dialect = Names;
+    Options.m_Repeats = {.m_Ratio = 1, .m_MaxTokens = 10};
+    Options.m_Hooks.m_Forward = [this](const model::Member &To,
+                                       wire::ForwardT Message) {
+      m_Sent.push_back({To.m_Name, std::move(Message)});
+      return true;
+    };
+    Options.m_Hooks.m_Cancel = [this](const model::Member &,
+                                      wire::CancelT Message) {
+      m_Cancelled.push_back(Message.id.sequence());
+    };
+    Options.m_Hooks.m_Answer = [this](http::ExchangeId, int Status,
+                                      std::string_view Lines,
+                                      std::string_view Body) {
+      m_Answers.push_back({Status, std::string(Lines), std::string(Body)});
+    };
+    Options.m_Hooks.m_TargetsOf = [this](const std::string &) {
+      return m_Targets;
+    };
+    Options.m_Hooks.m_RouteRunningUntil = [this](absl::Time) {
+      return m_Running;
+    };
+    return Options;
+  }
+
+  static PeerTarget target(const std::string &Name, model::Incarnation Id) {
+    return {.m_Member = {.m_Name = Name,
+                         .m_Incarnation = Id,
+                         .m_Region = "r",
+                         .m_DataCenter = "a",
+                         .m_Service = "archive"},
+            .m_Instance = "i-" + Name,
+            .m_IsOpen = true};
+  }
+
+  void request(const std::string &Path, http::HeaderList More = {},
+               const std::string &From = "10.9.9.9") {
+    http::ParsedMessage Message;
+    Message.m_Method = "GET";
+    Message.m_Path = Path;
+    Message.m_Headers = {{"Host", "site"},
+                         {"Call-Id", "c1"},
+                         {"Time-Left", "3000"},
+                         {"Authorization", "Key secret"}};
+    for (http::HeaderField &Field : More) {
+      http::removeHeader(Message.m_Headers, Field.m_Name);
+      if (!Field.m_Value.empty())
+        Message.m_Headers.push_back(std::move(Field));
+    }
+    m_Entry.onRequest({1, ++m_Exchange}, std::move(Message), From, m_Now);
+  }
+
+  wire::AnswerT answerTo(const Sent &Forward) {
+    wire::AnswerT Answer;
+    Answer.id = Forward.m_Message.id;
+    Answer.load = {10, 1, 0, 0, 1000, false};
+    return Answer;
+  }
+
+  void succeed(std::size_t Index) {
+    wire::AnswerT Answer = answerTo(m_Sent[Index]);
+    Answer.ran = static_cast<std::uint8_t>(Ran::Yes);
+    Answer.status = 200;
+    Answer.lines = "Proof: p\r\n";
+    Answer.body = {'o', 'k'};
+    m_Entry.onAnswer(Answer, m_Now);
+  }
+
+  /// \p HasArrived: the target itself said that it did not run it.
+  void refuse(std::size_t Index, RefusalReason Reason, Ran DidRun,
+              bool HasArrived) {
+    wire::AnswerT Answer = answerTo(m_Sent[Index]);
+    Answer.refusal = static_cast<std::uint8_t>(Reason);
+    Answer.ran = static_cast<std::uint8_t>(DidRun);
+    Answer.status = HasArrived ? 503 : 0;
+    m_Entry.onAnswer(Answer, m_Now);
+  }
+
+  absl::Time m_Now = absl::FromUnixSeconds(1000);
+  telemetry::EventLog m_Log{
+      {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
+  std::vector<PeerTarget> m_Targets{target("d1", 11), target("d2", 12)};
+  std::deque<Sent> m_Sent;
+  std::vector<Answered> m_Answers;
+  std::vector<std::uint64_t> m_Cancelled;
+  std::uint64_t m_Exchange = 0;
+  std::string m_Running; ///< Route of what the own target runs.
+  EntryPath m_Entry;
+};
+
+TEST_F(EntryPathTest, OnRequest_ValidKey_ForwardsWithoutTheKey) {
+  request("/reads/1", {{"Customer", "forged"}, {"From-Service", "forged"}});
+  ASSERT_EQ(m_Sent.size(), 1U);
+  const std::string &Lines = m_Sent[0].m_Message.lines;
+  EXPECT_EQ(Lines.find("secret"), std::string::npos);
+  EXPECT_EQ(Lines.find("forged"), std::string::npos);
+  EXPECT_NE(Lines.find("Customer: acme\r\n"), std::string::npos);
+  EXPECT_NE(Lines.find("From-Service: web\r\n"), std::string::npos);
+  EXPECT_NE(Lines.find("Call-Id: c1\r\n"), std::string::npos);
+  EXPECT_EQ(m_Sent[0].m_Message.remaining_us, 3'000'000U);
+  succeed(0);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 200);
+  EXPECT_EQ(m_Answers[0].m_Body, "ok");
+  EXPECT_EQ(m_Entry.pending(), 0U);
+}
+
+TEST_F(EntryPathTest, OnRequest_BadInput_IsRefusedAtOnceWithItsStatus) {
+  request("/nowhere/1");
+  request("/reads/1", {{"Authorization", "Key wrong"}});
+  request("/reads/1", {{"Authorization", ""}});
+  request("/reads/1", {{"Call-Id", ""}});
+  ASSERT_EQ(m_Answers.size(), 4U);
+  EXPECT_EQ(m_Answers[0].m_Status, 404);
+  EXPECT_EQ(m_Answers[1].m_Status, 401);
+  EXPECT_EQ(m_Answers[2].m_Status, 401);
+  EXPECT_EQ(m_Answers[3].m_Status, 400);
+  EXPECT_TRUE(m_Sent.empty());
+}
+
+TEST_F(EntryPathTest, OnRequest_NoConfigurationYet_Is503) {
+  EntryPath Fresh(options(), Reporter(m_Log, "entry"));
+  http::ParsedMessage Message;
+  Message.m_Path = "/reads/1";
+  Fresh.onRequest({1, 1}, std::move(Message), "10.9.9.9", m_Now);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+}
+
+TEST_F(EntryPathTest, OnRequest_PastTheRate_Is429WithATimeToComeBack) {
+  for (int Index = 0; Index < 3; ++Index)
+    request("/reads/1", {{"Authorization", "Key other"}});
+  ASSERT_FALSE(m_Answers.empty());
+  EXPECT_EQ(m_Answers[0].m_Status, 429);
+  EXPECT_NE(m_Answers[0].m_Lines.find("Retry-After: "), std::string::npos);
+  EXPECT_NE(m_Answers[0].m_Body.find("\"ran\":\"no\""), std::string::npos);
+}
+
+TEST_F(EntryPathTest, OnRequest_CallOfTheOwnTarget_GoesFirstAndNeedsNoKey) {
+  request("/calls/1", {{"Authorization", ""}}, "10.0.0.1");
+  ASSERT_EQ(m_Sent.size(), 1U);
+  EXPECT_EQ(m_Sent[0].m_Message.rank, 0U);
+  request("/reads/1");
+  EXPECT_GT(m_Sent[1].m_Message.rank, 0U);
+}
+
+TEST_F(EntryPathTest, OnAnswer_RefusedByATargetSide_TriesTheOther) {
+  request("/orders/1");
+  refuse(0, RefusalReason::Overloaded, Ran::No, false);
+  ASSERT_EQ(m_Sent.size(), 2U);
+  EXPECT_NE(m_Sent[0].m_To, m_Sent[1].m_To);
+  refuse(1, RefusalReason::Overloaded, Ran::No, false);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+}
+
+TEST_F(EntryPathTest, OnAnswer_OutcomeUnknown_OnlyWhatMayIsRepeated) {
+  request("/orders/1");
+  refuse(0, RefusalReason::BadAnswer, Ran::Unknown, false);
+  ASSERT_EQ(m_Sent.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  // 503 and 429 would promise that it has not run.
+  EXPECT_GE(m_Answers[0].m_Status, 502);
+  EXPECT_NE(m_Answers[0].m_Status, 503);
+  request("/reads/1");
+  refuse(1, RefusalReason::BadAnswer, Ran::Unknown, false);
+  EXPECT_EQ(m_Sent.size(), 3U);
+}
+
+TEST_F(EntryPathTest, OnAnswer_NoTargetGetsMoreThanTheRouteAllows) {
+  m_Targets.push_back(target("d3", 13));
+  request("/reads/1");
+  refuse(0, RefusalReason::BadAnswer, Ran::Unknown, false);
+  refuse(1, RefusalReason::BadAnswer, Ran::Unknown, false);
+  EXPECT_EQ(m_Sent.size(), 2U);
+  EXPECT_EQ(m_Answers.size(), 1U);
+}
+
+TEST_F(EntryPathTest, OnDaemonLost_RequestThatMayRunOnce_EndsUnknown) {
+  request("/orders/1");
+  model::Incarnation Daemon = m_Sent[0].m_To == "d1" ? 11 : 12;
+  m_Entry.onDaemonLost(Daemon, m_Now);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_NE(m_Answers[0].m_Status, 503);
+  EXPECT_NE(m_Answers[0].m_Body.find("unknown"), std::string::npos);
+}
+
+TEST_F(EntryPathTest, OnGone_CancelsWhatIsUnderWay) {
+  request("/reads/1");
+  m_Entry.onGone({1, 1}, m_Now);
+  EXPECT_EQ(m_Cancelled.size(), 1U);
+  EXPECT_EQ(m_Entry.pending(), 0U);
+  succeed(0); // Too late: nobody is answered.
+  EXPECT_TRUE(m_Answers.empty());
+}
+
+TEST_F(EntryPathTest, Tick_TimeOfTheRouteIsOver_EndsAndCancels) {
+  request("/reads/1", {{"Time-Left", "60000"}});
+  EXPECT_EQ(m_Sent[0].m_Message.remaining_us, 5'000'000U);
+  m_Entry.tick(m_Now + absl::Seconds(5) + absl::Milliseconds(40));
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 504);
+  EXPECT_EQ(m_Cancelled.size(), 1U);
+}
+
+TEST_F(EntryPathTest, OnRequest_CallsOfTheOwnTarget_AreToldByRoute) {
+  m_Running = "orders";
+  for (int Index = 0; Index < 3; ++Index)
+    request("/calls/1", {{"Authorization", ""}}, "10.0.0.1");
+  EXPECT_TRUE(m_Entry.updateCalls());
+  EXPECT_FALSE(m_Entry.updateCalls());
+  EXPECT_EQ(m_Entry.calls(), (std::vector<CallEdge>{{"orders", "calls"}}));
+}
+
+TEST_F(EntryPathTest, OnRequest_TargetCanTakeLittle_IsRefusedAtTheDoor) {
+  for (int Index = 0; Index < 400; ++Index) {
+    m_Now += absl::Milliseconds(10);
+    for (model::Incarnation Daemon : {11U, 12U})
+      m_Entry.onLoad("archive", Daemon, {10, 9, 5, 0.9F, 1000, false}, m_Now);
+    request("/reads/1");
+  }
+  EXPECT_LT(m_Sent.size(), 120U);
+  EXPECT_GT(m_Sent.size(), 0U);
+  EXPECT_EQ(m_Answers.front().m_Status, 503);
+}
+
+} // namespace
+} // namespace knapweedloft::mesh
--- /dev/null
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -0,0 +1,244 @@
+#include "mesh/TargetPath.h"
+
+#include "TestSite.h"
+#include "model/Ran.h"
+
+#include "gtest/gtest.h"
+
+#include <deque>
+#include <string>
+
+namespace knapweedloft::mesh {
+namespace {
+
+using model::Ran;
+using testing::makeCatalog;
+using testing::Names;
+
+/// A target side whose target answers by hand.
+class TargetPathTest : public ::testing::Test {
+protected:
+  struct Called {
+    http::LoopClient::Call m_Call;
+    http::LoopClient::Done m_OnDone;
+  };
+
+  TargetPathTest() : m_Path(options(), Reporter(m_Log, "target"), m_Now) {
+    m_Path.setCatalog(makeCatalog(), m_Now);
+  }
+
+  TargetPath::Options options() {
+    TargetPath::Options Options;
+    Options.m_Self = 11;
+    Options.m_DataCenter = "a";
+    Options.m_Service = "archive";
+    Options.m_At = {"10.0.0.5", 80};
+    Options.m_Dialect = Names;
+    Options.m_Hooks.m_Answer = [this](link::PeerHandle, wire::AnswerT Answer) {
+      m_Answers.push_back(std::move(Answer));
+    };
+    Options.m_Hooks.m_Call = [this](http::LoopClient::Call Call,
+                                    http::LoopClient::Done OnDone) {
+      m_Calls.push_back({std::move(Call), std::move(OnDone)});
+      return m_Calls.size();
+    };
+    Options.m_Hooks.m_CancelCall = [this](http::LoopClient::CallId Id) {
+      m_CancelledCalls.push_back(Id);
+    };
+    Options.m_Hooks.m_OnChange = [](absl::Time) {};
+    return Options;
+  }
+
+  TargetReport report(std::uint64_t Sequence,
+                      TargetCondition Condition = TargetCondition::Ready,
+                      absl::Duration ColdLeft = absl::ZeroDuration()) {
+    return {.m_Instance = "i-1",
+            .m_Service = "archive",
+            .m_At = {"10.0.0.5", 80},
+            .m_Condition = Condition,
+            .m_Slots = 10,
+            .m_Sequence = Sequence,
+            .m_BornMs = 5,
+            .m_ColdLeft = ColdLeft};
+  }
+
+  void forward(std::uint64_t Sequence, bool IsIdempotent = true,
+               const std::string &Route = "reads") {
+    wire::ForwardT Message;
+    Message.id = {1, Sequence};
+    Message.to_incarnation = 11;
+    Message.method = "GET";
+    Message.path = "/reads/1";
+    Message.service = "archive";
+    Message.route = Route;
+    Message.rank = 3;
+    Message.is_idempotent = IsIdempotent;
+    Message.remaining_us = 3'000'000;
+    Message.aim_us = 1'000'000;
+    Message.call_id = "c1";
+    Message.lines = "Host: site\r\n";
+    m_Path.onForward({}, Message, m_Now);
+  }
+
+  void finish(std::size_t Index, http::Failure How,
+              http::HttpResponse Response = {}) {
+    http::HttpResult Result;
+    Result.m_Failure = How;
+    Result.m_Response = std::move(Response);
+    m_Calls[Index].m_OnDone(std::move(Result), m_Now);
+  }
+
+  [[nodiscard]] Ran ranOf(std::size_t Index) const {
+    return static_cast<Ran>(m_Answers[Index].ran);
+  }
+
+  absl::Time m_Now = absl::FromUnixSeconds(1000);
+  telemetry::EventLog m_Log{
+      {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
+  std::vector<wire::AnswerT> m_Answers;
+  std::deque<Called> m_Calls;
+  std::vector<http::LoopClient::CallId> m_CancelledCalls;
+  TargetPath m_Path;
+};
+
+TEST_F(TargetPathTest, OnForward_OpenTarget_IsMeantForThatInstance) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  ASSERT_EQ(m_Calls.size(), 1U);
+  const std::string &Text = m_Calls[0].m_Call.m_Text;
+  EXPECT_NE(Text.find("Meant-For: i-1\r\n"), std::string::npos);
+  EXPECT_NE(Text.find("Time-Left: 3000\r\n"), std::string::npos);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}}, .m_Body = "ok"});
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].status, 200);
+}
+
+TEST_F(TargetPathTest, OnForward_UnknownTarget_IsRefusedUnrun) {
+  forward(1);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(ranOf(0), Ran::No);
+  EXPECT_EQ(m_Answers[0].status, 0); // It has not arrived: no repeat is spent.
+  EXPECT_TRUE(m_Calls.empty());
+}
+
+TEST_F(TargetPathTest, OnReport_Draining_NothingReachesTheTargetFromThenOn) {
+  m_Path.onReport(report(1), m_Now);
+  for (std::uint64_t Index = 1; Index <= 15; ++Index)
+    forward(Index);
+  ASSERT_EQ(m_Calls.size(), 9U);
+  EXPECT_EQ(m_Path.onReport(report(2, TargetCondition::Draining), m_Now),
+            TargetState::Reception::Taken);
+  // Those that waited are refused; those that run go on.
+  EXPECT_EQ(m_Answers.size(), 6U);
+  forward(20);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}}});
+  EXPECT_EQ(m_Calls.size(), 9U);
+  EXPECT_EQ(m_Answers.size(), 8U);
+}
+
+TEST_F(TargetPathTest, OnResult_NoWholeAnswer_IsUnknownButForWhatWasNotSent) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  forward(2);
+  forward(3);
+  finish(0, http::Failure::Cut);
+  finish(1, http::Failure::TimedOut);
+  finish(2, http::Failure::NotSent);
+  ASSERT_EQ(m_Answers.size(), 3U);
+  EXPECT_EQ(ranOf(0), Ran::Unknown);
+  EXPECT_EQ(ranOf(1), Ran::Unknown);
+  EXPECT_EQ(ranOf(2), Ran::No);
+  EXPECT_EQ(m_Path.state().gate(), TargetGate::Down);
+}
+
+TEST_F(TargetPathTest, OnResult_TargetSaysNotRun_IsBelievedAndHasArrived) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  finish(0, http::Failure::None,
+         {.m_Status = 503, .m_Headers = {{"Not-Run", "1"}}});
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(ranOf(0), Ran::No);
+  EXPECT_NE(m_Answers[0].status, 0);
+}
+
+TEST_F(TargetPathTest, OnResult_SuccessWithoutProof_IsNoAnswer) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  finish(0, http::Failure::None, {.m_Status = 200, .m_Body = "forged"});
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_NE(m_Answers[0].refusal, 0);
+  EXPECT_EQ(ranOf(0), Ran::Unknown);
+}
+
+TEST_F(TargetPathTest,
+       OnResult_AnotherInstanceAnswers_IsAskedBeforeItGetsMore) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  finish(0, http::Failure::None,
+         {.m_Status = 421, .m_Headers = {{"I-Am", "i-2"}}});
+  EXPECT_EQ(ranOf(0), Ran::No);
+  forward(2);
+  EXPECT_EQ(m_Calls.size(), 1U);
+  m_Path.tick(m_Now);
+  ASSERT_EQ(m_Calls.size(), 2U);
+  EXPECT_NE(m_Calls[1].m_Call.m_Text.find("GET /health"), std::string::npos);
+  finish(
+      1, http::Failure::None,
+      {.m_Status = 200, .m_Headers = {{"I-Am", "i-2"}, {"Cold-Left", "2000"}}});
+  EXPECT_TRUE(m_Path.state().isOpen());
+  EXPECT_TRUE(m_Path.isCold(m_Now));
+}
+
+TEST_F(TargetPathTest, SetWithdrawn_TakenBack_IsColdUntilToldOtherwise) {
+  m_Path.onReport(report(1), m_Now);
+  m_Path.setWithdrawn(true, m_Now);
+  forward(1);
+  EXPECT_TRUE(m_Calls.empty());
+  m_Path.setWithdrawn(false, m_Now);
+  EXPECT_TRUE(m_Path.isCold(m_Now));
+  m_Path.onReport(report(2), m_Now);
+  EXPECT_FALSE(m_Path.isCold(m_Now));
+}
+
+TEST_F(TargetPathTest, OnCancel_RunningCall_ClosesItsConnection) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  m_Path.onCancel({1, 1}, m_Now);
+  EXPECT_EQ(m_CancelledCalls.size(), 1U);
+  EXPECT_EQ(m_Path.pending(), 0U);
+}
+
+TEST_F(TargetPathTest, OnLinkLost_RunThatMayRunOnce_GoesOn) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1, false);
+  forward(2, true);
+  m_Path.onLinkLost({}, m_Now);
+  EXPECT_EQ(m_CancelledCalls.size(), 1U);
+  EXPECT_EQ(m_Path.pending(), 1U);
+}
+
+TEST_F(TargetPathTest, RouteRunningUntil_CallEndsWithWhatMadeIt_TellsItsRoute) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1, true, "reads");
+  absl::Time ReadsEnd = m_Now + absl::Seconds(3);
+  m_Now += absl::Milliseconds(50);
+  forward(2, true, "orders");
+  EXPECT_EQ(m_Path.routeRunningUntil(ReadsEnd), "reads");
+  EXPECT_EQ(m_Path.routeRunningUntil(m_Now + absl::Seconds(3)), "orders");
+  EXPECT_EQ(m_Path.routeRunningUntil(m_Now + absl::Seconds(2)), "");
+  forward(3, true, "reads"); // As good a guess as the order.
+  EXPECT_EQ(m_Path.routeRunningUntil(m_Now + absl::Seconds(3)), "");
+}
+
+TEST_F(TargetPathTest, OnForward_MayRunOnce_TakesNoConnectionThatWasIdle) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1, false);
+  forward(2, true);
+  EXPECT_LT(m_Calls[0].m_Call.m_MaxIdleFor, absl::Seconds(1));
+  EXPECT_EQ(m_Calls[1].m_Call.m_MaxIdleFor, absl::InfiniteDuration());
+}
+
+} // namespace
+} // namespace knapweedloft::mesh
