--- a/libs/io/include/io/EventLoop.h
+++ b/libs/io/include/io/EventLoop.h
@@ -43,9 +43,10 @@
 
   /// Starts a thread that runs the loop.
   void start(const char *ThreadName);
-  /// Runs the loop on this thread until stop().
+  /// Runs the loop on this thread until stop(); may be run again.
   void run();
-  /// Ends the loop; tasks that are left never run. From any thread.
+  /// Ends the loop; tasks that are left run only if it is run again. From any
+  /// thread.
   void stop();
 
   /// The next three belong to the loop's thread once it runs. A descriptor is
--- a/libs/io/src/EventLoop.cpp
+++ b/libs/io/src/EventLoop.cpp
@@ -119,7 +119,7 @@
     runTasks();
     runTimers();
     absl::MutexLock Lock(&m_Mutex);
-    if (m_IsStopping)
+    if (std::exchange(m_IsStopping, false))
       return;
   }
 }
