Add a fault soak of real daemons; keep signals that come while one starts

Cause: the default action stood until the signal pipe was made. Now the signals are held from the first statement of the command. Ruled out on the way: cuts and refused connections of callers that ignore readiness at a daemon that has ended as asked; the checker excuses these.

--- a/apps/knapweedloft/NodeCommand.cpp
+++ b/apps/knapweedloft/NodeCommand.cpp
@@ -25,6 +25,7 @@
 }
 
 void run(const std::string &Path, bool IsCheck) {
+  SignalPipe::hold();
   adapter::AdapterSettings Settings = load(Path);
   if (IsCheck)
     return;
--- a/apps/knapweedloft/SignalPipe.cpp
+++ b/apps/knapweedloft/SignalPipe.cpp
@@ -2,6 +2,7 @@
 
 #include "io/IoError.h"
 
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fcntl.h>
@@ -14,6 +15,16 @@
 
 std::atomic<int> Writer{-1};
 
+constexpr std::array Handled{SIGTERM, SIGINT, SIGHUP};
+
+sigset_t handledSet() {
+  sigset_t Set;
+  ::sigemptyset(&Set);
+  for (int Signal : Handled)
+    ::sigaddset(&Set, Signal);
+  return Set;
+}
+
 void onSignal(int Signal) {
   auto Byte = static_cast<unsigned char>(Signal);
   [[maybe_unused]] ssize_t Written = ::write(Writer, &Byte, 1);
@@ -33,8 +44,15 @@
   struct sigaction Action {};
   Action.sa_handler = onSignal;
   Action.sa_flags = SA_RESTART;
-  for (int Signal : {SIGTERM, SIGINT, SIGHUP})
+  for (int Signal : Handled)
     ::sigaction(Signal, &Action, nullptr);
+  sigset_t Set = handledSet();
+  ::sigprocmask(SIG_UNBLOCK, &Set, nullptr);
+}
+
+void SignalPipe::hold() {
+  sigset_t Set = handledSet();
+  ::sigprocmask(SIG_BLOCK, &Set, nullptr);
 }
 
 void SignalPipe::read() {
--- a/apps/knapweedloft/SignalPipe.h
+++ b/apps/knapweedloft/SignalPipe.h
@@ -12,8 +12,13 @@
 /// signal handler may do little else. One of a process.
 class SignalPipe {
 public:
+  /// Signals that came since hold() are brought in too.
   SignalPipe(io::EventLoop &Loop, std::function<void(int Signal)> OnSignal);
 
+  /// Keeps the signals until there is a pipe: a program that is still starting
+  /// would end by them.
+  static void hold();
+
 private:
   void read();
 
--- /dev/null
+++ b/apps/knapweedloft/tests/NodeCommandTest.cpp
@@ -0,0 +1,93 @@
+#include "fmt/format.h"
+#include "gtest/gtest.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace knapweedloft {
+namespace {
+
+/// Runs the program as a child process whose output is read from a pipe.
+class NodeCommandTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    m_Settings = ::testing::TempDir() + "/node-command-test.toml";
+    std::string Address = fmt::format(
+        "127.{}.{}.1", 16 + ::getpid() / 250 % 200, ::getpid() % 250 + 1);
+    std::ofstream(m_Settings) << fmt::format(
+        "[daemon]\nname = \"a\"\ndata_center = \"z\"\nregion = \"r\"\n"
+        "first_start = true\n[target]\nservice = \"s\"\n"
+        "address = \"{0}:7006\"\n[listen]\ncallers = \"{0}:7001\"\n"
+        "links = \"{0}:7002\"\nready = \"{0}:7003\"\n"
+        "control = \"{0}:7004\"\nmetrics = \"{0}:7005\"\n[store]\n"
+        "address = \"{0}:7008\"\n[limits]\nmemory_mb = 64\n"
+        "descriptors = 1024\n[stop]\ngrace_s = 6\n[repeats]\nratio = 0.2\n",
+        Address);
+  }
+
+  void TearDown() override {
+    if (m_Output)
+      std::fclose(m_Output);
+    if (m_Process > 0) {
+      ::kill(m_Process, SIGKILL);
+      ::waitpid(m_Process, nullptr, 0);
+    }
+  }
+
+  /// Starts the program with \p Pending waiting for it.
+  void start(int Pending) {
+    int Ends[2];
+    ASSERT_EQ(::pipe(Ends), 0);
+    m_Process = ::fork();
+    if (m_Process == 0) {
+      sigset_t Set;
+      ::sigemptyset(&Set);
+      ::sigaddset(&Set, Pending);
+      ::sigprocmask(SIG_BLOCK, &Set, nullptr);
+      ::raise(Pending);
+      ::dup2(Ends[1], STDOUT_FILENO);
+      ::execl(KNAPWEEDLOFT_PROGRAM, "knapweedloft", "node", "--settings",
+              m_Settings.c_str(), nullptr);
+      ::_exit(1);
+    }
+    ::close(Ends[1]);
+    m_Output = ::fdopen(Ends[0], "r");
+  }
+
+  /// \returns whether a line has \p Text before the program says \p Last.
+  bool says(const std::string &Text, const std::string &Last) {
+    char Line[4096];
+    while (std::fgets(Line, sizeof(Line), m_Output)) {
+      if (std::string(Line).find(Text) != std::string::npos)
+        return true;
+      if (std::string(Line).find(Last) != std::string::npos)
+        return false;
+    }
+    return false;
+  }
+
+  std::string m_Settings;
+  pid_t m_Process = -1;
+  std::FILE *m_Output = nullptr;
+};
+
+TEST_F(NodeCommandTest, Run_HangUpBeforeItHasStarted_ReadsTheSettingsAgain) {
+  start(SIGHUP);
+  EXPECT_TRUE(says("The settings are unchanged.", "Ready."));
+}
+
+TEST_F(NodeCommandTest, Run_StopBeforeItHasStarted_EndsWithZero) {
+  start(SIGTERM);
+  EXPECT_TRUE(says("Stopping.", "Ready."));
+  int Status = 0;
+  ASSERT_EQ(::waitpid(m_Process, &Status, 0), m_Process);
+  m_Process = -1;
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0);
+}
+
+} // namespace
+} // namespace knapweedloft
--- /dev/null
+++ b/tools/soak/include/soak/SoakTarget.h
@@ -0,0 +1,86 @@
+#ifndef KNAPWEEDLOFT_SOAK_SOAKTARGET_H
+#define KNAPWEEDLOFT_SOAK_SOAKTARGET_H
+
+#include "http/LoopClient.h"
+#include "http/LoopServer.h"
+#include "io/EventLoop.h"
+#include "mesh/Dialect.h"
+#include "mesh/TargetReport.h"
+#include "soak/PromiseChecker.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace knapweedloft::soak {
+
+/// A target by the users' page: runs so many requests at once, queues a few,
+/// says what it did not run, reports to the daemon beside it, crashes and comes
+/// back as another instance. Belongs to the thread of the loop.
+class SoakTarget {
+public:
+  struct Options {
+    std::string m_Name;
+    std::string m_Service;
+    model::Endpoint m_At;       ///< Where it listens.
+    model::Endpoint m_Reported; ///< Where the daemon reaches it.
+    model::Endpoint m_Control;  ///< Where it reports.
+    mesh::Dialect m_Dialect;
+    std::uint32_t m_Slots = 8;
+    std::size_t m_Queue = 16;
+    absl::Duration m_MeanRun = absl::Milliseconds(60);
+    double m_FailurePart = 0.01; ///< Of its runs.
+    std::uint64_t m_Seed = 1;
+  };
+
+  SoakTarget(io::EventLoop &Loop, Options Settings, PromiseChecker &Checker);
+  ~SoakTarget();
+
+  /// Begins as a new instance; does nothing if it runs.
+  void start();
+  /// Breaks everything off.
+  void crash();
+  /// Says that it leaves, serves a little longer and ends.
+  void leave();
+  [[nodiscard]] bool isUp() const { return m_Server != nullptr; }
+
+private:
+  struct Work {
+    http::ExchangeId m_Id;
+    http::ParsedMessage m_Request;
+    std::string m_CallId;
+    absl::Time m_Deadline;
+  };
+
+  void onRequest(http::ExchangeId Id, http::ParsedMessage Request);
+  void onGone(http::ExchangeId Id);
+  void refuse(http::ExchangeId Id, int Status);
+  void run(Work Next);
+  void finish(http::ExchangeId Id);
+  void report(std::uint64_t Life, mesh::TargetCondition Condition);
+  void later(std::uint64_t Life, absl::Duration After,
+             std::function<void()> Task);
+  [[nodiscard]] mesh::TargetReport self(mesh::TargetCondition Condition);
+
+  io::EventLoop &m_Loop;
+  Options m_Settings;
+  PromiseChecker &m_Checker;
+  std::mt19937_64 m_Random;
+  http::LoopClient m_Reports;
+  std::unique_ptr<http::LoopServer> m_Server;
+  std::uint64_t m_Life = 0; ///< Counts its instances.
+  std::uint64_t m_Sequence = 0;
+  std::string m_Instance;
+  absl::Time m_LeavesAt = absl::InfiniteFuture(); ///< Nothing comes after.
+  bool m_IsLeaving = false;
+  absl::flat_hash_map<http::ExchangeId, Work> m_Running;
+  std::deque<Work> m_Waiting;
+  std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
+};
+
+} // namespace knapweedloft::soak
+
+#endif // KNAPWEEDLOFT_SOAK_SOAKTARGET_H
--- /dev/null
+++ b/tools/soak/src/SoakTarget.cpp
@@ -0,0 +1,196 @@
+#include "soak/SoakTarget.h"
+
+#include "harness/CheckedAnswer.h"
+#include "http/MessageText.h"
+#include "io/MonotonicClock.h"
+#include "standins/Documents.h"
+
+#include "absl/strings/numbers.h"
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::soak {
+namespace {
+
+constexpr absl::Duration ReportEvery = absl::Milliseconds(500);
+/// What arrives later than this after a leave was acknowledged is a breach.
+constexpr absl::Duration LeaveTime = absl::Seconds(1);
+/// How long it serves after that.
+constexpr absl::Duration LeaveServes = absl::Seconds(2);
+
+std::string fieldOf(const http::ParsedMessage &Request,
+                    const std::string &Name) {
+  const std::string *Found = http::findHeader(Request.m_Headers, Name);
+  return Found ? *Found : std::string();
+}
+
+} // namespace
+
+SoakTarget::SoakTarget(io::EventLoop &Loop, Options Settings,
+                       PromiseChecker &Checker)
+    : m_Loop(Loop), m_Settings(std::move(Settings)), m_Checker(Checker),
+      m_Random(m_Settings.m_Seed), m_Reports(Loop, {}) {}
+
+SoakTarget::~SoakTarget() { crash(); }
+
+void SoakTarget::later(std::uint64_t Life, absl::Duration After,
+                       std::function<void()> Task) {
+  m_Loop.post(
+      [this, Life, Task = std::move(Task), Alive = std::weak_ptr(m_IsAlive)] {
+        if (!Alive.expired() && Life == m_Life && isUp())
+          Task();
+      },
+      After);
+}
+
+void SoakTarget::start() {
+  if (isUp())
+    return;
+  ++m_Life;
+  m_Sequence = 0;
+  m_IsLeaving = false;
+  m_LeavesAt = absl::InfiniteFuture();
+  m_Instance = fmt::format("i-{}-{}", m_Settings.m_Name, m_Life);
+  http::LoopServer::Options Options;
+  Options.m_At = m_Settings.m_At;
+  Options.m_Hooks.m_OnRequest =
+      [this](http::ExchangeId Id, http::ParsedMessage Request,
+             const std::string &) { onRequest(Id, std::move(Request)); };
+  Options.m_Hooks.m_OnGone = [this](http::ExchangeId Id) { onGone(Id); };
+  m_Server = std::make_unique<http::LoopServer>(m_Loop, std::move(Options));
+  report(m_Life, mesh::TargetCondition::Ready);
+}
+
+void SoakTarget::crash() {
+  m_Running.clear();
+  m_Waiting.clear();
+  m_Server.reset();
+}
+
+void SoakTarget::leave() {
+  if (!isUp() || m_IsLeaving)
+    return;
+  m_IsLeaving = true;
+  report(m_Life, mesh::TargetCondition::Draining);
+}
+
+mesh::TargetReport SoakTarget::self(mesh::TargetCondition Condition) {
+  return {.m_Instance = m_Instance,
+          .m_Service = m_Settings.m_Service,
+          .m_At = m_Settings.m_Reported,
+          .m_Condition = Condition,
+          .m_Slots = m_Settings.m_Slots,
+          .m_Sequence = ++m_Sequence,
+          .m_BornMs = static_cast<std::int64_t>(m_Life)};
+}
+
+void SoakTarget::report(std::uint64_t Life, mesh::TargetCondition Condition) {
+  mesh::TargetReport Said = self(Condition);
+  http::HttpRequest Request;
+  Request.m_Method = "PUT";
+  Request.m_Path = standins::reportPath(Said);
+  Request.m_Headers = {{"Host", m_Settings.m_Control.m_Address}};
+  Request.m_Body = standins::reportText(Said);
+  auto OnDone = [this, Life, Condition, Alive = std::weak_ptr(m_IsAlive)](
+                    const http::HttpResult &Result, absl::Time Now) {
+    bool IsTaken = Result.m_Failure == http::Failure::None &&
+                   Result.m_Response.m_Status == 200;
+    if (Alive.expired() || Life != m_Life || !isUp() ||
+        Condition != mesh::TargetCondition::Draining || !IsTaken ||
+        m_LeavesAt != absl::InfiniteFuture())
+      return;
+    m_LeavesAt = Now + LeaveTime;
+    later(Life, LeaveTime + LeaveServes, [this] { crash(); });
+  };
+  m_Reports.send({.m_To = m_Settings.m_Control,
+                  .m_Text = http::requestText(Request),
+                  .m_Timeout = absl::Seconds(1)},
+                 OnDone);
+  later(Life, ReportEvery, [this, Life] {
+    report(Life, m_IsLeaving ? mesh::TargetCondition::Draining
+                             : mesh::TargetCondition::Ready);
+  });
+}
+
+void SoakTarget::refuse(http::ExchangeId Id, int Status) {
+  m_Server->answer(
+      Id, {.m_Status = Status,
+           .m_Headers = {{m_Settings.m_Dialect.m_NotRun, "1"},
+                         {m_Settings.m_Dialect.m_InstanceTold, m_Instance}}});
+}
+
+void SoakTarget::onRequest(http::ExchangeId Id, http::ParsedMessage Request) {
+  const mesh::Dialect &Names = m_Settings.m_Dialect;
+  if (Request.m_Path == "/health")
+    return m_Server->answer(
+        Id, {.m_Status = m_IsLeaving ? 503 : 200,
+             .m_Headers = {{Names.m_InstanceTold, m_Instance}}});
+  std::string Meant = fieldOf(Request, Names.m_Instance);
+  if (!Meant.empty() && Meant != m_Instance)
+    return refuse(Id, 421);
+  absl::Time Now = io::monotonicNow();
+  Work Next{.m_Id = Id,
+            .m_CallId = fieldOf(Request, Names.m_CallId),
+            .m_Deadline = absl::InfiniteFuture()};
+  if (Now > m_LeavesAt)
+    m_Checker.breach(fmt::format("id={} reached {} {} after it said to leave",
+                                 Next.m_CallId, m_Instance,
+                                 absl::FormatDuration(LeaveTime)));
+  std::int64_t LeftMs = 0;
+  if (absl::SimpleAtoi(fieldOf(Request, Names.m_TimeLeft), &LeftMs))
+    Next.m_Deadline = Now + absl::Milliseconds(LeftMs);
+  Next.m_Request = std::move(Request);
+  if (m_Running.size() < m_Settings.m_Slots)
+    return run(std::move(Next));
+  if (m_Waiting.size() >= m_Settings.m_Queue)
+    return refuse(Id, 503);
+  m_Waiting.push_back(std::move(Next));
+}
+
+void SoakTarget::onGone(http::ExchangeId Id) {
+  std::erase_if(m_Waiting, [&](const Work &Held) { return Held.m_Id == Id; });
+  if (m_Running.contains(Id))
+    finish(Id);
+}
+
+void SoakTarget::run(Work Next) {
+  m_Checker.onRun(Next.m_CallId, m_Instance, io::monotonicNow());
+  std::exponential_distribution<double> Length(
+      1 / absl::ToDoubleSeconds(m_Settings.m_MeanRun));
+  http::ExchangeId Id = Next.m_Id;
+  m_Running.emplace(Id, std::move(Next));
+  later(m_Life, absl::Seconds(Length(m_Random)), [this, Id] { finish(Id); });
+}
+
+void SoakTarget::finish(http::ExchangeId Id) {
+  auto Found = m_Running.find(Id);
+  if (Found == m_Running.end())
+    return;
+  Work Done = std::move(Found->second);
+  m_Running.erase(Found);
+  const mesh::Dialect &Names = m_Settings.m_Dialect;
+  std::size_t Bytes = 0;
+  static_cast<void>(absl::SimpleAtoi(
+      fieldOf(Done.m_Request, std::string(harness::AnswerBytesHeader)),
+      &Bytes));
+  bool IsFailure =
+      std::bernoulli_distribution(m_Settings.m_FailurePart)(m_Random);
+  http::HttpResponse Answer{.m_Status = IsFailure ? 500 : 200,
+                            .m_Headers = {{Names.m_CallId, Done.m_CallId},
+                                          {Names.m_Proof, m_Instance}}};
+  if (!IsFailure)
+    Answer.m_Body = harness::checkedAnswer(Done.m_CallId, Bytes);
+  m_Server->answer(Id, Answer);
+  while (!m_Waiting.empty() && m_Running.size() < m_Settings.m_Slots) {
+    Work Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    if (io::monotonicNow() > Next.m_Deadline)
+      refuse(Next.m_Id, 503);
+    else
+      run(std::move(Next));
+  }
+}
+
+} // namespace knapweedloft::soak
