--- a/apps/knapweedloft/tests/NodeCommandTest.cpp
+++ b/apps/knapweedloft/tests/NodeCommandTest.cpp
@@ -1,8 +1,10 @@
 #include "fmt/format.h"
 #include "gtest/gtest.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <string>
 #include <sys/wait.h>
@@ -80,6 +82,18 @@
   EXPECT_TRUE(says("The settings are unchanged.", "Ready."));
 }
 
+TEST_F(NodeCommandTest, Run_SettingsChangeWithoutASignal_AreReadAgain) {
+  start(SIGHUP);
+  ASSERT_TRUE(says("The settings are unchanged.", "Ready."));
+  std::string Text;
+  std::getline(std::ifstream(m_Settings), Text, '\0');
+  std::ofstream(m_Settings) << Text << "# nothing else\n";
+  std::filesystem::last_write_time(
+      m_Settings,
+      std::filesystem::file_time_type::clock::now() + std::chrono::seconds(5));
+  EXPECT_TRUE(says("cause=file", "Stopped."));
+}
+
 TEST_F(NodeCommandTest, Run_StopBeforeItHasStarted_EndsWithZero) {
   start(SIGTERM);
   EXPECT_TRUE(says("Stopping.", "Ready."));
--- a/libs/mesh/include/mesh/EntryCounts.h
+++ b/libs/mesh/include/mesh/EntryCounts.h
@@ -3,6 +3,7 @@
 
 #include "app/LatencyHistogram.h"
 #include "model/RefusalReason.h"
+#include "telemetry/OutcomeTable.h"
 
 #include <array>
 #include <cstdint>
@@ -20,6 +21,9 @@
   std::uint64_t m_Gone = 0;     ///< The caller left first.
   std::array<std::uint64_t, model::RefusalReasonCount> m_Ended{};
   app::LatencyHistogram m_Latency; ///< Of what was answered.
+  telemetry::OutcomeTable m_ByRoute{{}};
+  telemetry::OutcomeTable m_ByCustomer{{}};
+  telemetry::OutcomeTable m_ByService{{}};
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -170,6 +170,7 @@
   void end(PendingId Id, const Ending &How, absl::Time Now);
   void refuse(http::ExchangeId Id, const Pending &Refused, const Ending &How,
               absl::Time Now);
+  void countOutcome(const Pending &Of, std::string_view Outcome);
   void onAlarm(PendingId Id, absl::Time Now);
   void setAlarm(PendingId Id, Pending &Held, absl::Time When);
   void forget(PendingId Id);
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -445,6 +445,7 @@
   ++m_Counts.m_Answered;
   absl::Duration Took = Now - Done.m_Received;
   m_Counts.m_Latency.add(Took);
+  countOutcome(Done, Status >= FirstServerError ? "target-error" : "answered");
   if (Status >= FirstServerError) {
     ++m_Counts.m_TargetErrors;
     m_Log.notable("Answered with the target's error.",
@@ -493,6 +494,7 @@
   ++m_Counts.m_Ended[static_cast<std::size_t>(How.m_Reason)];
   int Status = model::httpStatusOf(How.m_Reason);
   std::string_view Reason = model::RefusalReasonNames.nameOf(How.m_Reason);
+  countOutcome(Refused, Reason);
   std::string_view DidRun =
       model::RanNames.nameOf(Refused.m_MayHaveRun ? Ran::Unknown : Ran::No);
   std::string Lines = "Content-Type: application/problem+json\r\n";
@@ -518,6 +520,16 @@
   m_Options.m_Hooks.m_Answer(Id, Status, Lines, Body);
 }
 
+void EntryPath::countOutcome(const Pending &Of, std::string_view Outcome) {
+  if (!Of.m_Route)
+    return;
+  m_Counts.m_ByRoute.count(Of.m_Route->m_Name, Outcome);
+  if (Of.m_Customer)
+    m_Counts.m_ByCustomer.count(Of.m_Customer->m_Name, Outcome);
+  if (!Of.m_Service.empty())
+    m_Counts.m_ByService.count(Of.m_Service, Outcome);
+}
+
 void EntryPath::onGone(http::ExchangeId Exchange, absl::Time Now) {
   auto Found = m_ByExchange.find(Exchange);
   if (Found == m_ByExchange.end())
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -44,6 +44,9 @@
                    model::RefusalReasonNames.nameOf(Reason),
                    Entry.m_Ended[Index]);
   }
+  Entry.m_ByRoute.appendTo(Text, "entry_by_route_total", "route");
+  Entry.m_ByCustomer.appendTo(Text, "entry_by_customer_total", "customer");
+  Entry.m_ByService.appendTo(Text, "entry_by_service_total", "service");
   appendLatency(Text, "entry_latency", Entry.m_Latency);
   const TargetCounts &Target = m_Target->counts();
   append(Text, "target_forwards_total", static_cast<double>(Target.m_Forwards));
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -181,6 +181,22 @@
   EXPECT_NE(m_Answers[0].m_Body.find("\"ran\":\"no\""), std::string::npos);
 }
 
+TEST_F(EntryPathTest, Counts_AnsweredAndRefused_ByRouteCustomerAndService) {
+  request("/reads/1");
+  succeed(0);
+  request("/reads/2", {{"Authorization", "Key wrong"}});
+  std::string Text;
+  const EntryCounts &Counts = m_Entry.counts();
+  Counts.m_ByRoute.appendTo(Text, "n", "route");
+  Counts.m_ByCustomer.appendTo(Text, "n", "customer");
+  Counts.m_ByService.appendTo(Text, "n", "service");
+  EXPECT_EQ(Text,
+            "knapweedloft_n{route=\"reads\",outcome=\"answered\"} 1\n"
+            "knapweedloft_n{route=\"reads\",outcome=\"bad-key\"} 1\n"
+            "knapweedloft_n{customer=\"acme\",outcome=\"answered\"} 1\n"
+            "knapweedloft_n{service=\"archive\",outcome=\"answered\"} 1\n");
+}
+
 TEST_F(EntryPathTest, OnRequest_CallOfTheOwnTarget_GoesFirstAndNeedsNoKey) {
   request("/calls/1", {{"Authorization", ""}}, "10.0.0.1");
   ASSERT_EQ(m_Sent.size(), 1U);
