--- a/tools/lint/tidy.sh
+++ b/tools/lint/tidy.sh
@@ -9,7 +9,7 @@
 HASH=$({
   cat .clang-tidy "$FILE"
   # -MG: a header that is not found must not end the script without a word.
-  g++ -std=c++20 -MM -MG $(printf -- '-I%s ' libs/*/include tools/*/include platform/include) \
+  g++ -std=c++20 -MM -MG $(printf -- '-I%s ' libs/*/include tools/*/include platform/include platform/standins/include) \
     -I"$(dirname "$FILE")" -I"$(dirname "$FILE")/../src" \
     -I"$(dirname "$FILE")/../include" "$FILE" 2>/dev/null |
     tr ' \\' '\n\n' | grep -E '^(libs|apps|tools|platform)/' | sort -u | xargs -r cat
--- a/tools/soak/include/soak/Soak.h
+++ b/tools/soak/include/soak/Soak.h
@@ -89,7 +89,7 @@
   std::vector<std::unique_ptr<SoakVm>> m_Vms;
   std::uint64_t m_LastCall = 0;
   std::uint64_t m_Faults = 0;
-  bool m_IsHot = false; ///< The customer with a rate asks for more.
+  bool m_IsHot = false;  ///< The customer with a rate asks for more.
   bool m_IsCalm = false; ///< No more faults.
   absl::Time m_CountsFrom = absl::InfiniteFuture();
   std::uint64_t m_EndSent = 0;
--- a/tools/soak/src/Faults.cpp
+++ b/tools/soak/src/Faults.cpp
@@ -84,8 +84,7 @@
     At.disturb(Now, Now + For + AfterFreeze);
     At.signalDaemon(SIGSTOP);
     later(For, [&At] { At.signalDaemon(SIGCONT); });
-  } else if (Kind == FaultKind::HangUp &&
-             Now - At.startedAt() > ProgramStart) {
+  } else if (Kind == FaultKind::HangUp && Now - At.startedAt() > ProgramStart) {
     At.signalDaemon(SIGHUP);
   }
 }
