--- a/build.sh
+++ b/build.sh
@@ -28,6 +28,7 @@
   fleet     convergence, keys, rates and withdrawals on a fleet of daemons
   ledger    joined ledgers of callers and targets under injected faults
   capacity  the slopes behind docs/CAPACITY.md
+  soak      real daemons disturbed from outside; their promises checked
   fuzz      the parsers that face a network, under sanitizers
 TEXT
 }
@@ -107,7 +108,7 @@
       -o "libs/$LIBRARY/include/$LIBRARY/generated" "$SCHEMA"
   done
   ;;
-demo | faults | fleet | ledger | capacity | bench | fuzz)
+demo | faults | fleet | ledger | capacity | bench | fuzz | soak)
   if [ -x "tools/$VERB/run.sh" ]; then
     installPackages
     exec "tools/$VERB/run.sh" "$@"
