--- a/libs/mesh/include/mesh/CallEdge.h
+++ b/libs/mesh/include/mesh/CallEdge.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_MESH_CALLEDGE_H
 
 #include <string>
+#include <tuple>
 
 namespace knapweedloft::mesh {
 
@@ -10,7 +11,11 @@
   std::string m_From; ///< Route of what runs.
   std::string m_To;   ///< Route of the call.
 
-  friend auto operator<=>(const CallEdge &, const CallEdge &) = default;
+  friend bool operator==(const CallEdge &, const CallEdge &) = default;
+  friend bool operator<(const CallEdge &Left, const CallEdge &Right) {
+    return std::tie(Left.m_From, Left.m_To) <
+           std::tie(Right.m_From, Right.m_To);
+  }
 };
 
 } // namespace knapweedloft::mesh
--- a/tools/soak/include/soak/Soak.h
+++ b/tools/soak/include/soak/Soak.h
@@ -68,9 +68,9 @@
                       absl::Time Now);
   void injectAtTarget(FaultKind Kind, SoakVm &At, absl::Duration For);
   void injectAtStore(FaultKind Kind, SoakVm &At, absl::Duration For);
-  void heal(absl::Time Now);
+  void heal();
   void watch();
-  void onEnded(SoakVm &At, absl::Time Now);
+  void onEnded(SoakVm &At);
   void later(absl::Duration After, std::function<void()> Task);
   [[nodiscard]] double draw(double From, double To);
   [[nodiscard]] absl::Duration drawTime(double From, double To);
--- a/tools/soak/include/soak/SoakTarget.h
+++ b/tools/soak/include/soak/SoakTarget.h
@@ -58,7 +58,7 @@
   void onRequest(http::ExchangeId Id, http::ParsedMessage Request);
   void onGone(http::ExchangeId Id);
   void refuse(http::ExchangeId Id, int Status);
-  void run(Work Next);
+  void run(const Work &Next);
   void finish(http::ExchangeId Id);
   void report(std::uint64_t Life, mesh::TargetCondition Condition);
   void later(std::uint64_t Life, absl::Duration After,
--- a/tools/soak/src/Faults.cpp
+++ b/tools/soak/src/Faults.cpp
@@ -139,7 +139,7 @@
   }
 }
 
-void Soak::heal(absl::Time Now) {
+void Soak::heal() {
   m_IsCalm = true;
   m_IsHot = false;
   for (auto &Vm : m_Vms) {
@@ -149,7 +149,6 @@
     Vm->signalDaemon(SIGCONT);
   }
   tell("calm");
-  static_cast<void>(Now);
 }
 
 void Soak::watch() {
@@ -157,7 +156,7 @@
   absl::Time Now = io::monotonicNow();
   for (auto &Vm : m_Vms) {
     if (Vm->reapDaemon(Now))
-      onEnded(*Vm, Now);
+      onEnded(*Vm);
     if (m_Settings.m_ChecksTimes && Now - Vm->m_StopBegan > StopGrace) {
       m_Checker.breach(fmt::format("{} still runs {} after SIGTERM", Vm->name(),
                                    absl::FormatDuration(StopGrace)));
@@ -169,7 +168,7 @@
   }
 }
 
-void Soak::onEnded(SoakVm &At, absl::Time /*Now*/) {
+void Soak::onEnded(SoakVm &At) {
   constexpr int KilledCode = 128 + SIGKILL;
   int Code = At.exitCode();
   bool IsStop = At.m_StopBegan != absl::InfiniteFuture();
@@ -177,7 +176,7 @@
     m_Checker.breach(
         fmt::format("{} ended by itself with {}", At.name(), Code));
   tell(fmt::format("{} ended with {}", At.name(), Code));
-  later(drawTime(0.1, 1.5), [this, &At] {
+  later(drawTime(0.1, 1.5), [&At] {
     if (!At.isRunning())
       At.startDaemon(io::monotonicNow());
   });
--- a/tools/soak/src/Soak.cpp
+++ b/tools/soak/src/Soak.cpp
@@ -82,7 +82,7 @@
   later(Beginning, [this] { probe(); });
   watch();
   absl::Duration Calm = Beginning + m_Settings.m_Length;
-  later(Calm, [this] { heal(io::monotonicNow()); });
+  later(Calm, [this] { heal(); });
   absl::Duration End = Calm + m_Settings.m_Calm;
   later(End - EndSpan, [this] { m_CountsFrom = io::monotonicNow(); });
   // Whoever still waits then has its time to end.
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -143,7 +143,7 @@
     Next.m_Deadline = Now + absl::Milliseconds(LeftMs);
   Next.m_Request = std::move(Request);
   if (m_Running.size() < m_Settings.m_Slots)
-    return run(std::move(Next));
+    return run(Next);
   if (m_Waiting.size() >= m_Settings.m_Queue)
     return refuse(Id, 503);
   m_Waiting.push_back(std::move(Next));
@@ -155,12 +155,12 @@
     finish(Id);
 }
 
-void SoakTarget::run(Work Next) {
+void SoakTarget::run(const Work &Next) {
   m_Checker.onRun(Next.m_CallId, m_Instance, io::monotonicNow());
   std::exponential_distribution<double> Length(
       1 / absl::ToDoubleSeconds(m_Settings.m_MeanRun));
   http::ExchangeId Id = Next.m_Id;
-  m_Running.emplace(Id, std::move(Next));
+  m_Running.emplace(Id, Next);
   later(m_Life, absl::Seconds(Length(m_Random)), [this, Id] { finish(Id); });
 }
 
@@ -189,7 +189,7 @@
     if (io::monotonicNow() > Next.m_Deadline)
       refuse(Next.m_Id, 503);
     else
-      run(std::move(Next));
+      run(Next);
   }
 }
 
--- a/tools/soak/src/SoakVm.cpp
+++ b/tools/soak/src/SoakVm.cpp
@@ -94,6 +94,7 @@
   std::vector<std::string> Words{m_Settings.m_Program, "node", "--settings",
                                  m_SettingsPath};
   std::vector<char *> Arguments;
+  Arguments.reserve(Words.size() + 1);
   for (std::string &Word : Words)
     Arguments.push_back(Word.data());
   Arguments.push_back(nullptr);
