--- a/apps/knapweedloft/tests/NodeCommandTest.cpp
+++ b/apps/knapweedloft/tests/NodeCommandTest.cpp
@@ -17,7 +17,9 @@
 class NodeCommandTest : public ::testing::Test {
 protected:
   void SetUp() override {
-    m_Settings = ::testing::TempDir() + "/node-command-test.toml";
+    // The tests of a program may run beside each other.
+    m_Settings = fmt::format("{}/node-command-test-{}.toml",
+                             ::testing::TempDir(), ::getpid());
     std::string Address = fmt::format(
         "127.{}.{}.1", 16 + ::getpid() / 250 % 200, ::getpid() % 250 + 1);
     std::ofstream(m_Settings) << fmt::format(
@@ -32,6 +34,7 @@
   }
 
   void TearDown() override {
+    std::filesystem::remove(m_Settings);
     if (m_Output)
       std::fclose(m_Output);
     if (m_Process > 0) {
--- a/tools/soak/tests/SoakTest.cpp
+++ b/tools/soak/tests/SoakTest.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <string>
+#include <unistd.h>
 
 namespace knapweedloft::soak {
 namespace {
@@ -19,11 +20,13 @@
   Settings.m_Program =
       std::filesystem::read_symlink("/proc/self/exe").parent_path() /
       "knapweedloft";
-  Settings.m_Directory = ::testing::TempDir() + "/knapweedloft-soak-test";
+  Settings.m_Directory = ::testing::TempDir() + "/knapweedloft-soak-test-" +
+                         std::to_string(::getpid());
   std::filesystem::create_directories(Settings.m_Directory);
   std::string Breaches;
   Soak Run(Settings, [&](const std::string &Line) { Breaches += Line + "\n"; });
   Soak::Figures Seen = Run.run();
+  std::filesystem::remove_all(Settings.m_Directory);
   EXPECT_EQ(Seen.m_Breaches, 0U) << Breaches;
   EXPECT_GT(Seen.m_Succeeded, 100U);
   EXPECT_GT(Seen.m_Faults, 3U);
