--- a/apps/knapweedloft/NodeCommand.cpp
+++ b/apps/knapweedloft/NodeCommand.cpp
@@ -1,5 +1,6 @@
 #include "NodeCommand.h"
 
+#include "FileWatch.h"
 #include "SignalPipe.h"
 #include "UsageError.h"
 #include "adapter/AdapterError.h"
@@ -7,13 +8,9 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
-#include <functional>
 #include <memory>
 #include <string>
-#include <system_error>
 #include <unistd.h>
-#include <utility>
 
 namespace knapweedloft {
 namespace {
@@ -28,39 +25,6 @@
   }
 }
 
-/// A settings file that changes without a signal is found this late at most.
-constexpr absl::Duration LookInterval = absl::Seconds(1);
-
-/// Calls a hook when a file is another than before, looking now and then.
-class FileWatch {
-public:
-  FileWatch(io::EventLoop &Loop, std::string Path, std::function<void()> Hook)
-      : m_Loop(Loop), m_Path(std::move(Path)), m_Hook(std::move(Hook)),
-        m_Seen(stamp()) {
-    look();
-  }
-
-private:
-  using Stamp = std::filesystem::file_time_type;
-
-  [[nodiscard]] Stamp stamp() const {
-    std::error_code Failed;
-    Stamp Written = std::filesystem::last_write_time(m_Path, Failed);
-    return Failed ? m_Seen : Written;
-  }
-
-  void look() {
-    if (Stamp Now = stamp(); std::exchange(m_Seen, Now) != Now)
-      m_Hook();
-    m_Loop.post([this] { look(); }, LookInterval);
-  }
-
-  io::EventLoop &m_Loop;
-  std::string m_Path;
-  std::function<void()> m_Hook;
-  Stamp m_Seen{};
-};
-
 void run(const std::string &Path, bool IsCheck) {
   SignalPipe::hold();
   adapter::AdapterSettings Settings = load(Path);
--- a/apps/knapweedloft/tests/NodeCommandTest.cpp
+++ b/apps/knapweedloft/tests/NodeCommandTest.cpp
@@ -1,3 +1,5 @@
+#include "standins/DaemonPlace.h"
+
 #include "fmt/format.h"
 #include "gtest/gtest.h"
 
@@ -20,17 +22,8 @@
     // The tests of a program may run beside each other.
     m_Settings = fmt::format("{}/node-command-test-{}.toml",
                              ::testing::TempDir(), ::getpid());
-    std::string Address = fmt::format(
-        "127.{}.{}.1", 16 + ::getpid() / 250 % 200, ::getpid() % 250 + 1);
-    std::ofstream(m_Settings) << fmt::format(
-        "[daemon]\nname = \"a\"\ndata_center = \"z\"\nregion = \"r\"\n"
-        "first_start = true\n[target]\nservice = \"s\"\n"
-        "address = \"{0}:7006\"\n[listen]\ncallers = \"{0}:7001\"\n"
-        "links = \"{0}:7002\"\nready = \"{0}:7003\"\n"
-        "control = \"{0}:7004\"\nmetrics = \"{0}:7005\"\n[store]\n"
-        "address = \"{0}:7008\"\n[limits]\nmemory_mb = 64\n"
-        "descriptors = 1024\n[stop]\ngrace_s = 6\n[repeats]\nratio = 0.2\n",
-        Address);
+    std::ofstream(m_Settings)
+        << standins::settingsText(standins::loopbackPlace(1, "archive"));
   }
 
   void TearDown() override {
--- a/libs/app/include/app/WireConvert.h
+++ b/libs/app/include/app/WireConvert.h
@@ -4,9 +4,11 @@
 #include "http/HttpMessage.h"
 #include "link/generated/link_generated.h"
 #include "model/ForwardId.h"
+#include "policy/TargetFeedback.h"
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace knapweedloft::app {
@@ -21,8 +23,12 @@
 [[nodiscard]] wire::ForwardId toWire(const model::ForwardId &Id);
 [[nodiscard]] model::ForwardId fromWire(const wire::ForwardId &Id);
 
+[[nodiscard]] policy::TargetFeedback fromWire(const wire::Load &Load);
+
 [[nodiscard]] std::vector<std::uint8_t> toBytes(std::string_view Text);
 [[nodiscard]] std::string toText(const std::vector<std::uint8_t> &Bytes);
+/// \returns a view into \p Bytes.
+[[nodiscard]] std::string_view viewOf(const std::vector<std::uint8_t> &Bytes);
 
 } // namespace knapweedloft::app
 
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -18,17 +18,6 @@
 /// When to come back after a refusal that says nothing better.
 constexpr absl::Duration DefaultRetryAfter = absl::Seconds(1);
 
-policy::TargetFeedback feedbackOf(const wire::Load &Load) {
-  policy::TargetFeedback Feedback;
-  Feedback.m_Limit = Load.limit();
-  Feedback.m_InFlight = Load.in_flight();
-  Feedback.m_Queued = Load.queued();
-  Feedback.m_ShedLevel = Load.shed_level();
-  Feedback.m_Latency = absl::Microseconds(Load.latency_us());
-  Feedback.m_IsRamping = Load.is_ramping();
-  return Feedback;
-}
-
 std::uint64_t toMicroseconds(absl::Duration Length) {
   return static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, absl::ToInt64Microseconds(Length)));
@@ -311,7 +300,7 @@
   auto DidRun = static_cast<Ran>(Answer.ran);
   bool IsFailure =
       Reason == RefusalReason::None ? Answer.status >= 500 : DidRun != Ran::No;
-  policy::TargetFeedback Feedback = feedbackOf(Answer.load);
+  policy::TargetFeedback Feedback = fromWire(Answer.load);
   if (!Held.m_Fate)
     Service.m_Chooser.onAnswer(Held.m_Target, Feedback, !IsFailure,
                                Now - Held.m_Sent, Now);
--- a/libs/app/src/RequestHeaders.cpp
+++ b/libs/app/src/RequestHeaders.cpp
@@ -1,8 +1,9 @@
 #include "app/RequestHeaders.h"
 
+#include "model/AbslView.h"
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
-#include "absl/strings/string_view.h"
 
 #include <array>
 #include <cstdint>
@@ -28,35 +29,29 @@
     "Host",
     "Expect"};
 
-absl::string_view toAbsl(std::string_view Text) {
-  return {Text.data(), Text.size()};
-}
-
-bool isSameName(std::string_view Left, std::string_view Right) {
-  return absl::EqualsIgnoreCase(toAbsl(Left), toAbsl(Right));
-}
-
 bool isConnectionField(std::string_view Name) {
   for (std::string_view Field : ConnectionFields)
-    if (isSameName(Name, Field))
+    if (http::isSameName(Name, Field))
       return true;
   return false;
 }
 
 bool isOwnField(std::string_view Name) {
-  return absl::StartsWithIgnoreCase(toAbsl(Name), toAbsl(OwnPrefix));
+  return absl::StartsWithIgnoreCase(model::toAbsl(Name),
+                                    model::toAbsl(OwnPrefix));
 }
 
 bool isCredential(std::string_view Name) {
-  return isSameName(Name, AuthorizationHeader) ||
-         isSameName(Name, "Proxy-Authorization");
+  return http::isSameName(Name, AuthorizationHeader) ||
+         http::isSameName(Name, "Proxy-Authorization");
 }
 
 } // namespace
 
 std::optional<std::string_view> bearerKey(const http::HeaderList &Headers) {
   const std::string *Value = http::findHeader(Headers, AuthorizationHeader);
-  if (!Value || !absl::StartsWithIgnoreCase(*Value, toAbsl(BearerScheme)))
+  if (!Value ||
+      !absl::StartsWithIgnoreCase(*Value, model::toAbsl(BearerScheme)))
     return std::nullopt;
   std::string_view Key = *Value;
   Key.remove_prefix(BearerScheme.size());
--- a/libs/app/src/WireConvert.cpp
+++ b/libs/app/src/WireConvert.cpp
@@ -33,12 +33,25 @@
   return {Id.entry(), Id.sequence()};
 }
 
+policy::TargetFeedback fromWire(const wire::Load &Load) {
+  return {.m_Limit = Load.limit(),
+          .m_InFlight = Load.in_flight(),
+          .m_Queued = Load.queued(),
+          .m_ShedLevel = Load.shed_level(),
+          .m_Latency = absl::Microseconds(Load.latency_us()),
+          .m_IsRamping = Load.is_ramping()};
+}
+
 std::vector<std::uint8_t> toBytes(std::string_view Text) {
   return {Text.begin(), Text.end()};
 }
 
 std::string toText(const std::vector<std::uint8_t> &Bytes) {
-  return {Bytes.begin(), Bytes.end()};
+  return std::string(viewOf(Bytes));
+}
+
+std::string_view viewOf(const std::vector<std::uint8_t> &Bytes) {
+  return {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()};
 }
 
 } // namespace knapweedloft::app
--- a/libs/http/include/http/HttpMessage.h
+++ b/libs/http/include/http/HttpMessage.h
@@ -15,6 +15,9 @@
 
 using HeaderList = std::vector<HeaderField>;
 
+/// \returns whether two names of fields are the same, without case.
+[[nodiscard]] bool isSameName(std::string_view Left, std::string_view Right);
+
 /// \returns the value of the first field called \p Name, or null.
 [[nodiscard]] const std::string *findHeader(const HeaderList &Headers,
                                             std::string_view Name);
--- a/libs/http/include/http/LoopClient.h
+++ b/libs/http/include/http/LoopClient.h
@@ -63,7 +63,6 @@
   /// Ends a call by closing its connection; its hook does not run.
   void cancel(CallId Id);
 
-  [[nodiscard]] std::size_t active() const;
   /// \returns how many connections were opened so far.
   [[nodiscard]] std::uint64_t opened() const;
 
--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -76,7 +76,6 @@
 
   /// \returns how many requests are not answered yet.
   [[nodiscard]] std::size_t pending() const;
-  [[nodiscard]] std::size_t connections() const;
   /// \returns the bytes of answers that peers have not read yet.
   [[nodiscard]] std::size_t unsentBytes() const;
   [[nodiscard]] std::uint16_t port() const;
--- a/libs/http/src/ClientCall.cpp
+++ b/libs/http/src/ClientCall.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <strings.h>
 #include <utility>
 
 namespace knapweedloft::http {
@@ -36,7 +35,7 @@
 bool isSetByClient(const std::string &Name) {
   for (const char *Own : {"Connection", "Content-Length", "Transfer-Encoding",
                           "Keep-Alive", "Expect", "TE", "Upgrade"})
-    if (strcasecmp(Name.c_str(), Own) == 0)
+    if (isSameName(Name, Own))
       return true;
   return false;
 }
--- a/libs/http/src/HttpMessage.cpp
+++ b/libs/http/src/HttpMessage.cpp
@@ -3,15 +3,12 @@
 #include <strings.h>
 
 namespace knapweedloft::http {
-namespace {
 
 bool isSameName(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
 }
 
-} // namespace
-
 const std::string *findHeader(const HeaderList &Headers,
                               std::string_view Name) {
   for (const HeaderField &Field : Headers)
--- a/libs/http/src/LoopClient.cpp
+++ b/libs/http/src/LoopClient.cpp
@@ -17,8 +17,6 @@
 
 void LoopClient::cancel(CallId Id) { m_Impl->cancel(Id); }
 
-std::size_t LoopClient::active() const { return m_Impl->active(); }
-
 std::uint64_t LoopClient::opened() const { return m_Impl->opened(); }
 
 } // namespace knapweedloft::http
--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -6,11 +6,9 @@
 #include "fmt/format.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <string_view>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 
 namespace knapweedloft::http {
 namespace {
@@ -183,15 +181,15 @@
   ClientConnection *Held = find(Id);
   if (!Held)
     return;
-  ssize_t Bytes = ::recv(Held->m_Socket.get(), m_ReadBuffer.data(),
-                         m_ReadBuffer.size(), MSG_DONTWAIT);
-  if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+  auto Bytes = io::receive(Held->m_Socket.get(), m_ReadBuffer.data(),
+                           m_ReadBuffer.size());
+  if (!Bytes)
     return;
-  if (Bytes <= 0)
-    return onEnd(*Held, Bytes == 0);
+  if (*Bytes <= 0)
+    return onEnd(*Held, *Bytes == 0);
   if (Held->m_Call == 0)
     return close(Id); // Nobody waits for these bytes.
-  Held->m_Parser.feed({m_ReadBuffer.data(), static_cast<std::size_t>(Bytes)});
+  Held->m_Parser.feed({m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
   takeAnswers(Id);
   Held = find(Id);
   if (Held && Held->m_Parser.state() != ParseState::Good)
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -22,7 +22,6 @@
   CallId send(Call Next, Done OnDone);
   void cancel(CallId Id);
 
-  [[nodiscard]] std::size_t active() const { return m_Calls.size(); }
   [[nodiscard]] std::uint64_t opened() const { return m_Opened; }
 
 private:
--- a/libs/http/src/LoopServer.cpp
+++ b/libs/http/src/LoopServer.cpp
@@ -32,8 +32,6 @@
 
 std::size_t LoopServer::pending() const { return m_Impl->m_Pending; }
 
-std::size_t LoopServer::connections() const { return m_Impl->connections(); }
-
 std::size_t LoopServer::unsentBytes() const { return m_Impl->unsentBytes(); }
 
 std::uint16_t LoopServer::port() const { return m_Impl->m_Port; }
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -7,11 +7,7 @@
 #include "io/Sockets.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <cerrno>
-#include <netinet/in.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <utility>
 
 namespace knapweedloft::http {
@@ -19,32 +15,8 @@
 
 /// More than the answers and requests of a usual call in one read.
 constexpr std::size_t ReadBytes = 32 << 10;
-constexpr int MaxAcceptsARound = 64;
 /// Time-outs are whole seconds at least; they are looked at this often.
 constexpr absl::Duration SweepInterval = absl::Milliseconds(500);
-/// How long the listener rests when the process is out of descriptors.
-constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
-
-io::FileDescriptor listenAt(const model::Endpoint &At) {
-  try {
-    return io::listenOn(At);
-  } catch (const io::IoError &Error) {
-    throw HttpError(Error.what());
-  }
-}
-
-std::string textOf(const sockaddr_storage &Address) {
-  char Text[INET6_ADDRSTRLEN] = "";
-  if (Address.ss_family == AF_INET)
-    ::inet_ntop(AF_INET,
-                &reinterpret_cast<const sockaddr_in &>(Address).sin_addr, Text,
-                sizeof(Text));
-  else
-    ::inet_ntop(AF_INET6,
-                &reinterpret_cast<const sockaddr_in6 &>(Address).sin6_addr,
-                Text, sizeof(Text));
-  return Text;
-}
 
 int statusOf(ParseState Reason) {
   constexpr int BadRequest = 400;
@@ -63,11 +35,8 @@
 } // namespace
 
 LoopServer::Impl::Impl(io::EventLoop &Loop, Options Settings)
-    : m_Settings(std::move(Settings)), m_Loop(Loop),
-      m_Listener(listenAt(m_Settings.m_At)), m_ReadBuffer(ReadBytes) {
-  m_Port = io::localEndpoint(m_Listener.get()).m_Port;
-  m_ListenerWatch = m_Loop.watch(m_Listener.get(), EPOLLIN,
-                                 [this](std::uint32_t) { accept(); });
+    : m_Settings(std::move(Settings)), m_Loop(Loop), m_ReadBuffer(ReadBytes) {
+  listen();
   sweep();
 }
 
@@ -79,32 +48,21 @@
     close(m_Connections.begin()->first);
 }
 
-void LoopServer::Impl::accept() {
-  for (int Count = 0; Count < MaxAcceptsARound; ++Count) {
-    sockaddr_storage From{};
-    socklen_t Size = sizeof(From);
-    io::FileDescriptor Socket(::accept4(m_Listener.get(),
-                                        reinterpret_cast<sockaddr *>(&From),
-                                        &Size, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!Socket.isValid() && (errno == EMFILE || errno == ENFILE)) {
-      m_Loop.rewatch(m_ListenerWatch, 0);
-      m_Loop.post(
-          [this, IsAlive = m_IsAlive] {
-            if (*IsAlive)
-              m_Loop.rewatch(m_ListenerWatch, EPOLLIN);
-          },
-          AcceptRest);
-      return;
-    }
-    if (!Socket.isValid())
-      return;
-    if (m_Connections.size() < m_Settings.m_MaxConnections)
-      add(std::move(Socket), textOf(From));
+void LoopServer::Impl::listen() {
+  try {
+    m_Acceptor = std::make_unique<io::Acceptor>(
+        m_Loop, m_Settings.m_At,
+        [this](io::FileDescriptor Socket, std::string From) {
+          if (m_Connections.size() < m_Settings.m_MaxConnections)
+            add(std::move(Socket), std::move(From));
+        });
+  } catch (const io::IoError &Error) {
+    throw HttpError(Error.what());
   }
+  m_Port = m_Acceptor->endpoint().m_Port;
 }
 
 void LoopServer::Impl::add(io::FileDescriptor Socket, std::string From) {
-  io::setNoDelay(Socket.get());
   std::uint64_t Id = ++m_LastId;
   absl::Time Now = io::monotonicNow();
   auto Held = std::make_unique<ServerConnection>(ServerConnection{
@@ -142,18 +100,18 @@
   ServerConnection *Held = find(Id);
   if (!Held)
     return;
-  ssize_t Bytes = ::recv(Held->m_Socket.get(), m_ReadBuffer.data(),
-                         m_ReadBuffer.size(), MSG_DONTWAIT);
-  if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+  auto Bytes = io::receive(Held->m_Socket.get(), m_ReadBuffer.data(),
+                           m_ReadBuffer.size());
+  if (!Bytes)
     return;
-  if (Bytes <= 0)
+  if (*Bytes <= 0)
     return close(Id);
   if (Held->m_StopsReading)
     return; // Dropped: the answer that closes the connection is on its way.
   if (!Held->m_Parser.isInside())
     Held->m_MessageSince = io::monotonicNow();
   ParseState State = Held->m_Parser.feed(
-      {m_ReadBuffer.data(), static_cast<std::size_t>(Bytes)});
+      {m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
   if (Held->m_Parser.takeContinueWanted()) {
     Held->m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
     flush(*Held);
@@ -283,13 +241,6 @@
   });
 }
 
-void LoopServer::Impl::stopAccepting() {
-  if (!m_Listener.isValid())
-    return;
-  m_Loop.unwatch(m_ListenerWatch);
-  io::FileDescriptor Closed = std::move(m_Listener);
-}
-
 std::size_t LoopServer::Impl::unsentBytes() const {
   std::size_t Sum = 0;
   for (const auto &[Id, Held] : m_Connections)
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -3,6 +3,7 @@
 
 #include "ServerConnection.h"
 #include "http/LoopServer.h"
+#include "io/Acceptor.h"
 #include "io/FileDescriptor.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -23,17 +24,16 @@
   void answer(ExchangeId Id, int Status, std::string_view Lines,
               std::string_view Body);
   void beginClosing();
-  void stopAccepting();
+  void stopAccepting() { m_Acceptor->stop(); }
 
   Options m_Settings;
   std::size_t m_Pending = 0;
   std::uint16_t m_Port = 0;
 
-  [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
   [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
-  void accept();
+  void listen();
   void add(io::FileDescriptor Socket, std::string From);
   void onReady(std::uint64_t Id, std::uint32_t Events);
   void read(std::uint64_t Id);
@@ -50,8 +50,7 @@
   [[nodiscard]] ServerConnection *find(std::uint64_t Id);
 
   io::EventLoop &m_Loop;
-  io::FileDescriptor m_Listener;
-  io::EventLoop::WatchId m_ListenerWatch = 0;
+  std::unique_ptr<io::Acceptor> m_Acceptor;
   std::uint64_t m_LastId = 0;
   bool m_IsClosing = false;
   std::vector<char> m_ReadBuffer;
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <http_parser.h>
-#include <strings.h>
 #include <utility>
 
 namespace knapweedloft::http {
@@ -135,7 +134,7 @@
       m_Current.m_Status = m_Parser.status_code;
     const std::string *Expect = findHeader(m_Current.m_Headers, "Expect");
     m_IsContinueWanted =
-        Expect != nullptr && strcasecmp(Expect->c_str(), "100-continue") == 0;
+        Expect != nullptr && isSameName(*Expect, "100-continue");
     bool HasLength = m_Parser.content_length != UINT64_MAX;
     if (HasLength && m_Parser.content_length > m_Limits.m_MaxBodyBytes) {
       fail(ParseState::BodyTooLong);
--- a/libs/http/src/MessageText.cpp
+++ b/libs/http/src/MessageText.cpp
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <iterator>
-#include <strings.h>
 
 namespace knapweedloft::http {
 namespace {
@@ -53,8 +52,7 @@
 
 bool isHopByHop(std::string_view Name) {
   for (std::string_view Known : HopByHopNames)
-    if (Known.size() == Name.size() &&
-        strncasecmp(Known.data(), Name.data(), Name.size()) == 0)
+    if (isSameName(Known, Name))
       return true;
   return false;
 }
--- a/libs/http/src/ServerRequest.cpp
+++ b/libs/http/src/ServerRequest.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
-#include <strings.h>
 
 namespace knapweedloft::http {
 namespace {
@@ -25,7 +24,7 @@
 std::size_t countHeader(const HeaderList &Headers, const char *Name) {
   return static_cast<std::size_t>(
       std::count_if(Headers.begin(), Headers.end(), [&](const auto &Field) {
-        return strcasecmp(Field.m_Name.c_str(), Name) == 0;
+        return isSameName(Field.m_Name, Name);
       }));
 }
 
@@ -41,7 +40,7 @@
 bool isSetByServer(const std::string &Name) {
   for (const char *Own : {"Connection", "Content-Length", "Transfer-Encoding",
                           "Keep-Alive", "Date"})
-    if (strcasecmp(Name.c_str(), Own) == 0)
+    if (isSameName(Name, Own))
       return true;
   return false;
 }
--- a/libs/io/include/io/Sockets.h
+++ b/libs/io/include/io/Sockets.h
@@ -4,6 +4,10 @@
 #include "io/FileDescriptor.h"
 #include "model/Endpoint.h"
 
+#include <cstddef>
+#include <optional>
+#include <sys/types.h>
+
 namespace knapweedloft::io {
 
 /// Binds a non-blocking listening socket.
@@ -20,6 +24,11 @@
 /// \returns the error that a non-blocking connect ended with, 0 if none.
 int pendingError(int Socket);
 
+/// Reads what is there without waiting.
+/// \returns the bytes read, 0 at the peer's end, less if the connection is
+/// broken; nothing if there is nothing now.
+std::optional<ssize_t> receive(int Socket, void *To, std::size_t Room);
+
 /// Sends small frames at once instead of waiting for more bytes.
 void setNoDelay(int Socket);
 
--- a/libs/io/src/Sockets.cpp
+++ b/libs/io/src/Sockets.cpp
@@ -103,6 +103,13 @@
   return Error;
 }
 
+std::optional<ssize_t> receive(int Socket, void *To, std::size_t Room) {
+  ssize_t Bytes = ::recv(Socket, To, Room, MSG_DONTWAIT);
+  if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+    return std::nullopt;
+  return Bytes;
+}
+
 void setNoDelay(int Socket) {
   int One = 1;
   ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -7,17 +7,12 @@
 #include "io/Sockets.h"
 #include "link/LinkError.h"
 
-#include <cerrno>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <utility>
 
 namespace knapweedloft::link {
 namespace {
 
-/// How long the listener rests when the process is out of descriptors.
-constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
-constexpr int MaxAcceptsARound = 64;
 /// Heartbeats of a relaxed link come this much later.
 constexpr int RelaxedFactor = 2;
 /// Of a relaxed link's heartbeats, every so many carry more than the bare need.
@@ -25,25 +20,14 @@
 /// Frames of one link are handled for this long at most in a round.
 constexpr int MaxReadsARound = 4;
 
-io::FileDescriptor listenAt(const model::Endpoint &At) {
-  try {
-    return io::listenOn(At);
-  } catch (const io::IoError &Error) {
-    throw LinkError(Error.what());
-  }
-}
-
 } // namespace
 
 LinkNode::Impl::Impl(Options Settings)
     : m_Settings(std::move(Settings)),
       m_OwnLoop(m_Settings.m_Loop ? nullptr
                                   : std::make_unique<io::EventLoop>()),
-      m_Loop(m_OwnLoop ? *m_OwnLoop : *m_Settings.m_Loop),
-      m_Listener(listenAt(m_Settings.m_Self.m_Link)) {
-  m_Settings.m_Self.m_Link.m_Port = io::localEndpoint(m_Listener.get()).m_Port;
-  m_ListenerWatch = m_Loop.watch(m_Listener.get(), EPOLLIN,
-                                 [this](std::uint32_t) { accept(); });
+      m_Loop(m_OwnLoop ? *m_OwnLoop : *m_Settings.m_Loop) {
+  listen();
   if (m_OwnLoop)
     m_OwnLoop->start("link");
 }
@@ -54,8 +38,7 @@
   if (m_OwnLoop)
     return m_OwnLoop->stop();
   m_Settings.m_Hooks = {};
-  m_Loop.unwatch(m_ListenerWatch);
-  m_Listener = {};
+  m_Acceptor->stop();
   while (!m_Connections.empty())
     end(m_Connections.begin()->first, LinkEnd::Local);
 }
@@ -106,26 +89,25 @@
     read(Link);
 }
 
-void LinkNode::Impl::accept() {
-  for (int Count = 0; Count < MaxAcceptsARound; ++Count) {
-    io::FileDescriptor Socket(::accept4(m_Listener.get(), nullptr, nullptr,
-                                        SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!Socket.isValid() && (errno == EMFILE || errno == ENFILE))
-      return refuseAccept();
-    if (!Socket.isValid())
-      return;
-    if (m_Connections.size() >= m_Settings.m_MaxLinks)
-      continue;
-    io::setNoDelay(Socket.get());
-    Connection *Peer = add(std::move(Socket), Connection::Phase::Greeting);
-    if (Peer)
-      queue(*Peer, helloOf(m_Settings.m_Self, io::monotonicNow()));
+void LinkNode::Impl::listen() {
+  model::Endpoint &Own = m_Settings.m_Self.m_Link;
+  try {
+    m_Acceptor = std::make_unique<io::Acceptor>(
+        m_Loop, Own, [this](io::FileDescriptor Socket, const std::string &) {
+          onAccepted(std::move(Socket));
+        });
+  } catch (const io::IoError &Error) {
+    throw LinkError(Error.what());
   }
+  Own.m_Port = m_Acceptor->endpoint().m_Port;
 }
 
-void LinkNode::Impl::refuseAccept() {
-  m_Loop.rewatch(m_ListenerWatch, 0);
-  m_Loop.post([this] { m_Loop.rewatch(m_ListenerWatch, EPOLLIN); }, AcceptRest);
+void LinkNode::Impl::onAccepted(io::FileDescriptor Socket) {
+  if (m_Connections.size() >= m_Settings.m_MaxLinks)
+    return;
+  Connection *Peer = add(std::move(Socket), Connection::Phase::Greeting);
+  if (Peer)
+    queue(*Peer, helloOf(m_Settings.m_Self, io::monotonicNow()));
 }
 
 Connection *LinkNode::Impl::add(io::FileDescriptor Socket,
@@ -159,13 +141,12 @@
     if (!Peer)
       return;
     auto Room = Peer->m_Incoming.room();
-    ssize_t Bytes =
-        ::recv(Peer->m_Socket.get(), Room.data(), Room.size(), MSG_DONTWAIT);
-    if (Bytes < 0 && (errno == EAGAIN || errno == EINTR))
+    auto Bytes = io::receive(Peer->m_Socket.get(), Room.data(), Room.size());
+    if (!Bytes)
       return;
-    if (Bytes <= 0)
+    if (*Bytes <= 0)
       return end(Link, LinkEnd::Closed);
-    Peer->m_Incoming.commit(static_cast<std::size_t>(Bytes));
+    Peer->m_Incoming.commit(static_cast<std::size_t>(*Bytes));
     Peer->m_Monitor.onReceived(io::monotonicNow());
     std::span<const std::uint8_t> Frame;
     auto Result = FrameBuffer::Result::Frame;
@@ -175,7 +156,7 @@
       onFrame(*Peer, Frame);
     if (Result == FrameBuffer::Result::Oversize)
       return end(Link, LinkEnd::Malformed);
-    if (static_cast<std::size_t>(Bytes) < Room.size())
+    if (static_cast<std::size_t>(*Bytes) < Room.size())
       return;
   }
 }
--- a/libs/link/src/LinkNodeImpl.h
+++ b/libs/link/src/LinkNodeImpl.h
@@ -4,6 +4,7 @@
 #include "Connection.h"
 #include "LinkTable.h"
 #include "TrafficCounter.h"
+#include "io/Acceptor.h"
 #include "io/EventLoop.h"
 #include "link/LinkNode.h"
 
@@ -40,8 +41,8 @@
 
 private:
   void onReady(PeerHandle Link, std::uint32_t Events);
-  void accept();
-  void refuseAccept();
+  void listen();
+  void onAccepted(io::FileDescriptor Socket);
   Connection *add(io::FileDescriptor Socket, Connection::Phase Start);
   void failOpen(const model::Endpoint &To, LinkEnd Reason);
 
@@ -65,8 +66,7 @@
   Options m_Settings;
   std::unique_ptr<io::EventLoop> m_OwnLoop; ///< Null: the loop is shared.
   io::EventLoop &m_Loop;
-  io::FileDescriptor m_Listener;
-  io::EventLoop::WatchId m_ListenerWatch = 0;
+  std::unique_ptr<io::Acceptor> m_Acceptor;
   LinkTable m_Table;
   TrafficCounter m_Traffic;
   absl::flat_hash_map<PeerHandle, std::unique_ptr<Connection>> m_Connections;
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -103,8 +103,6 @@
   [[nodiscard]] policy::RateLedger &rates() { return m_Rates; }
   [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
   [[nodiscard]] const EntryCounts &counts() const { return m_Counts; }
-  /// \returns the services that requests were sent to.
-  [[nodiscard]] std::vector<std::string> servicesInUse() const;
 
 private:
   using PendingId = std::uint64_t;
@@ -147,6 +145,7 @@
     absl::Duration m_ComeBack; ///< Hint: when there is room.
   };
 
+  // EntryPath.cpp
   [[nodiscard]] Ending identify(Pending &Next, const std::string &From,
                                 absl::Time Now);
   [[nodiscard]] Ending identifyCustomer(Pending &Next) const;
@@ -161,6 +160,11 @@
   [[nodiscard]] wire::ForwardT
   makeForward(const Pending &Next, const PeerTarget &To, absl::Time Now) const;
   [[nodiscard]] std::string linesFor(const Pending &Next) const;
+  void onAlarm(PendingId Id, absl::Time Now);
+  void setAlarm(PendingId Id, Pending &Held, absl::Time When);
+  void forget(PendingId Id);
+
+  // EntryAnswers.cpp
   void onTargetAnswer(PendingId Id, wire::AnswerT &Answer, absl::Time Now);
   void onTargetFailure(PendingId Id, wire::AnswerT *Answer, absl::Time Now);
   [[nodiscard]] bool mayRepeat(const Pending &Held, bool DidNotRun,
@@ -171,9 +175,6 @@
   void refuse(http::ExchangeId Id, const Pending &Refused, const Ending &How,
               absl::Time Now);
   void countOutcome(const Pending &Of, std::string_view Outcome);
-  void onAlarm(PendingId Id, absl::Time Now);
-  void setAlarm(PendingId Id, Pending &Held, absl::Time When);
-  void forget(PendingId Id);
   [[nodiscard]] absl::Duration
   comeBackAfter(const Pending &Refused, absl::Duration Hint, absl::Time Now);
 
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -68,7 +68,7 @@
 
   TargetPath(Options Settings, Reporter Log, absl::Time Now);
 
-  void setCatalog(CatalogPtr Catalog, absl::Time Now);
+  void setCatalog(CatalogPtr Catalog);
   void setWithdrawn(bool IsWithdrawn, absl::Time Now);
 
   /// The target says how it is. \returns what was made of it; what is Taken
@@ -111,6 +111,7 @@
     std::string m_Instance; ///< That it was sent to.
   };
 
+  // TargetPath.cpp
   [[nodiscard]] model::RefusalReason check(const wire::ForwardT &Message) const;
   [[nodiscard]] policy::WorkGate::Kind kindOf(const std::string &Route);
   void start(JobId Id, absl::Time Now);
@@ -118,7 +119,6 @@
   void onResult(JobId Id, http::HttpResult Result, absl::Time Now);
   void onResponse(Run &Done, http::HttpResponse &Response, absl::Time Now);
   void onBroken(const Run &Done, http::Failure Failure, absl::Time Now);
-  void onWrongInstance(const http::HttpResponse &Response, absl::Time Now);
   void answer(const Run &Done, wire::AnswerT Answer);
   void refuse(link::PeerHandle To, const model::ForwardId &Id,
               model::RefusalReason Reason, model::Ran DidRun,
@@ -126,19 +126,27 @@
   void refuseWaiting(JobId Id, model::RefusalReason Reason,
                      absl::Duration ComeBack, absl::Time Now);
   void poll(absl::Time Now);
+  void noteDemand();
+
+  // TargetChecks.cpp
+  void onWrongInstance(const http::HttpResponse &Response, absl::Time Now);
   void closeQueue(absl::Time Now);
-  void noteChange(TargetGate Before, const std::string &Instance,
-                  absl::Time Now);
+  /// Acts on the state if it is another than at the last call.
+  void noteChange(absl::Time Now);
   void setCold(absl::Duration For, absl::Time Now);
   void readLoad(const http::HttpResponse &Response);
-  void noteDemand();
   void beginCheck(absl::Time Now);
   void onChecked(const http::HttpResult &Result, absl::Time Now);
 
+  /// When to come back to a target that takes nothing now.
+  static constexpr absl::Duration ClosedComeBack = absl::Milliseconds(500);
+
   Options m_Options;
   Reporter m_Log;
   CatalogPtr m_Catalog;
   TargetState m_State;
+  TargetGate m_NotedGate; ///< With the instance: as of the last noteChange().
+  std::string m_NotedInstance;
   policy::WorkGate m_Gate;
   policy::DemandGauge m_Demand;
   JobId m_LastJob = 0;
--- a/libs/mesh/src/CatalogIndex.cpp
+++ b/libs/mesh/src/CatalogIndex.cpp
@@ -1,15 +1,26 @@
 #include "mesh/CatalogIndex.h"
 
+#include "model/AbslView.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace knapweedloft::mesh {
+namespace {
+
+template <typename TableT>
+auto lookUp(const TableT &In, std::string_view Name) {
+  auto Found = In.find(model::toAbsl(Name));
+  return Found == In.end() ? nullptr : Found->second;
+}
+
+} // namespace
 
 CatalogIndex::CatalogIndex(Catalog Source) : m_Catalog(std::move(Source)) {
-  for (const CatalogRoute &Route : m_Catalog.m_Routes)
+  for (const CatalogRoute &Route : m_Catalog.m_Routes) {
     m_Hosts[Route.m_Host].push_back(&Route);
-  for (const CatalogRoute &Route : m_Catalog.m_Routes)
     m_Routes.emplace(Route.m_Name, &Route);
+  }
   for (auto &[Host, Routes] : m_Hosts)
     std::stable_sort(Routes.begin(), Routes.end(),
                      [](const CatalogRoute *Left, const CatalogRoute *Right) {
@@ -25,7 +36,7 @@
 
 const CatalogRoute *CatalogIndex::findRoute(std::string_view Host,
                                             std::string_view Path) const {
-  auto Found = m_Hosts.find(absl::string_view(Host.data(), Host.size()));
+  auto Found = m_Hosts.find(model::toAbsl(Host));
   if (Found == m_Hosts.end())
     return nullptr;
   std::string_view Plain = Path.substr(0, Path.find('?'));
@@ -36,18 +47,15 @@
 }
 
 const CatalogRoute *CatalogIndex::route(std::string_view Name) const {
-  auto Found = m_Routes.find(absl::string_view(Name.data(), Name.size()));
-  return Found == m_Routes.end() ? nullptr : Found->second;
+  return lookUp(m_Routes, Name);
 }
 
 const CatalogCustomer *CatalogIndex::customerOf(std::string_view Key) const {
-  auto Found = m_Keys.find(absl::string_view(Key.data(), Key.size()));
-  return Found == m_Keys.end() ? nullptr : Found->second;
+  return lookUp(m_Keys, Key);
 }
 
 const CatalogService *CatalogIndex::service(std::string_view Name) const {
-  auto Found = m_Services.find(absl::string_view(Name.data(), Name.size()));
-  return Found == m_Services.end() ? nullptr : Found->second;
+  return lookUp(m_Services, Name);
 }
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -48,6 +48,9 @@
                            {"restart", m_Settings.m_IsRestart}});
   m_Operator->start(io::monotonicNow());
   writeMember();
+  m_Loop.post(
+      [this] { m_Entry->rates().onMembersKnown(io::monotonicNow(), m_Random); },
+      UnreadMembersAfter);
   tick();
 }
 
@@ -123,7 +126,7 @@
                         .m_IdleTimeout = Limits.m_IdleTimeout});
   m_Catalog = std::make_shared<const CatalogIndex>(std::move(Next));
   m_Entry->setCatalog(m_Catalog, Now);
-  m_Target->setCatalog(m_Catalog, Now);
+  m_Target->setCatalog(m_Catalog);
 }
 
 void Node::Impl::onUp(link::PeerHandle Link, const model::Member &Who) {
@@ -364,8 +367,6 @@
   m_Entry->tick(Now);
   m_Target->tick(Now);
   m_Peers->tick(Now);
-  if (Now - m_Started > UnreadMembersAfter)
-    m_Entry->rates().onMembersKnown(Now, m_Random);
   tellSpent(Now);
   if (Now >= m_NextCallsLook) {
     m_NextCallsLook = Now + CallsLookInterval;
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -6,7 +6,6 @@
 #include "fmt/format.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <iterator>
 #include <utility>
@@ -18,14 +17,10 @@
 using model::Ran;
 using model::RefusalReason;
 
-constexpr int Ok = 200;
 constexpr int FirstFailure = 300;
 constexpr int Misdirected = 421;
 /// How long past its time the target's own answer is waited for.
 constexpr absl::Duration AnswerGrace = absl::Milliseconds(20);
-/// When to come back to a target that takes nothing now.
-constexpr absl::Duration ClosedComeBack = absl::Milliseconds(500);
-
 /// A call ends with what makes it. Both times are told in whole milliseconds,
 /// rounded down, and count from when they are read.
 constexpr absl::Duration EarliestCallEnd = absl::Milliseconds(-3);
@@ -33,22 +28,6 @@
 /// Changes of the part of new work to let in that are worth a line.
 constexpr double NotedChange = 0.05;
 
-std::optional<std::uint64_t> numberAt(std::string_view Text,
-                                      std::size_t Index) {
-  for (; Index > 0; --Index) {
-    std::size_t Comma = Text.find(',');
-    if (Comma == std::string_view::npos)
-      return std::nullopt;
-    Text.remove_prefix(Comma + 1);
-  }
-  Text.remove_prefix(std::min(Text.find_first_not_of(' '), Text.size()));
-  std::uint64_t Value = 0;
-  auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Read.ec != std::errc())
-    return std::nullopt;
-  return Value;
-}
-
 } // namespace
 
 TargetPath::TargetPath(Options Settings, Reporter Log, absl::Time Now)
@@ -56,87 +35,15 @@
       m_State({.m_Service = m_Options.m_Service,
                .m_At = m_Options.m_At,
                .m_NeedsCheck = m_Options.m_IsRestart}),
-      m_Gate(m_Options.m_Gate), m_Demand(m_Options.m_Demand),
+      m_NotedGate(m_State.gate()), m_Gate(m_Options.m_Gate),
+      m_Demand(m_Options.m_Demand),
       m_NextCheck(m_Options.m_IsRestart ? Now
                                         : Now + m_Options.m_FirstCheckAfter) {}
 
-void TargetPath::setCatalog(CatalogPtr Catalog, absl::Time /*Now*/) {
+void TargetPath::setCatalog(CatalogPtr Catalog) {
   m_Catalog = std::move(Catalog);
 }
 
-void TargetPath::setWithdrawn(bool IsWithdrawn, absl::Time Now) {
-  TargetGate Before = m_State.gate();
-  std::string Instance = m_State.instance();
-  m_State.setWithdrawn(IsWithdrawn);
-  if (Before == TargetGate::Withdrawn && !IsWithdrawn) {
-    // A withdrawn target may have gone cold; it is asked before it is filled.
-    m_KnowsCold = false;
-    m_NextCheck = Now;
-    if (const CatalogService *Own =
-            m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr)
-      setCold(Own->m_ColdFor, Now);
-  }
-  noteChange(Before, Instance, Now);
-}
-
-void TargetPath::setCold(absl::Duration For, absl::Time Now) {
-  const CatalogService *Own =
-      m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
-  if (For <= absl::ZeroDuration() || !Own || Own->m_ColdPerSecond <= 0) {
-    m_Gate.setCold(absl::InfinitePast(), 1);
-    return;
-  }
-  if (!m_Gate.isCold(Now))
-    m_Log.state("The target is cold.",
-                {{"for", For}, {"bears", Own->m_ColdPerSecond}});
-  m_Gate.setCold(Now + For, Own->m_ColdPerSecond);
-}
-
-TargetState::Reception TargetPath::onReport(const TargetReport &Report,
-                                            absl::Time Now) {
-  TargetGate Before = m_State.gate();
-  std::string Instance = m_State.instance();
-  TargetState::Reception How = m_State.onReport(Report, Now);
-  if (How != TargetState::Reception::Taken)
-    return How;
-  if (Report.m_Condition != TargetCondition::Gone) {
-    if (Report.m_Slots > 0)
-      m_Gate.setSlots(Report.m_Slots);
-    m_KnowsCold = true;
-    setCold(Report.m_ColdLeft, Now);
-  }
-  noteChange(Before, Instance, Now);
-  return How;
-}
-
-void TargetPath::noteChange(TargetGate Before, const std::string &Instance,
-                            absl::Time Now) {
-  TargetGate After = m_State.gate();
-  bool IsOther = Instance != m_State.instance();
-  if (Before == After && !IsOther)
-    return;
-  m_Log.state("The target's state changed.",
-              {{"from", TargetGateNames.nameOf(Before)},
-               {"to", TargetGateNames.nameOf(After)},
-               {"instance", m_State.instance()},
-               {"born", m_State.bornMs()},
-               {"sequence", m_State.sequence()},
-               {"cold", m_Gate.isCold(Now)}});
-  if (After != TargetGate::Open)
-    closeQueue(Now);
-  m_Options.m_Hooks.m_OnChange(Now);
-  poll(Now);
-}
-
-void TargetPath::closeQueue(absl::Time Now) {
-  m_ToRefuse.clear();
-  m_Gate.refuseAll(m_ToRefuse);
-  std::vector<policy::WorkGate::Refusal> Refused = std::move(m_ToRefuse);
-  m_ToRefuse.clear();
-  for (const policy::WorkGate::Refusal &One : Refused)
-    refuseWaiting(One.m_Id, RefusalReason::NoTarget, ClosedComeBack, Now);
-}
-
 RefusalReason TargetPath::check(const wire::ForwardT &Message) const {
   if (Message.to_incarnation != m_Options.m_Self)
     return RefusalReason::WrongIncarnation;
@@ -200,9 +107,8 @@
   fmt::format_to(std::back_inserter(Lines), "{}: {}\r\n{}: {}\r\n",
                  Names.m_TimeLeft, LeftMs, Names.m_Instance, Next.m_Instance);
   std::vector<std::uint8_t> Body = std::move(Next.m_Message.body);
-  return http::requestText(
-      Next.m_Message.method, Next.m_Message.path, Lines,
-      {reinterpret_cast<const char *>(Body.data()), Body.size()});
+  return http::requestText(Next.m_Message.method, Next.m_Message.path, Lines,
+                           app::viewOf(Body));
 }
 
 void TargetPath::start(JobId Id, absl::Time Now) {
@@ -291,11 +197,9 @@
                  {"instance", Done.m_Instance},
                  {"took", Now - Done.m_Started}});
   if (Failure == Failure::NotSent) {
-    TargetGate Before = m_State.gate();
-    std::string Instance = m_State.instance();
     m_State.onRefusedConnection();
     m_NextCheck = std::max(m_NextCheck, Now + m_Options.m_CheckInterval);
-    noteChange(Before, Instance, Now);
+    noteChange(Now);
     refuse(Done.m_From, Done.m_Id, RefusalReason::NoTarget, Ran::No,
            ClosedComeBack);
     return;
@@ -306,28 +210,6 @@
   refuse(Done.m_From, Done.m_Id, Reason, Ran::Unknown, absl::ZeroDuration());
 }
 
-void TargetPath::onWrongInstance(const http::HttpResponse &Response,
-                                 absl::Time Now) {
-  const std::string *Told =
-      http::findHeader(Response.m_Headers, m_Options.m_Dialect.m_InstanceTold);
-  TargetGate Before = m_State.gate();
-  std::string Instance = m_State.instance();
-  m_State.onOtherInstance(Told ? *Told : "");
-  m_NextCheck = Now;
-  noteChange(Before, Instance, Now);
-}
-
-void TargetPath::readLoad(const http::HttpResponse &Response) {
-  const std::string *Told =
-      http::findHeader(Response.m_Headers, m_Options.m_Dialect.m_TargetLoad);
-  if (!Told)
-    return;
-  constexpr std::size_t SlotsIndex = 2;
-  auto Slots = numberAt(*Told, SlotsIndex);
-  if (Slots && *Slots > 0)
-    m_Gate.setSlots(static_cast<std::uint32_t>(*Slots));
-}
-
 void TargetPath::answer(const Run &Done, wire::AnswerT Answer) {
   if (Done.m_IsCancelled)
     return;
@@ -453,60 +335,6 @@
                {"mean", Load.m_Latency}});
 }
 
-void TargetPath::beginCheck(absl::Time Now) {
-  const CatalogService *Own =
-      m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
-  if (!Own)
-    return;
-  m_IsChecking = true;
-  ++m_Counts.m_Checks;
-  m_NextCheck = Now + m_Options.m_CheckInterval;
-  http::HttpRequest Request;
-  Request.m_Method = "GET";
-  Request.m_Path = Own->m_HealthPath;
-  Request.m_Headers = {{"Host", m_Options.m_At.m_Address}};
-  http::LoopClient::Call Call;
-  Call.m_To = m_Options.m_At;
-  Call.m_Text = http::requestText(Request);
-  Call.m_Timeout = m_Options.m_CheckTimeout;
-  m_Options.m_Hooks.m_Call(
-      std::move(Call),
-      [this](const http::HttpResult &Result, absl::Time Ended) {
-        m_IsChecking = false;
-        onChecked(Result, Ended);
-      });
-}
-
-void TargetPath::onChecked(const http::HttpResult &Result, absl::Time Now) {
-  TargetGate Before = m_State.gate();
-  std::string Instance = m_State.instance();
-  const http::HttpResponse &Response = Result.m_Response;
-  const std::string *Told =
-      http::findHeader(Response.m_Headers, m_Options.m_Dialect.m_InstanceTold);
-  bool IsHealthy = Result.m_Failure == Failure::None &&
-                   Response.m_Status == Ok && Told != nullptr;
-  m_Log.state("A health check ended.",
-              {{"how", http::FailureNames.nameOf(Result.m_Failure)},
-               {"status", Response.m_Status},
-               {"instance", Told ? *Told : ""}});
-  m_State.onCheck(Told ? *Told : "", IsHealthy, Now);
-  if (IsHealthy) {
-    readLoad(Response);
-    const std::string *ColdLeft =
-        http::findHeader(Response.m_Headers, m_Options.m_Dialect.m_ColdLeft);
-    auto ColdMs = ColdLeft ? numberAt(*ColdLeft, 0) : std::nullopt;
-    m_KnowsCold = true;
-    setCold(absl::Milliseconds(ColdMs.value_or(0)), Now);
-  }
-  noteChange(Before, Instance, Now);
-}
-
-void TargetPath::stop(absl::Time Now) {
-  TargetGate Before = m_State.gate();
-  m_State.setStopping();
-  noteChange(Before, m_State.instance(), Now);
-}
-
 std::string TargetPath::routeRunningUntil(absl::Time End) const {
   const std::string *Route = nullptr;
   for (const auto &[Id, Held] : m_Runs) {
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -24,7 +24,7 @@
   };
 
   TargetPathTest() : m_Path(options(), Reporter(m_Log, "target"), m_Now) {
-    m_Path.setCatalog(makeCatalog(), m_Now);
+    m_Path.setCatalog(makeCatalog());
   }
 
   TargetPath::Options options() {
--- a/libs/policy/include/policy/RateLedger.h
+++ b/libs/policy/include/policy/RateLedger.h
@@ -8,17 +8,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace knapweedloft::policy {
 
-/// Names a customer in few bytes between daemons.
+/// Names a customer in few bytes between daemons (\see stableHash()).
 using CustomerHash = std::uint64_t;
 
-/// \returns the FNV-1a hash of a name, the same in every process.
-[[nodiscard]] CustomerHash customerHash(std::string_view Name);
-
 /// Holds customers to their rates and bursts over the fleet without asking
 /// another daemon.
 ///
@@ -150,8 +146,16 @@
     absl::Time m_Since;
   };
 
+  /// How many daemons there are, this one with those that are heard.
+  struct Heads {
+    double m_Heard = 1;
+    double m_Unheard = 0;
+  };
+
   void accrue(Account &Of, absl::Time Now) const;
-  void beginRound(Account &Of, double Decay, absl::BitGenRef Random) const;
+  [[nodiscard]] Heads heads() const;
+  void beginRound(Account &Of, const Heads &Fleet, double Decay,
+                  absl::BitGenRef Random) const;
   void forgetUnheard(absl::Time Now);
 
   Options m_Settings;
--- a/libs/policy/include/policy/WorkGate.h
+++ b/libs/policy/include/policy/WorkGate.h
@@ -30,7 +30,7 @@
 ///     start(Job.m_Id);
 ///   ...
 ///   Gate.finish(Id, Latency, true, Now);
-///   Gate.poll(Now, Run, Refused); // after each call, and at nextEvent()
+///   Gate.poll(Now, Run, Refused); // after each call, and now and then
 /// \endcode
 class WorkGate {
 public:
@@ -91,8 +91,6 @@
   /// Refuses all that wait, since the target takes no more work.
   void refuseAll(std::vector<Refusal> &Refused);
 
-  /// \returns when poll() has something to do without a call before.
-  [[nodiscard]] absl::Time nextEvent(absl::Time Now) const;
   [[nodiscard]] Load load() const;
   [[nodiscard]] std::uint32_t limit() const;
   /// \returns how long a job of \p Rank that came now would wait.
@@ -103,6 +101,7 @@
   using Place = std::pair<std::uint32_t, std::uint64_t>; ///< Rank, arrival.
 
   [[nodiscard]] bool hasSlot() const { return m_Running.size() < limit(); }
+  [[nodiscard]] absl::Duration meanLatency() const;
   [[nodiscard]] double startsPerSecond(absl::Time Now) const;
   void start(const Job &Next);
   void dropLate(absl::Time Now, std::vector<Refusal> &Refused);
--- a/libs/policy/src/RateLedger.cpp
+++ b/libs/policy/src/RateLedger.cpp
@@ -1,5 +1,7 @@
 #include "policy/RateLedger.h"
 
+#include "policy/RateShard.h"
+
 #include "absl/random/distributions.h"
 
 #include <algorithm>
@@ -16,15 +18,6 @@
 
 } // namespace
 
-CustomerHash customerHash(std::string_view Name) {
-  constexpr CustomerHash Offset = 0xcbf29ce484222325;
-  constexpr CustomerHash Prime = 0x100000001b3;
-  CustomerHash Hash = Offset;
-  for (char Character : Name)
-    Hash = (Hash ^ static_cast<unsigned char>(Character)) * Prime;
-  return Hash;
-}
-
 void RateLedger::setRate(const std::string &Customer, const Rate &Limit,
                          absl::Time Now) {
   auto Found = m_Accounts.find(Customer);
@@ -42,12 +35,12 @@
   // Every daemon may grant as much before the others hear of it.
   Fresh.m_RoundLimit = m_AreMembersKnown ? 1 : 0;
   m_Accounts.emplace(Customer, std::move(Fresh));
-  m_Names[customerHash(Customer)] = Customer;
+  m_Names[stableHash(Customer)] = Customer;
 }
 
 void RateLedger::clearRate(const std::string &Customer) {
   m_Accounts.erase(Customer);
-  m_Names.erase(customerHash(Customer));
+  m_Names.erase(stableHash(Customer));
 }
 
 void RateLedger::onMember(const std::string &Name, absl::Time Now) {
@@ -59,8 +52,9 @@
   if (std::exchange(m_AreMembersKnown, true))
     return;
   m_RoundBegan = Now;
+  Heads Fleet = heads();
   for (auto &[Customer, Of] : m_Accounts)
-    beginRound(Of, 1, Random);
+    beginRound(Of, Fleet, 1, Random);
 }
 
 void RateLedger::onDaemon(const std::string &Name, bool IsHeard,
@@ -145,9 +139,10 @@
   m_RoundBegan = Now;
   forgetUnheard(Now);
   double Decay = std::exp(-absl::FDivDuration(Passed, m_Settings.m_Over));
+  Heads Fleet = heads();
   for (auto &[Customer, Of] : m_Accounts) {
     accrue(Of, Now);
-    beginRound(Of, Decay, Random);
+    beginRound(Of, Fleet, Decay, Random);
   }
   return true;
 }
@@ -161,7 +156,14 @@
   });
 }
 
-void RateLedger::beginRound(Account &Of, double Decay,
+RateLedger::Heads RateLedger::heads() const {
+  Heads Fleet;
+  for (const auto &[Name, Known] : m_Daemons)
+    (Known.m_IsHeard ? Fleet.m_Heard : Fleet.m_Unheard) += 1;
+  return Fleet;
+}
+
+void RateLedger::beginRound(Account &Of, const Heads &Fleet, double Decay,
                             absl::BitGenRef Random) const {
   Of.m_OwnPerSecond *= Decay;
   double Heard = Of.m_OwnPerSecond;
@@ -177,18 +179,14 @@
       Known.m_PerSecond *= Decay;
     (Found->second.m_IsHeard ? Heard : Unheard) += Known.m_PerSecond;
   }
-  double Count = 1;
-  double UnheardCount = 0;
-  for (const auto &[Name, Known] : m_Daemons)
-    (Known.m_IsHeard ? Count : UnheardCount) += 1;
-  double Even = UnheardCount / (Count + UnheardCount);
+  double Even = Fleet.m_Unheard / (Fleet.m_Heard + Fleet.m_Unheard);
   double ByTaking = Heard + Unheard > 0 ? Unheard / (Heard + Unheard) : Even;
   double Left = 1 - (m_Settings.m_EvenPart * Even +
                      (1 - m_Settings.m_EvenPart) * ByTaking);
   Of.m_LeftPart = Left;
-  double Part = m_Settings.m_EvenPart / Count;
+  double Part = m_Settings.m_EvenPart / Fleet.m_Heard;
   Part += (1 - m_Settings.m_EvenPart) *
-          (Heard > 0 ? Of.m_OwnPerSecond / Heard : 1 / Count);
+          (Heard > 0 ? Of.m_OwnPerSecond / Heard : 1 / Fleet.m_Heard);
   double Refill =
       Of.m_Rate.m_PerSecond * Left * absl::ToDoubleSeconds(m_Settings.m_Round);
   // The refill is this side's already; the level is there for the unheard too.
@@ -208,7 +206,7 @@
     if (Of.m_OwnTotal == Of.m_ToldTotal)
       continue;
     Of.m_ToldTotal = Of.m_OwnTotal;
-    Changed.push_back({customerHash(Customer), Of.m_OwnTotal});
+    Changed.push_back({stableHash(Customer), Of.m_OwnTotal});
   }
   return Changed;
 }
@@ -216,7 +214,7 @@
 std::vector<RateLedger::Spent> RateLedger::all() const {
   std::vector<Spent> Totals;
   for (const auto &[Customer, Of] : m_Accounts)
-    Totals.push_back({customerHash(Customer), Of.m_OwnTotal});
+    Totals.push_back({stableHash(Customer), Of.m_OwnTotal});
   return Totals;
 }
 
--- a/libs/policy/src/WorkGate.cpp
+++ b/libs/policy/src/WorkGate.cpp
@@ -25,15 +25,16 @@
 absl::Duration WorkGate::latencyOf(Kind Which) const {
   if (Which < m_KindSeconds.size() && m_KindSeconds[Which] > 0)
     return absl::Seconds(m_KindSeconds[Which]);
+  return meanLatency();
+}
+
+absl::Duration WorkGate::meanLatency() const {
   return m_MeanSeconds > 0 ? absl::Seconds(m_MeanSeconds)
                            : m_Settings.m_FirstLatency;
 }
 
 double WorkGate::startsPerSecond(absl::Time Now) const {
-  double Mean = m_MeanSeconds > 0
-                    ? m_MeanSeconds
-                    : absl::ToDoubleSeconds(m_Settings.m_FirstLatency);
-  double BySlots = limit() / Mean;
+  double BySlots = limit() / absl::ToDoubleSeconds(meanLatency());
   return m_Cold.isCold(Now) ? std::min(BySlots, m_ColdPerSecond) : BySlots;
 }
 
@@ -144,10 +145,6 @@
   m_QueuedByRank.clear();
 }
 
-absl::Time WorkGate::nextEvent(absl::Time Now) const {
-  return m_Queue.empty() ? absl::InfiniteFuture() : std::max(Now, m_NextReview);
-}
-
 WorkGate::Load WorkGate::load() const {
   return {.m_Limit = limit(),
           .m_Running = static_cast<std::uint32_t>(m_Running.size()),
--- a/libs/state/src/FoldImpl.cpp
+++ b/libs/state/src/FoldImpl.cpp
@@ -1,6 +1,6 @@
 #include "FoldImpl.h"
 
-#include "AbslView.h"
+#include "model/AbslView.h"
 #include "state/RecordCodec.h"
 #include "state/StateError.h"
 
@@ -9,7 +9,7 @@
 namespace knapweedloft::state {
 
 const SettledChange *SettledChanges::find(std::string_view ChangeId) const {
-  auto Found = m_ById.find(toAbsl(ChangeId));
+  auto Found = m_ById.find(model::toAbsl(ChangeId));
   return Found == m_ById.end() ? nullptr : &Found->second;
 }
 
--- a/libs/state/src/KeyText.cpp
+++ b/libs/state/src/KeyText.cpp
@@ -1,6 +1,6 @@
 #include "state/KeyText.h"
 
-#include "AbslView.h"
+#include "model/AbslView.h"
 #include "state/StateError.h"
 
 #include "absl/strings/escaping.h"
@@ -64,7 +64,7 @@
   model::KeyDigest Digest{};
   if (!isHex(Text, Digest.size()))
     return std::nullopt;
-  const std::string Bytes = absl::HexStringToBytes(toAbsl(Text));
+  const std::string Bytes = absl::HexStringToBytes(model::toAbsl(Text));
   std::copy(Bytes.begin(), Bytes.end(), Digest.begin());
   return Digest;
 }
--- a/libs/state/src/MemberTable.cpp
+++ b/libs/state/src/MemberTable.cpp
@@ -1,6 +1,6 @@
 #include "MemberTable.h"
 
-#include "AbslView.h"
+#include "model/AbslView.h"
 
 #include <algorithm>
 #include <utility>
@@ -35,12 +35,12 @@
       m_All(std::make_shared<const List>()) {}
 
 const HeldMember *MemberTable::find(std::string_view Name) const {
-  const auto *Found = m_ByName.find(toAbsl(Name));
+  const auto *Found = m_ByName.find(model::toAbsl(Name));
   return Found == nullptr ? nullptr : Found->get();
 }
 
 const List &MemberTable::ofService(std::string_view Service) const {
-  auto Found = m_ByService->find(toAbsl(Service));
+  auto Found = m_ByService->find(model::toAbsl(Service));
   return Found == m_ByService->end() ? EmptyList : *Found->second;
 }
 
@@ -60,7 +60,7 @@
   if (Former == nullptr)
     return;
   removeFromLists(Former->m_Member);
-  m_ByName.erase(toAbsl(Name));
+  m_ByName.erase(model::toAbsl(Name));
 }
 
 void MemberTable::assign(std::vector<HeldMember> Members) {
--- a/libs/state/src/RouteTable.cpp
+++ b/libs/state/src/RouteTable.cpp
@@ -1,6 +1,6 @@
 #include "RouteTable.h"
 
-#include "AbslView.h"
+#include "model/AbslView.h"
 
 #include <algorithm>
 
@@ -20,7 +20,7 @@
 RouteTable::RouteTable(const std::vector<const model::Route *> &Routes) {
   for (const model::Route *Each : Routes) {
     const std::string_view Prefix = withoutTrailingSlash(Each->m_PathPrefix);
-    m_ByPrefix[toAbsl(Prefix)].push_back(Each);
+    m_ByPrefix[model::toAbsl(Prefix)].push_back(Each);
     m_LongestPrefix = std::max(m_LongestPrefix, Prefix.size());
   }
 }
@@ -44,7 +44,7 @@
 
 const model::Route *RouteTable::findExact(std::string_view Method,
                                           std::string_view Prefix) const {
-  auto Found = m_ByPrefix.find(toAbsl(Prefix));
+  auto Found = m_ByPrefix.find(model::toAbsl(Prefix));
   if (Found == m_ByPrefix.end())
     return nullptr;
   const model::Route *AnyMethod = nullptr;
--- a/libs/state/src/Snapshot.cpp
+++ b/libs/state/src/Snapshot.cpp
@@ -1,7 +1,7 @@
 #include "state/Snapshot.h"
 
-#include "AbslView.h"
 #include "SnapshotImpl.h"
+#include "model/AbslView.h"
 
 #include <utility>
 
--- a/libs/state/src/SnapshotImpl.cpp
+++ b/libs/state/src/SnapshotImpl.cpp
@@ -1,6 +1,6 @@
 #include "SnapshotImpl.h"
 
-#include "AbslView.h"
+#include "model/AbslView.h"
 
 #include <algorithm>
 #include <utility>
@@ -36,7 +36,7 @@
 
 const HeldResource *Snapshot::Impl::find(model::ResourceKind Kind,
                                          std::string_view Name) const {
-  const HeldPtr *Found = m_Resources[indexOf(Kind)].find(toAbsl(Name));
+  const HeldPtr *Found = m_Resources[indexOf(Kind)].find(model::toAbsl(Name));
   return Found == nullptr ? nullptr : Found->get();
 }
 
@@ -69,7 +69,7 @@
   if (Former == nullptr)
     return;
   removeFromIndexes(*Former);
-  m_Resources[indexOf(Kind)].erase(toAbsl(Name));
+  m_Resources[indexOf(Kind)].erase(model::toAbsl(Name));
   rebuildFor(Kind);
 }
 
@@ -105,7 +105,7 @@
 }
 
 std::uint32_t Snapshot::Impl::keyCountOf(std::string_view Customer) const {
-  const std::uint32_t *Found = m_KeyCounts.find(toAbsl(Customer));
+  const std::uint32_t *Found = m_KeyCounts.find(model::toAbsl(Customer));
   return Found == nullptr ? 0 : *Found;
 }
 
@@ -147,7 +147,7 @@
                               std::int32_t Change) {
   const std::uint32_t Count = keyCountOf(Customer) + Change;
   if (Count == 0)
-    m_KeyCounts.erase(toAbsl(Customer));
+    m_KeyCounts.erase(model::toAbsl(Customer));
   else
     m_KeyCounts.set(Customer, Count);
 }
--- a/libs/telemetry/include/telemetry/EventLog.h
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -70,7 +70,6 @@
   [[nodiscard]] std::uint64_t dropped(Importance Kind) const {
     return m_Dropped[static_cast<std::size_t>(Kind)];
   }
-  [[nodiscard]] bool hasWaiting() const { return !m_Waiting.empty(); }
 
 private:
   void startSecond(absl::Time Wall);
--- a/libs/telemetry/src/OutcomeTable.cpp
+++ b/libs/telemetry/src/OutcomeTable.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/OutcomeTable.h"
 
+#include "model/AbslView.h"
+
 #include "fmt/format.h"
 
 #include <algorithm>
@@ -11,10 +13,6 @@
 
 constexpr std::string_view OtherNames = "other";
 
-absl::string_view viewOf(std::string_view Text) {
-  return {Text.data(), Text.size()};
-}
-
 /// \returns \p Text as the value of a label.
 std::string escaped(std::string_view Text) {
   std::string Safe;
@@ -29,14 +27,14 @@
 } // namespace
 
 void OutcomeTable::count(std::string_view Name, std::string_view Outcome) {
-  auto Found = m_Names.find(viewOf(Name));
+  auto Found = m_Names.find(model::toAbsl(Name));
   if (Found == m_Names.end()) {
     std::string_view Kept =
         m_Names.size() < m_Settings.m_MaxNames ? Name : OtherNames;
     Found = m_Names.try_emplace(std::string(Kept)).first;
   }
   Counts &Of = Found->second;
-  auto Counted = Of.find(viewOf(Outcome));
+  auto Counted = Of.find(model::toAbsl(Outcome));
   if (Counted == Of.end())
     Of.emplace(std::string(Outcome), 1);
   else
--- a/tools/harness/include/harness/Process.h
+++ b/tools/harness/include/harness/Process.h
@@ -25,9 +25,11 @@
 /// \endcode
 class Process {
 public:
-  /// Starts \p Command; its first word is the program's path.
+  /// Starts \p Command; its first word is the program's path. With \p LogPath
+  /// its standard output is appended to that file instead of being kept.
   /// \throws HarnessError if it cannot be started.
-  explicit Process(const std::vector<std::string> &Command);
+  explicit Process(const std::vector<std::string> &Command,
+                   const std::string &LogPath = "");
   ~Process();
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
--- a/tools/harness/src/Process.cpp
+++ b/tools/harness/src/Process.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int SignalCodeBase = 128;
+constexpr mode_t LogMode = 0644;
 
 struct Pipe {
   Pipe() {
@@ -40,14 +41,19 @@
 
 } // namespace
 
-Process::Process(const std::vector<std::string> &Command) {
+Process::Process(const std::vector<std::string> &Command,
+                 const std::string &LogPath) {
   Pipe Output;
   Pipe Errors;
   posix_spawn_file_actions_t Actions;
   posix_spawn_file_actions_init(&Actions);
   posix_spawn_file_actions_addopen(&Actions, STDIN_FILENO, "/dev/null",
                                    O_RDONLY, 0);
-  posix_spawn_file_actions_adddup2(&Actions, Output.m_Write, STDOUT_FILENO);
+  if (LogPath.empty())
+    posix_spawn_file_actions_adddup2(&Actions, Output.m_Write, STDOUT_FILENO);
+  else
+    posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogPath.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, LogMode);
   posix_spawn_file_actions_adddup2(&Actions, Errors.m_Write, STDERR_FILENO);
   posix_spawnattr_t Attributes;
   posix_spawnattr_init(&Attributes);
--- a/tools/soak/include/soak/LoopProxy.h
+++ b/tools/soak/include/soak/LoopProxy.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_SOAK_LOOPPROXY_H
 #define KNAPWEEDLOFT_SOAK_LOOPPROXY_H
 
+#include "io/Acceptor.h"
 #include "io/EventLoop.h"
 #include "io/FileDescriptor.h"
 #include "model/Endpoint.h"
@@ -50,7 +51,7 @@
     Stream m_Streams[2];
   };
 
-  void accept();
+  void onAccepted(io::FileDescriptor Client);
   void onReady(PairId Id, int Side, std::uint32_t Events);
   void readFrom(PairId Id, int Side);
   void flushLater(PairId Id);
@@ -64,8 +65,7 @@
   PairId m_LastId = 0;
   absl::flat_hash_map<PairId, std::unique_ptr<Pair>> m_Pairs;
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
-  io::FileDescriptor m_Listener;
-  io::EventLoop::WatchId m_Watch = 0;
+  io::Acceptor m_Acceptor;
 };
 
 } // namespace knapweedloft::soak
--- a/tools/soak/include/soak/Soak.h
+++ b/tools/soak/include/soak/Soak.h
@@ -3,6 +3,7 @@
 
 #include "http/LoopClient.h"
 #include "mesh/Catalog.h"
+#include "mesh/Dialect.h"
 #include "soak/FaultKind.h"
 #include "soak/PromiseChecker.h"
 #include "soak/SoakOptions.h"
@@ -70,7 +71,7 @@
   void injectAtStore(FaultKind Kind, SoakVm &At, absl::Duration For);
   void heal();
   void watch();
-  void onEnded(SoakVm &At);
+  void onEnded(SoakVm &At, int Code);
   void later(absl::Duration After, std::function<void()> Task);
   [[nodiscard]] double draw(double From, double To);
   [[nodiscard]] absl::Duration drawTime(double From, double To);
@@ -83,6 +84,7 @@
   absl::Time m_Started;
   PromiseChecker m_Checker;
   standins::StoreLog m_Store{{}};
+  mesh::Dialect m_Names;
   mesh::Catalog m_Catalog;
   absl::Time m_ConfiguredAt;
   http::LoopClient m_Callers;
--- a/tools/soak/include/soak/SoakVm.h
+++ b/tools/soak/include/soak/SoakVm.h
@@ -1,17 +1,19 @@
 #ifndef KNAPWEEDLOFT_SOAK_SOAKVM_H
 #define KNAPWEEDLOFT_SOAK_SOAKVM_H
 
+#include "harness/Process.h"
 #include "soak/LoopProxy.h"
 #include "soak/PromiseChecker.h"
 #include "soak/SoakOptions.h"
 #include "soak/SoakTarget.h"
+#include "standins/DaemonPlace.h"
 #include "standins/StoreDoor.h"
 
 #include "absl/time/time.h"
 
 #include <memory>
+#include <optional>
 #include <string>
-#include <sys/types.h>
 
 namespace knapweedloft::soak {
 
@@ -24,16 +26,21 @@
   SoakVm(io::EventLoop &Loop, const SoakOptions &Settings, std::size_t Index,
          const std::string &Service, standins::StoreLog &Store,
          PromiseChecker &Checker);
-  ~SoakVm();
-  SoakVm(const SoakVm &) = delete;
-  SoakVm &operator=(const SoakVm &) = delete;
 
   void startDaemon(absl::Time Now);
+  /// Sends SIGTERM: a planned stop.
+  void beginStop(absl::Time Now);
+  void kill(absl::Time Now);
   void signalDaemon(int Signal) const;
-  /// Notes a daemon that has ended. \returns true once for each end.
-  bool reapDaemon(absl::Time Now);
+  /// \returns the exit code of a daemon that has ended, once for each end.
+  std::optional<int> reapDaemon(absl::Time Now);
 
-  [[nodiscard]] bool isRunning() const { return m_Process > 0; }
+  [[nodiscard]] bool isRunning() const { return m_Process != nullptr; }
+  /// \returns when its planned stop began; infinitely far ahead if it did not.
+  [[nodiscard]] absl::Time stopBegan() const { return m_StopBegan; }
+  [[nodiscard]] bool isStopping() const {
+    return m_StopBegan != absl::InfiniteFuture();
+  }
   /// Requests are owed an answer if all between the two times was calm.
   [[nodiscard]] bool wasCalm(absl::Time From, absl::Time To) const;
   /// Nothing is owed from now until \p Until.
@@ -41,34 +48,21 @@
   [[nodiscard]] absl::Time startedAt() const { return m_StartedAt; }
   [[nodiscard]] absl::Time calmSince() const { return m_CalmFrom; }
 
-  [[nodiscard]] const std::string &name() const { return m_Name; }
-  [[nodiscard]] const std::string &service() const { return m_Service; }
-  [[nodiscard]] model::Endpoint callers() const { return at(CallersPort); }
-  [[nodiscard]] int exitCode() const { return m_ExitCode; }
+  [[nodiscard]] const std::string &name() const { return m_Place.m_Name; }
+  [[nodiscard]] const model::Endpoint &callers() const {
+    return m_Place.m_Callers;
+  }
 
   SoakTarget &target() { return *m_Target; }
   LoopProxy &targetProxy() { return *m_TargetProxy; }
   LoopProxy &storeProxy() { return *m_StoreProxy; }
   standins::StoreDoor &store() { return *m_Store; }
 
-  absl::Time m_StopBegan = absl::InfiniteFuture(); ///< SIGTERM was sent.
-
 private:
-  static constexpr std::uint16_t CallersPort = 7001;
-
-  [[nodiscard]] model::Endpoint at(std::uint16_t Port) const {
-    return {m_Address, Port};
-  }
-  void writeSettings() const;
-
   SoakOptions m_Settings;
-  std::string m_Name;
-  std::string m_Service;
-  std::string m_Address;
-  std::string m_SettingsPath;
-  pid_t m_Process = -1;
-  int m_ExitCode = 0;
-  bool m_WasStarted = false;
+  standins::DaemonPlace m_Place;
+  std::unique_ptr<harness::Process> m_Process;
+  absl::Time m_StopBegan = absl::InfiniteFuture();
   absl::Time m_StartedAt = absl::InfinitePast();
   absl::Time m_DisturbedFrom = absl::InfinitePast();
   absl::Time m_CalmFrom = absl::InfinitePast();
--- a/tools/soak/src/Faults.cpp
+++ b/tools/soak/src/Faults.cpp
@@ -73,13 +73,9 @@
   if (!At.isRunning())
     return;
   if (Kind == FaultKind::KillDaemon) {
-    At.disturb(Now, absl::InfiniteFuture());
-    At.signalDaemon(SIGKILL);
-  } else if (Kind == FaultKind::StopDaemon &&
-             At.m_StopBegan == absl::InfiniteFuture()) {
-    At.m_StopBegan = Now;
-    At.signalDaemon(SIGCONT);
-    At.signalDaemon(SIGTERM);
+    At.kill(Now);
+  } else if (Kind == FaultKind::StopDaemon && !At.isStopping()) {
+    At.beginStop(Now);
   } else if (Kind == FaultKind::FreezeDaemon) {
     At.disturb(Now, Now + For + AfterFreeze);
     At.signalDaemon(SIGSTOP);
@@ -155,24 +151,21 @@
   later(WatchEvery, [this] { watch(); });
   absl::Time Now = io::monotonicNow();
   for (auto &Vm : m_Vms) {
-    if (Vm->reapDaemon(Now))
-      onEnded(*Vm);
-    if (m_Settings.m_ChecksTimes && Now - Vm->m_StopBegan > StopGrace) {
+    if (auto Code = Vm->reapDaemon(Now))
+      onEnded(*Vm, *Code);
+    if (m_Settings.m_ChecksTimes && Now - Vm->stopBegan() > StopGrace) {
       m_Checker.breach(fmt::format("{} still runs {} after SIGTERM", Vm->name(),
                                    absl::FormatDuration(StopGrace)));
-      Vm->signalDaemon(SIGKILL);
-      Vm->m_StopBegan = absl::InfiniteFuture();
+      Vm->kill(Now);
     }
     if (!Vm->target().isUp())
       later(drawTime(0.2, 1), [&Target = Vm->target()] { Target.start(); });
   }
 }
 
-void Soak::onEnded(SoakVm &At) {
+void Soak::onEnded(SoakVm &At, int Code) {
   constexpr int KilledCode = 128 + SIGKILL;
-  int Code = At.exitCode();
-  bool IsStop = At.m_StopBegan != absl::InfiniteFuture();
-  if (Code != KilledCode && (Code != 0 || !IsStop))
+  if (Code != KilledCode && (Code != 0 || !At.isStopping()))
     m_Checker.breach(
         fmt::format("{} ended by itself with {}", At.name(), Code));
   tell(fmt::format("{} ended with {}", At.name(), Code));
--- a/tools/soak/src/LoopProxy.cpp
+++ b/tools/soak/src/LoopProxy.cpp
@@ -19,38 +19,27 @@
 
 LoopProxy::LoopProxy(io::EventLoop &Loop, const model::Endpoint &At,
                      const model::Endpoint &To)
-    : m_Loop(Loop), m_To(To), m_Listener(io::listenOn(At)) {
-  m_Watch = m_Loop.watch(m_Listener.get(), EPOLLIN,
-                         [this](std::uint32_t) { accept(); });
-}
+    : m_Loop(Loop), m_To(To),
+      m_Acceptor(Loop, At,
+                 [this](io::FileDescriptor Client, const std::string &) {
+                   onAccepted(std::move(Client));
+                 }) {}
 
-LoopProxy::~LoopProxy() {
-  resetAll();
-  m_Loop.unwatch(m_Watch);
-}
+LoopProxy::~LoopProxy() { resetAll(); }
 
-void LoopProxy::accept() {
-  while (true) {
-    io::FileDescriptor Client(::accept4(m_Listener.get(), nullptr, nullptr,
-                                        SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!Client.isValid())
-      return;
-    io::FileDescriptor Server = io::connectTo(m_To);
-    if (!Server.isValid())
-      continue;
-    io::setNoDelay(Client.get());
-    PairId Id = ++m_LastId;
-    auto Next = std::make_unique<Pair>();
-    Next->m_Streams[0].m_From = std::move(Client);
-    Next->m_Streams[1].m_From = std::move(Server);
-    for (int Side : {0, 1})
-      Next->m_Streams[Side].m_Watch = m_Loop.watch(
-          Next->m_Streams[Side].m_From.get(), EPOLLIN | EPOLLOUT | EPOLLET,
-          [this, Id, Side](std::uint32_t Events) {
-            onReady(Id, Side, Events);
-          });
-    m_Pairs.emplace(Id, std::move(Next));
-  }
+void LoopProxy::onAccepted(io::FileDescriptor Client) {
+  io::FileDescriptor Server = io::connectTo(m_To);
+  if (!Server.isValid())
+    return;
+  PairId Id = ++m_LastId;
+  auto Next = std::make_unique<Pair>();
+  Next->m_Streams[0].m_From = std::move(Client);
+  Next->m_Streams[1].m_From = std::move(Server);
+  for (int Side : {0, 1})
+    Next->m_Streams[Side].m_Watch = m_Loop.watch(
+        Next->m_Streams[Side].m_From.get(), EPOLLIN | EPOLLOUT | EPOLLET,
+        [this, Id, Side](std::uint32_t Events) { onReady(Id, Side, Events); });
+  m_Pairs.emplace(Id, std::move(Next));
 }
 
 void LoopProxy::onReady(PairId Id, int Side, std::uint32_t Events) {
--- a/tools/soak/src/Soak.cpp
+++ b/tools/soak/src/Soak.cpp
@@ -52,7 +52,8 @@
             "seed={} t={:.3f} breach: {}", m_Settings.m_Seed,
             absl::ToDoubleSeconds(io::monotonicNow() - m_Started), Line));
       }),
-      m_Catalog(firstCatalog()), m_Callers(m_Loop, {.m_MaxIdle = 16}) {
+      m_Names(adapter::platformDialect()), m_Catalog(firstCatalog()),
+      m_Callers(m_Loop, {.m_MaxIdle = 16}) {
   std::signal(SIGPIPE, SIG_IGN);
   m_Checker.setRate("small", SmallRate);
   for (std::size_t Index = 1; Index <= m_Settings.m_Vms; ++Index)
--- a/tools/soak/src/Traffic.cpp
+++ b/tools/soak/src/Traffic.cpp
@@ -78,15 +78,14 @@
   Next.m_Sent = Now;
   Next.m_End = Now + Wait;
   m_Checker.onSent(Next.m_Request, Now);
-  mesh::Dialect Names = adapter::platformDialect();
   http::HttpRequest Request;
   Request.m_Method = Method;
   Request.m_Path = Path;
   Request.m_Headers = {
       {"Host", "site"},
-      {Names.m_CallId, Next.m_Request.m_CallId},
-      {Names.m_TimeLeft, fmt::format("{}", absl::ToInt64Milliseconds(Wait))},
-      {Names.m_Key, Names.m_KeyScheme + Key},
+      {m_Names.m_CallId, Next.m_Request.m_CallId},
+      {m_Names.m_TimeLeft, fmt::format("{}", absl::ToInt64Milliseconds(Wait))},
+      {m_Names.m_Key, m_Names.m_KeyScheme + Key},
       {std::string(harness::AnswerBytesHeader),
        fmt::format("{}", Next.m_Request.m_AnswerBytes)}};
   m_Callers.send({.m_To = m_Vms[Next.m_Vm]->callers(),
@@ -103,8 +102,8 @@
   SoakVm &Vm = *m_Vms[Of.m_Vm];
   bool IsCalm = Vm.wasCalm(Of.m_Sent, Now);
   // What crosses the end of a daemon that was asked to stop is not read.
-  bool IsCrossing = Vm.m_StopBegan != absl::InfiniteFuture() &&
-                    !m_Checker.hasRun(Id) && Now - Of.m_Sent < CrossingTime;
+  bool IsCrossing = Vm.isStopping() && !m_Checker.hasRun(Id) &&
+                    Now - Of.m_Sent < CrossingTime;
   bool IsSuccess = false;
   if (Result.m_Failure == http::Failure::None) {
     int Status = Result.m_Response.m_Status;
