Reproduce a request that crashes its targets and is sent on and on

Callers saw, by the report, a request under which three targets had ended sent to targets again and again.

A fleet of entry and target sides in virtual time, with a target stand-in that crashes as soon as it begins a given request, as the users' page on the protocol describes it, and is back after 4 s.

--- /dev/null
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -0,0 +1,383 @@
+#include "TestFleet.h"
+
+#include "TestSite.h"
+
+#include "fmt/format.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedloft::mesh::testing {
+namespace {
+
+constexpr absl::Duration Tick = absl::Milliseconds(20);
+constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
+/// Between a daemon and its target.
+constexpr absl::Duration LocalDelay = absl::Microseconds(200);
+constexpr absl::Duration DrainTime = absl::Seconds(1);
+constexpr std::int64_t WaitMs = 3000;
+
+std::string pathOf(const std::string &RequestText) {
+  std::size_t From = RequestText.find(' ') + 1;
+  return RequestText.substr(From, RequestText.find(' ', From) - From);
+}
+
+http::HttpResult failed(http::Failure How) {
+  http::HttpResult Result;
+  Result.m_Failure = How;
+  return Result;
+}
+
+} // namespace
+
+TestFleet::TestFleet(const Options &Settings)
+    : m_Settings(Settings), m_Daemons(Settings.m_Daemons) {
+  for (std::size_t Index = 0; Index < size(); ++Index) {
+    Daemon &Made = m_Daemons[Index];
+    Made.m_Self = {.m_Name = fmt::format("daemon-{:02}", Index),
+                   .m_Region = "r",
+                   .m_DataCenter = std::string(1, 'a' + char(Index % 3)),
+                   .m_Service = "archive"};
+    Made.m_Targets.resize(size());
+  }
+  for (std::size_t Index = 0; Index < size(); ++Index)
+    start(Index);
+  for (std::size_t Left = 0; Left < size(); ++Left)
+    for (std::size_t Right = Left + 1; Right < size(); ++Right)
+      setLinked(Left, Right, true);
+  for (std::size_t Index = 0; Index < size(); ++Index)
+    heartbeat(Index);
+  run(absl::Milliseconds(100));
+}
+
+TestFleet::~TestFleet() = default;
+
+void TestFleet::at(absl::Time When, std::function<void()> Task) {
+  m_Events.emplace(When, std::move(Task));
+}
+
+void TestFleet::later(std::size_t Index, absl::Duration After,
+                      std::function<void()> Task) {
+  at(m_Now + After,
+     [this, Index, Life = m_Daemons[Index].m_Life, Task = std::move(Task)] {
+       if (m_Daemons[Index].m_Life == Life)
+         Task();
+     });
+}
+
+bool TestFleet::isLinked(std::size_t From, std::size_t To) const {
+  return From == To || !m_Cut.contains(std::minmax(From, To));
+}
+
+void TestFleet::deliver(std::size_t From, std::size_t To,
+                        std::function<void()> Task) {
+  if (!isLinked(From, To))
+    return;
+  absl::Duration Delay =
+      From == To ? absl::ZeroDuration() : m_Settings.m_LinkDelay;
+  later(To, Delay, [this, From, To, Task = std::move(Task)] {
+    if (isLinked(From, To))
+      Task();
+  });
+}
+
+void TestFleet::run(absl::Duration For) {
+  absl::Time End = m_Now + For;
+  while (!m_Events.empty() && m_Events.begin()->first <= End) {
+    auto Next = m_Events.extract(m_Events.begin());
+    m_Now = Next.key();
+    Next.mapped()();
+  }
+  m_Now = End;
+}
+
+void TestFleet::start(std::size_t Index) {
+  Daemon &Made = m_Daemons[Index];
+  ++Made.m_Life;
+  Made.m_Self.m_Incarnation = Made.m_Life * 1000 + Index + 1;
+  for (PeerTarget &Known : Made.m_Targets)
+    Known = {};
+  makeTarget(Index);
+  makeEntry(Index);
+  Made.m_Entry->setCatalog(makeCatalog(), m_Now);
+  Made.m_Target->setCatalog(makeCatalog());
+  Made.m_Entry->rates().onMembersKnown(m_Now, m_Random);
+  tick(Index);
+}
+
+void TestFleet::makeEntry(std::size_t Index) {
+  EntryPath::Options Options;
+  Options.m_Self = m_Daemons[Index].m_Self;
+  Options.m_SelfAddress = "10.0.0.1";
+  Options.m_HeaderNames = Names;
+  Options.m_RetryBudget = {.m_Ratio = 0.05, .m_MaxTokens = 2};
+  Options.m_Hooks.m_Forward = [this, Index](const model::Member &To,
+                                            wire::ForwardT Message) {
+    auto Peer = std::find_if(
+        m_Daemons.begin(), m_Daemons.end(),
+        [&](const Daemon &One) { return One.m_Self.m_Name == To.m_Name; });
+    auto ToIndex = static_cast<std::size_t>(Peer - m_Daemons.begin());
+    if (!isLinked(Index, ToIndex))
+      return false;
+    deliver(Index, ToIndex,
+            [this, Index, ToIndex,
+             Shared = std::make_shared<wire::ForwardT>(std::move(Message))] {
+              m_Daemons[ToIndex].m_Target->onForward(
+                  {static_cast<std::uint32_t>(Index)}, *Shared, m_Now);
+            });
+    return true;
+  };
+  Options.m_Hooks.m_Cancel = [this, Index](const model::Member &To,
+                                           wire::CancelT Message) {
+    for (std::size_t Other = 0; Other < size(); ++Other)
+      if (m_Daemons[Other].m_Self.m_Name == To.m_Name)
+        deliver(Index, Other, [this, Other, Message] {
+          m_Daemons[Other].m_Target->onCancel(
+              {Message.id.entry(), Message.id.sequence()}, m_Now);
+        });
+  };
+  Options.m_Hooks.m_Answer = [this](http::ExchangeId Id, int Status,
+                                    std::string_view, std::string_view Body) {
+    m_Answers.push_back(
+        {m_PathByExchange[Id.m_Sequence], Status, std::string(Body), m_Now});
+  };
+  Options.m_Hooks.m_TargetsOf = [this, Index](const std::string &) {
+    std::vector<PeerTarget> Known;
+    for (const PeerTarget &One : m_Daemons[Index].m_Targets)
+      if (One.m_Member.m_Incarnation != 0)
+        Known.push_back(One);
+    return Known;
+  };
+  Options.m_Hooks.m_RouteRunningUntil = [](absl::Time) {
+    return std::string();
+  };
+  m_Daemons[Index].m_Entry = std::make_unique<EntryPath>(
+      std::move(Options), ComponentLog(m_Log, "entry"));
+}
+
+void TestFleet::makeTarget(std::size_t Index) {
+  TargetPath::Options Options;
+  Options.m_Self = m_Daemons[Index].m_Self.m_Incarnation;
+  Options.m_DataCenter = m_Daemons[Index].m_Self.m_DataCenter;
+  Options.m_Service = "archive";
+  Options.m_At = {fmt::format("10.0.1.{}", Index), 80};
+  Options.m_HeaderNames = Names;
+  Options.m_Hooks.m_Answer = [this, Index](link::PeerHandle To,
+                                           wire::AnswerT Answer) {
+    deliver(Index, To.m_Index,
+            [this, To,
+             Shared = std::make_shared<wire::AnswerT>(std::move(Answer))] {
+              m_Daemons[To.m_Index].m_Entry->onAnswer(*Shared, m_Now);
+            });
+  };
+  Options.m_Hooks.m_Call = [this, Index](http::LoopClient::Call Call,
+                                         http::LoopClient::Done OnDone) {
+    return callTarget(Index, std::move(Call), std::move(OnDone));
+  };
+  Options.m_Hooks.m_CancelCall = [this, Index](http::LoopClient::CallId Id) {
+    m_Daemons[Index].m_Running.erase(Id);
+  };
+  Options.m_Hooks.m_OnChange = [this, Index](absl::Time) {
+    publishTarget(Index);
+  };
+  m_Daemons[Index].m_Target = std::make_unique<TargetPath>(
+      std::move(Options), ComponentLog(m_Log, "target"), m_Now);
+}
+
+void TestFleet::tick(std::size_t Index) {
+  m_Daemons[Index].m_Entry->tick(m_Now);
+  m_Daemons[Index].m_Target->tick(m_Now);
+  later(Index, Tick, [this, Index] { tick(Index); });
+}
+
+std::string TestFleet::instanceOf(std::size_t Index) const {
+  return fmt::format("i-{}-{}", Index, m_Daemons[Index].m_Instance);
+}
+
+void TestFleet::reportTarget(std::size_t Index, TargetCondition Condition) {
+  Daemon &Beside = m_Daemons[Index];
+  Beside.m_Target->onReport(
+      {.m_Instance = instanceOf(Index),
+       .m_Service = "archive",
+       .m_At = {fmt::format("10.0.1.{}", Index), 80},
+       .m_Condition = Condition,
+       .m_Slots = m_Settings.m_Slots,
+       .m_Sequence = ++Beside.m_Reports,
+       .m_StartTimeMs = static_cast<std::int64_t>(Beside.m_Instance)},
+      m_Now);
+}
+
+void TestFleet::heartbeat(std::size_t Index) {
+  const Daemon &Beside = m_Daemons[Index];
+  if (Beside.m_IsTargetUp)
+    reportTarget(Index, Beside.m_IsTargetLeaving ? TargetCondition::Draining
+                                                 : TargetCondition::Ready);
+  at(m_Now + HeartbeatInterval, [this, Index] { heartbeat(Index); });
+}
+
+void TestFleet::publishTarget(std::size_t Index) {
+  const Daemon &Beside = m_Daemons[Index];
+  PeerTarget Told{.m_Member = Beside.m_Self,
+                  .m_Instance = Beside.m_Target->state().instance(),
+                  .m_IsOpen = Beside.m_Target->state().isOpen()};
+  for (std::size_t Other = 0; Other < size(); ++Other)
+    deliver(Index, Other, [this, Index, Other, Told] {
+      m_Daemons[Other].m_Targets[Index] = Told;
+      m_Daemons[Other].m_Entry->onTargetsChanged();
+    });
+}
+
+void TestFleet::setLinked(std::size_t Left, std::size_t Right, bool IsLinked) {
+  if (IsLinked)
+    m_Cut.erase(std::minmax(Left, Right));
+  else
+    m_Cut.insert(std::minmax(Left, Right));
+  for (auto [From, To] : {std::pair(Left, Right), std::pair(Right, Left)}) {
+    Daemon &Here = m_Daemons[From];
+    if (IsLinked) {
+      publishTarget(From);
+      continue;
+    }
+    Here.m_Targets[To].m_IsOpen = false;
+    Here.m_Entry->onTargetsChanged();
+    Here.m_Target->onLinkLost({static_cast<std::uint32_t>(To)}, m_Now);
+    Here.m_Entry->onDaemonLost(m_Daemons[To].m_Self.m_Incarnation, m_Now);
+  }
+}
+
+void TestFleet::cutLinks(
+    const std::function<bool(std::size_t, std::size_t)> &IsCut) {
+  for (std::size_t Left = 0; Left < size(); ++Left)
+    for (std::size_t Right = Left + 1; Right < size(); ++Right)
+      if (IsCut(Left, Right))
+        setLinked(Left, Right, false);
+}
+
+void TestFleet::healLinks() {
+  auto Healed = m_Cut;
+  for (auto [Left, Right] : Healed)
+    setLinked(Left, Right, true);
+}
+
+void TestFleet::restartDaemon(std::size_t Index) {
+  for (std::size_t Other = 0; Other < size(); ++Other)
+    if (Other != Index)
+      setLinked(Index, Other, false);
+  m_Daemons[Index].m_Running.clear();
+  start(Index);
+  for (std::size_t Other = 0; Other < size(); ++Other)
+    if (Other != Index)
+      setLinked(Index, Other, true);
+  if (m_Daemons[Index].m_IsTargetUp)
+    reportTarget(Index, TargetCondition::Ready);
+}
+
+http::LoopClient::CallId TestFleet::callTarget(std::size_t Index,
+                                               http::LoopClient::Call Call,
+                                               http::LoopClient::Done OnDone) {
+  http::LoopClient::CallId Id = ++m_LastCall;
+  std::string Path = pathOf(Call.m_Text);
+  m_Daemons[Index].m_Running[Id] = {Path, std::move(OnDone)};
+  later(Index, LocalDelay, [this, Index, Id, Path] {
+    Daemon &Beside = m_Daemons[Index];
+    auto Found = Beside.m_Running.find(Id);
+    if (Found == Beside.m_Running.end())
+      return;
+    if (!Beside.m_IsTargetUp) {
+      TargetCall Refused = std::move(Found->second);
+      Beside.m_Running.erase(Found);
+      Refused.m_OnDone(failed(http::Failure::NotSent), m_Now);
+      return;
+    }
+    if (Path != "/health")
+      m_Arrivals[Path].push_back(m_Now);
+    if (m_Poisonous.contains(Path)) {
+      m_Crashes[Path].push_back(m_Now);
+      crashTarget(Index);
+      return;
+    }
+    later(Index, Path == "/health" ? LocalDelay : m_Settings.m_Run,
+          [this, Index, Id] {
+            Daemon &Here = m_Daemons[Index];
+            auto Running = Here.m_Running.find(Id);
+            if (Running == Here.m_Running.end())
+              return;
+            TargetCall Done = std::move(Running->second);
+            Here.m_Running.erase(Running);
+            http::HttpResult Result;
+            Result.m_Response = {
+                .m_Status = 200,
+                .m_Headers = {{"Proof", "p"}, {"I-Am", instanceOf(Index)}}};
+            Done.m_OnDone(std::move(Result), m_Now);
+          });
+  });
+  return Id;
+}
+
+void TestFleet::breakCalls(std::size_t Index) {
+  auto Broken = std::exchange(m_Daemons[Index].m_Running, {});
+  for (auto &[Id, Call] : Broken)
+    later(Index, LocalDelay, [this, OnDone = std::move(Call.m_OnDone)] {
+      OnDone(failed(http::Failure::Cut), m_Now);
+    });
+}
+
+void TestFleet::resetConnections(std::size_t Index) { breakCalls(Index); }
+
+void TestFleet::crashTarget(std::size_t Index) {
+  Daemon &Beside = m_Daemons[Index];
+  if (!Beside.m_IsTargetUp)
+    return;
+  Beside.m_IsTargetUp = false;
+  Beside.m_IsTargetLeaving = false;
+  breakCalls(Index);
+  at(m_Now + m_Settings.m_TargetRestart, [this, Index] {
+    Daemon &Restarted = m_Daemons[Index];
+    Restarted.m_IsTargetUp = true;
+    ++Restarted.m_Instance;
+    Restarted.m_Reports = 0;
+    reportTarget(Index, TargetCondition::Ready);
+  });
+}
+
+void TestFleet::drainTarget(std::size_t Index) {
+  m_Daemons[Index].m_IsTargetLeaving = true;
+  reportTarget(Index, TargetCondition::Draining);
+  at(m_Now + DrainTime, [this, Index] { crashTarget(Index); });
+}
+
+void TestFleet::request(std::size_t Index, const std::string &Path) {
+  http::ParsedMessage Message;
+  Message.m_Method = "GET";
+  Message.m_Path = Path;
+  std::uint64_t Exchange = ++m_LastExchange;
+  Message.m_Headers = {{"Host", "site"},
+                       {"Call-Id", fmt::format("c{}", Exchange)},
+                       {"Time-Left", fmt::format("{}", WaitMs)},
+                       {"Authorization", "Key secret"}};
+  m_PathByExchange[Exchange] = Path;
+  m_Daemons[Index].m_Entry->onRequest({1, Exchange}, std::move(Message),
+                                      "10.9.9.9", m_Now);
+}
+
+std::size_t TestFleet::arrivalsAfterThirdCrash(const std::string &Path,
+                                               absl::Duration After) {
+  const std::vector<absl::Time> &Crashes = m_Crashes[Path];
+  if (Crashes.size() < 3)
+    return 0;
+  const std::vector<absl::Time> &All = m_Arrivals[Path];
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](absl::Time Arrival) {
+        return Arrival > Crashes[2] + After;
+      }));
+}
+
+std::size_t TestFleet::answered(const std::string &PathPrefix,
+                                int Status) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Answers.begin(), m_Answers.end(), [&](const Answered &One) {
+        return One.m_Path.starts_with(PathPrefix) && One.m_Status == Status;
+      }));
+}
+
+} // namespace knapweedloft::mesh::testing
--- /dev/null
+++ b/libs/mesh/tests/TestFleet.h
@@ -0,0 +1,148 @@
+#ifndef KNAPWEEDLOFT_MESH_TESTS_TESTFLEET_H
+#define KNAPWEEDLOFT_MESH_TESTS_TESTFLEET_H
+
+#include "mesh/EntryPath.h"
+#include "mesh/TargetPath.h"
+#include "telemetry/EventLog.h"
+
+#include "absl/random/random.h"
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::mesh::testing {
+
+/// The daemons of one service, each with a target, in virtual time.
+///
+/// A target stand-in crashes as soon as it begins to run a request whose path
+/// is poisonous, and is back some seconds later as a new instance. Links
+/// between daemons have a delay and can be cut.
+class TestFleet {
+public:
+  struct Options {
+    std::size_t m_Daemons = 3;
+    absl::Duration m_LinkDelay = absl::Milliseconds(1);
+    absl::Duration m_Run = absl::Milliseconds(60);
+    absl::Duration m_TargetRestart = absl::Seconds(4);
+    std::uint32_t m_Slots = 20;
+  };
+
+  /// An answer that a caller received.
+  struct Answered {
+    std::string m_Path;
+    int m_Status = 0;
+    std::string m_Body;
+    absl::Time m_At;
+  };
+
+  explicit TestFleet(const Options &Settings);
+  ~TestFleet();
+
+  [[nodiscard]] absl::Time now() const { return m_Now; }
+  [[nodiscard]] std::size_t size() const { return m_Daemons.size(); }
+  /// Advances the virtual time.
+  void run(absl::Duration For);
+
+  void makePoisonous(const std::string &Path) { m_Poisonous.insert(Path); }
+  /// A caller sends a request to daemon \p Index.
+  void request(std::size_t Index, const std::string &Path);
+
+  void crashTarget(std::size_t Index);
+  /// The connections of a target that lives on are reset.
+  void resetConnections(std::size_t Index);
+  /// The target reports that it leaves, and ends a second later with the
+  /// requests it still has.
+  void drainTarget(std::size_t Index);
+  /// The daemon is killed and starts again without what it knew.
+  void restartDaemon(std::size_t Index);
+  /// Cuts the links between daemons for which \p IsCut holds.
+  void cutLinks(const std::function<bool(std::size_t, std::size_t)> &IsCut);
+  void healLinks();
+
+  /// Times at which a request reached a target.
+  [[nodiscard]] const std::vector<absl::Time> &
+  arrivals(const std::string &Path) {
+    return m_Arrivals[Path];
+  }
+  /// Times at which a request crashed a target.
+  [[nodiscard]] const std::vector<absl::Time> &
+  crashes(const std::string &Path) {
+    return m_Crashes[Path];
+  }
+  /// Arrivals later than \p After the third crash.
+  [[nodiscard]] std::size_t arrivalsAfterThirdCrash(const std::string &Path,
+                                                    absl::Duration After);
+  [[nodiscard]] const std::vector<Answered> &answers() const {
+    return m_Answers;
+  }
+  /// \returns the number of answers with a status to a path that begins so.
+  [[nodiscard]] std::size_t answered(const std::string &PathPrefix,
+                                     int Status) const;
+
+private:
+  struct TargetCall {
+    std::string m_Path;
+    http::LoopClient::Done m_OnDone;
+  };
+
+  struct Daemon {
+    model::Member m_Self;
+    std::unique_ptr<EntryPath> m_Entry;
+    std::unique_ptr<TargetPath> m_Target;
+    /// As each other daemon last heard.
+    std::vector<PeerTarget> m_Targets;
+    std::uint64_t m_Life = 0;
+    std::uint64_t m_Instance = 1;
+    std::uint64_t m_Reports = 0;
+    bool m_IsTargetUp = true;
+    bool m_IsTargetLeaving = false;
+    std::map<http::LoopClient::CallId, TargetCall> m_Running;
+  };
+
+  void at(absl::Time When, std::function<void()> Task);
+  /// Runs \p Task later unless the daemon was restarted before.
+  void later(std::size_t Index, absl::Duration After,
+             std::function<void()> Task);
+  /// Delivers over the link between two daemons, if it is up all the while.
+  void deliver(std::size_t From, std::size_t To, std::function<void()> Task);
+  [[nodiscard]] bool isLinked(std::size_t From, std::size_t To) const;
+  void start(std::size_t Index);
+  void makeEntry(std::size_t Index);
+  void makeTarget(std::size_t Index);
+  void tick(std::size_t Index);
+  void reportTarget(std::size_t Index, TargetCondition Condition);
+  void heartbeat(std::size_t Index);
+  void publishTarget(std::size_t Index);
+  void setLinked(std::size_t Left, std::size_t Right, bool IsLinked);
+  http::LoopClient::CallId callTarget(std::size_t Index,
+                                      http::LoopClient::Call Call,
+                                      http::LoopClient::Done OnDone);
+  void breakCalls(std::size_t Index);
+  [[nodiscard]] std::string instanceOf(std::size_t Index) const;
+
+  Options m_Settings;
+  absl::Time m_Now = absl::FromUnixSeconds(1'000'000);
+  std::multimap<absl::Time, std::function<void()>> m_Events;
+  telemetry::EventLog m_Log{
+      {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
+  std::vector<Daemon> m_Daemons;
+  std::set<std::pair<std::size_t, std::size_t>> m_Cut;
+  std::set<std::string> m_Poisonous;
+  std::map<std::string, std::vector<absl::Time>> m_Arrivals;
+  std::map<std::string, std::vector<absl::Time>> m_Crashes;
+  std::map<std::uint64_t, std::string> m_PathByExchange;
+  std::vector<Answered> m_Answers;
+  absl::BitGen m_Random;
+  std::uint64_t m_LastExchange = 0;
+  http::LoopClient::CallId m_LastCall = 0;
+};
+
+} // namespace knapweedloft::mesh::testing
+
+#endif // KNAPWEEDLOFT_MESH_TESTS_TESTFLEET_H
