--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -12,8 +12,10 @@
 #include "mesh/EntryCounts.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/PeerTarget.h"
+#include "model/Quarantine.h"
 #include "model/RefusalReason.h"
 #include "policy/ReplicatedRateLimiter.h"
+#include "policy/RequestStanding.h"
 #include "policy/RetryBudget.h"
 #include "policy/TargetChooser.h"
 #include "policy/WeightedRoundRobin.h"
@@ -57,6 +59,12 @@
     /// \returns the route of the requests that the local target runs with
     /// the deadline \p End, or an empty name if it is ambiguous.
     std::function<std::string(absl::Time End)> m_RouteRunningUntil;
+    /// \returns how a request may be run. Null: all may.
+    std::function<policy::RequestJudgement(model::Fingerprint, absl::Time Now)>
+        m_Judge;
+    /// \returns the crashes that a judgement follows from, for the log.
+    std::function<std::string(model::Fingerprint, absl::Time Now)>
+        m_DescribeCrashes;
   };
 
   struct Options {
@@ -120,6 +128,7 @@
     const CatalogRoute *m_Route = nullptr;
     const CatalogCustomer *m_Customer = nullptr;
     std::string m_CallId;
+    model::Fingerprint m_Fingerprint = 0;
     std::string m_Service;
     bool m_IsCall = false; ///< Made by the local target while it runs one.
     std::uint32_t m_Rank = 0;
@@ -163,6 +172,10 @@
                       absl::Time Now);
   [[nodiscard]] bool isAdmitted(const Pending &Request, absl::Time Now);
   void dispatch(PendingId Id, absl::Time Now);
+  /// Sends a request on probation to the one target that may run it.
+  void dispatchOnProbation(PendingId Id, absl::Time Now);
+  [[nodiscard]] policy::RequestJudgement judge(const Pending &Request,
+                                               absl::Time Now) const;
   [[nodiscard]] bool forward(PendingId Id, Pending &Request,
                              ServiceState &State, policy::TargetHandle Target,
                              absl::Time Now);
@@ -184,6 +197,7 @@
   void end(PendingId Id, const Refusal &Why, absl::Time Now);
   void refuse(http::ExchangeId Id, const Pending &Refused, const Refusal &Why,
               absl::Time Now);
+  void logQuarantined(const Pending &Refused, absl::Time Now) const;
   void countOutcome(const Pending &Request, std::string_view Outcome);
   [[nodiscard]] absl::Duration retryAfter(const Pending &Refused,
                                           absl::Duration Hint, absl::Time Now);
--- a/libs/mesh/include/mesh/Node.h
+++ b/libs/mesh/include/mesh/Node.h
@@ -5,6 +5,7 @@
 #include "io/EventLoop.h"
 #include "mesh/NodePorts.h"
 #include "mesh/NodeSettings.h"
+#include "mesh/QuarantinedRequest.h"
 #include "mesh/TargetReport.h"
 #include "mesh/TargetState.h"
 #include "telemetry/EventLog.h"
@@ -14,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace knapweedloft::mesh {
 
@@ -54,6 +56,12 @@
   /// the Prometheus text format.
   [[nodiscard]] std::string metricsText() const;
 
+  /// \returns the requests in quarantine, on probation or suspected.
+  [[nodiscard]] std::vector<QuarantinedRequest> quarantines() const;
+  /// Releases a request on all daemons. \returns false if no crash counts
+  /// against it.
+  bool releaseQuarantine(model::Fingerprint Request);
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/libs/mesh/include/mesh/NodePorts.h
+++ b/libs/mesh/include/mesh/NodePorts.h
@@ -15,6 +15,7 @@
   StorePort m_Store;
   std::string m_OperatorTopic; ///< Written by the operator.
   std::string m_MemberTopic;   ///< Written by the daemons.
+  std::string m_CrashTopic;    ///< Written by the daemons.
   std::function<OperatorRecord(const StoredRecord &)> m_DecodeOperatorRecord;
 };
 
--- a/libs/mesh/include/mesh/TargetCounts.h
+++ b/libs/mesh/include/mesh/TargetCounts.h
@@ -18,6 +18,7 @@
   /// No complete answer arrived, or a success without proof.
   std::uint64_t m_Incomplete = 0;
   std::uint64_t m_Cancelled = 0;
+  std::uint64_t m_Crashes = 0; ///< Of the target.
   std::uint64_t m_Checks = 0;
   app::LatencyHistogram m_Wait; ///< Between arrival and start.
   app::LatencyHistogram m_Run;  ///< Between start and the target's answer.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -11,14 +11,19 @@
 #include "mesh/TargetReport.h"
 #include "mesh/TargetState.h"
 #include "model/ForwardId.h"
+#include "model/Quarantine.h"
 #include "model/Ran.h"
 #include "model/RefusalReason.h"
 #include "policy/AdmittedShareController.h"
+#include "policy/RequestStanding.h"
 #include "policy/SlotScheduler.h"
 
 #include "absl/container/flat_hash_map.h"
 
+#include <deque>
 #include <functional>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -46,6 +51,16 @@
     std::function<void(http::LoopClient::CallId)> m_CancelCall;
     /// The target's availability or instance changed.
     std::function<void(absl::Time Now)> m_OnChange;
+    /// \returns how a request may be run. Null: all may.
+    std::function<policy::RequestJudgement(model::Fingerprint, absl::Time Now)>
+        m_Judge;
+    /// The target crashed while it ran \p InFlight. Null: not reported.
+    std::function<void(const std::string &Instance,
+                       std::span<const model::Fingerprint> InFlight,
+                       absl::Time Now)>
+        m_OnCrash;
+    /// The target completed a request. Null: not reported.
+    std::function<void(model::Fingerprint, absl::Time Now)> m_OnCompleted;
   };
 
   struct Options {
@@ -67,6 +82,14 @@
     /// idle for no longer than this, so that the target will not have closed
     /// it.
     absl::Duration m_MaxReuseIdleTime = absl::Milliseconds(500);
+    /// Connections that break within this time may have broken by one crash.
+    absl::Duration m_BreakWindow = absl::Milliseconds(20);
+    /// A crash that no health check confirms within this time is reported when
+    /// the next instance of the target appears.
+    absl::Duration m_CrashConfirmTimeout = absl::Milliseconds(300);
+    /// The answers of a crash are held for this time after its report, so that
+    /// the report reaches the other daemons before a retry does.
+    absl::Duration m_CrashReportTime = absl::Milliseconds(20);
     Hooks m_Hooks;
   };
 
@@ -98,7 +121,10 @@
   [[nodiscard]] bool isCold(absl::Time Now) const {
     return m_Scheduler.isCold(Now);
   }
-  [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
+  [[nodiscard]] std::size_t pending() const {
+    return m_Pending.size() + m_HeldAnswers.size() +
+           (m_Broken ? m_Broken->m_Answers.size() : 0);
+  }
   [[nodiscard]] std::size_t queued() const {
     return m_Scheduler.load().m_Queued;
   }
@@ -120,6 +146,24 @@
     std::string m_Instance; ///< To which it was sent.
   };
 
+  /// The answer of a run that broke.
+  struct HeldAnswer {
+    PendingRequest m_Request;
+    absl::Time m_ReleaseAt = absl::InfiniteFuture();
+  };
+
+  /// Runs that broke at about the same time, by a crash or not.
+  struct BrokenRuns {
+    absl::Time m_Since;
+    unsigned m_Ticks = 0; ///< Since then.
+    bool m_IsChecked = false;
+    bool m_IsRefused = false; ///< The target refused a connection since then.
+    std::string m_Instance;
+    std::int64_t m_StartTimeMs = 0; ///< Of the instance; 0: unknown.
+    std::vector<model::Fingerprint> m_InFlight;
+    std::vector<HeldAnswer> m_Answers;
+  };
+
   // TargetPath.cpp
   [[nodiscard]] model::RefusalReason
   validate(const wire::ForwardT &Message) const;
@@ -131,7 +175,7 @@
   void onResult(JobId Id, http::HttpResult Result, absl::Time Now);
   void onResponse(PendingRequest &Done, http::HttpResponse &Response,
                   absl::Time Now);
-  void onIncompleteAnswer(const PendingRequest &Done, http::Failure Failure,
+  void onIncompleteAnswer(PendingRequest Done, http::Failure Failure,
                           absl::Time Now);
   void answer(const PendingRequest &Done, wire::AnswerT Answer);
   void refuse(link::PeerHandle To, const model::ForwardId &Id,
@@ -142,6 +186,26 @@
   void poll(absl::Time Now);
   void logAdmittedShare();
 
+  // TargetCrashes.cpp
+  /// \returns why the request may not be run now; None if it may.
+  [[nodiscard]] model::RefusalReason quarantineOf(const wire::ForwardT &Message,
+                                                  absl::Time Now) const;
+  [[nodiscard]] policy::RequestJudgement judge(const wire::ForwardT &Message,
+                                               absl::Time Now) const;
+  /// Marks a run as the only one of a suspected request. \returns false after
+  /// refusing it.
+  [[nodiscard]] bool beginSuspect(JobId Id, absl::Time Now);
+  void onRunBroken(PendingRequest Done, absl::Time Now);
+  void judgeBrokenRuns(absl::Time Now);
+  void onCheckOfBrokenRuns(http::Failure Failure, const std::string *Instance,
+                           absl::Time Now);
+  void concludeBrokenRuns(bool IsCrash, absl::Time Now);
+  /// Another instance has taken the place of \p Former, which had not said
+  /// that it leaves.
+  void onTargetReplaced(const std::string &Former, absl::Time Now);
+  void onRunUnanswered(model::Fingerprint Request);
+  void releaseAnswers(absl::Time Now);
+
   // TargetChecks.cpp
   void onWrongInstance(const http::HttpResponse &Response, absl::Time Now);
   void closeQueue(absl::Time Now);
@@ -162,6 +226,7 @@
   /// As of the last applyStateChange(), like the instance.
   TargetAvailability m_AppliedAvailability;
   std::string m_AppliedInstance;
+  std::int64_t m_AppliedStartTimeMs = 0;
   policy::SlotScheduler m_Scheduler;
   policy::AdmittedShareController m_ShareController;
   JobId m_LastJob = 0;
@@ -174,6 +239,12 @@
   bool m_IsChecking = false;
   bool m_IsColdTimeKnown = true; ///< The target reported its cold time.
   double m_LoggedAdmittedShare = 1;
+  JobId m_SuspectJob = 0; ///< The running job of a suspected request; 0: none.
+  std::optional<BrokenRuns> m_Broken;
+  std::deque<HeldAnswer> m_HeldAnswers; ///< Of crashes that were reported.
+  /// Runs that timed out or were cancelled since the target last answered. A
+  /// target that crashes without closing its connections leaves only these.
+  std::deque<model::Fingerprint> m_Unanswered;
   TargetCounts m_Counts;
 };
 
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -15,6 +15,7 @@
 
 using model::Ran;
 using model::RefusalReason;
+using policy::RequestStanding;
 
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
@@ -70,6 +71,10 @@
 bool EntryPath::mayRetry(const Pending &Request, bool DidNotRun,
                          absl::Time Now) {
   bool IsAllowed = DidNotRun || Request.m_Route->m_IsIdempotent;
+  RequestStanding Standing = judge(Request, Now).m_Standing;
+  if (Standing == RequestStanding::Probation ||
+      Standing == RequestStanding::Quarantined)
+    return false;
   if (!IsAllowed || Request.m_Arrivals >= Request.m_Route->m_MaxTargets ||
       Request.m_CompleteBy - Now < MinRetryTime)
     return false;
@@ -83,6 +88,18 @@
   bool DidNotRun = Answer && static_cast<Ran>(Answer->ran) == Ran::No;
   bool HasArrived = !DidNotRun || Answer->status != 0;
   Request.m_Excluded.push_back(Request.m_Target);
+  // A request on probation is offered to one target only.
+  bool IsQuarantined =
+      judge(Request, Now).m_Standing == RequestStanding::Probation ||
+      (Answer && Answer->refusal ==
+                     static_cast<std::uint8_t>(RefusalReason::Quarantined));
+  if (IsQuarantined && !HasArrived) {
+    end(Id,
+        {Request.m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                              : RefusalReason::Quarantined},
+        Now);
+    return;
+  }
   if (!HasArrived) {
     ++m_Counts.m_Reroutes;
     if (++Request.m_Refusals < m_Options.m_MaxRefusals &&
@@ -187,6 +204,12 @@
   }
   std::string Body =
       fmt::format(R"({{"reason":"{}","ran":"{}"}})", Reason, DidRun);
+  if (Why.m_Reason == RefusalReason::Quarantined) {
+    logQuarantined(Refused, Now);
+    Body = fmt::format(
+        R"({{"reason":"{}","ran":"{}","detail":"{} targets crashed while they ran this request"}})",
+        Reason, DidRun, judge(Refused, Now).m_Crashes);
+  }
   m_Log.notable(
       "Request refused.",
       {{"id", Refused.m_CallId},
@@ -201,6 +224,21 @@
   m_Options.m_Hooks.m_Answer(Id, Status, Lines, Body);
 }
 
+void EntryPath::logQuarantined(const Pending &Refused, absl::Time Now) const {
+  policy::RequestJudgement Found = judge(Refused, Now);
+  m_Log.notable(
+      "Request is quarantined.",
+      {{"id", Refused.m_CallId},
+       {"request", fmt::format("{:016x}", Refused.m_Fingerprint)},
+       {"standing", policy::RequestStandingNames.nameOf(Found.m_Standing)},
+       {"crashes", Found.m_Crashes},
+       {"for", Found.m_Until - Now},
+       {"decided_by",
+        m_Options.m_Hooks.m_DescribeCrashes
+            ? m_Options.m_Hooks.m_DescribeCrashes(Refused.m_Fingerprint, Now)
+            : std::string()}});
+}
+
 void EntryPath::countOutcome(const Pending &Request, std::string_view Outcome) {
   if (!Request.m_Route)
     return;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -1,7 +1,9 @@
 #include "mesh/EntryPath.h"
 
+#include "app/Fingerprint.h"
 #include "app/WireConvert.h"
 #include "http/MessageText.h"
+#include "policy/OwnerRanking.h"
 
 #include "absl/random/distributions.h"
 #include "fmt/format.h"
@@ -15,6 +17,7 @@
 namespace {
 
 using model::RefusalReason;
+using policy::RequestStanding;
 
 /// Retry-after hint of a request rejected by entry admission, whose admitted
 /// share changes within a second.
@@ -142,6 +145,13 @@
     return {RefusalReason::BadRequest};
   if (Now >= Request.m_CompleteBy)
     return {RefusalReason::DeadlinePassed};
+  Request.m_Fingerprint = app::fingerprintOf(
+      Request.m_Customer ? Request.m_Customer->m_Name : std::string(),
+      Request.m_Message.m_Method,
+      Request.m_Route->m_Host + Request.m_Message.m_Path,
+      Request.m_Message.m_Body);
+  if (judge(Request, Now).m_Standing == RequestStanding::Quarantined)
+    return {RefusalReason::Quarantined};
   if (Request.m_Customer) {
     if (!m_Rates.tryTake(Request.m_Customer->m_Name, Now))
       return {RefusalReason::OverRate,
@@ -250,8 +260,43 @@
   m_Admission.onTargetsChanged();
 }
 
+policy::RequestJudgement EntryPath::judge(const Pending &Request,
+                                          absl::Time Now) const {
+  if (!m_Options.m_Hooks.m_Judge || Request.m_Fingerprint == 0)
+    return {};
+  return m_Options.m_Hooks.m_Judge(Request.m_Fingerprint, Now);
+}
+
+void EntryPath::dispatchOnProbation(PendingId Id, absl::Time Now) {
+  Pending &Request = m_Pending.at(Id);
+  ServiceState &State = serviceOf(Request.m_Service, Now);
+  std::vector<std::string> Names;
+  std::vector<model::Incarnation> Daemons;
+  for (const auto &[Daemon, Target] : State.m_Targets) {
+    if (!Target.m_IsOpen)
+      continue;
+    Names.push_back(Target.m_Member.m_Name);
+    Daemons.push_back(Daemon);
+  }
+  auto Owner = policy::rankOwners(fmt::format("{:016x}", Request.m_Fingerprint),
+                                  Names, 1);
+  if (!Owner.empty())
+    if (auto Target = State.m_Chooser.find(Daemons[Owner.front()]))
+      if (forward(Id, Request, State, *Target, Now))
+        return;
+  end(Id, {RefusalReason::NoTarget}, Now);
+}
+
 void EntryPath::dispatch(PendingId Id, absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
+  RequestStanding Standing = judge(Request, Now).m_Standing;
+  if (Standing == RequestStanding::Probation)
+    return dispatchOnProbation(Id, Now);
+  if (Standing == RequestStanding::Quarantined)
+    return end(Id,
+               {Request.m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                                     : RefusalReason::Quarantined},
+               Now);
   ServiceState &State = serviceOf(Request.m_Service, Now);
   while (true) {
     auto Target = State.m_Chooser.choose({.m_Excluded = Request.m_Excluded},
@@ -334,6 +379,7 @@
   Message.rank = Request.m_Rank;
   Message.instance = To.m_Instance;
   Message.refusals = static_cast<std::uint16_t>(Request.m_Refusals);
+  Message.fingerprint = Request.m_Fingerprint;
   return Message;
 }
 
--- a/libs/mesh/src/Node.cpp
+++ b/libs/mesh/src/Node.cpp
@@ -26,4 +26,12 @@
 
 std::string Node::metricsText() const { return m_Impl->metricsText(); }
 
+std::vector<QuarantinedRequest> Node::quarantines() const {
+  return m_Impl->quarantine().list(io::monotonicNow());
+}
+
+bool Node::releaseQuarantine(model::Fingerprint Request) {
+  return m_Impl->releaseQuarantine(Request);
+}
+
 } // namespace knapweedloft::mesh
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -48,6 +48,7 @@
                                   {"service", m_Self.m_Service},
                                   {"restart", m_Settings.m_IsRestart}});
   m_Operator->start(io::monotonicNow());
+  m_CrashRecords->start(io::monotonicNow());
   writeMember();
   m_Loop.post(
       [this] { m_Entry->rates().onMembersKnown(io::monotonicNow(), m_Random); },
@@ -137,6 +138,7 @@
   m_Entry->rates().onReachability(Member.m_Name, true, io::monotonicNow());
   m_Links->send(Link, targetStateMessage());
   m_Links->send(Link, spentMessage(m_Entry->rates().all(), io::monotonicNow()));
+  m_Quarantine->onLinkUp(Link, Member.m_Name, io::monotonicNow());
 }
 
 void Node::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
@@ -171,6 +173,8 @@
     sendRecords(From, Request->from);
   } else if (auto *Records = as<wire::StoredRecordsT>(Message)) {
     onRecords(*Records, Now);
+  } else if (auto *Suspects = as<wire::SuspectsT>(Message)) {
+    m_Quarantine->onMessage(*Suspects, Now);
   }
 }
 
@@ -353,6 +357,10 @@
   m_Callers->beginClosing();
 }
 
+bool Node::Impl::releaseQuarantine(model::Fingerprint Request) {
+  return m_Quarantine->release(Request, io::monotonicNow());
+}
+
 void Node::Impl::checkStopped(absl::Time Now) {
   if (m_StopStartedAt == absl::InfiniteFuture() || !m_OnStopped)
     return;
@@ -375,6 +383,7 @@
   m_Target->tick(Now);
   m_Peers->tick(Now);
   sendSpent(Now);
+  m_Quarantine->tick(Now, absl::Now());
   if (Now >= m_NextCallsUpdate) {
     m_NextCallsUpdate = Now + CallsUpdateInterval;
     if (m_Entry->updateCalls())
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -9,6 +9,7 @@
 #include "mesh/Node.h"
 #include "mesh/PeerLinks.h"
 #include "mesh/RecordFollower.h"
+#include "mesh/RequestQuarantine.h"
 #include "mesh/TargetPath.h"
 
 #include "absl/container/btree_set.h"
@@ -32,9 +33,14 @@
   [[nodiscard]] bool isReady() const;
   void beginStop(std::function<void()> OnStopped);
   [[nodiscard]] std::string metricsText() const;
+  [[nodiscard]] const RequestQuarantine &quarantine() const {
+    return *m_Quarantine;
+  }
+  bool releaseQuarantine(model::Fingerprint Request);
 
 private:
   // NodeSetup.cpp
+  void makeQuarantine();
   void makeEntry();
   void makeTarget();
   void makeLinks();
@@ -96,10 +102,12 @@
   std::unique_ptr<http::LoopClient> m_Client;
   std::unique_ptr<link::LinkNode> m_Links;
   std::unique_ptr<PeerLinks> m_Peers;
+  std::unique_ptr<RequestQuarantine> m_Quarantine;
   std::unique_ptr<TargetPath> m_Target;
   std::unique_ptr<EntryPath> m_Entry;
   std::unique_ptr<RecordFollower> m_Operator;
   std::unique_ptr<RecordFollower> m_Members;
+  std::unique_ptr<RecordFollower> m_CrashRecords;
   std::unique_ptr<http::LoopServer> m_Callers;
 };
 
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -21,6 +21,19 @@
                  Name, Latency.total());
 }
 
+void appendQuarantine(std::string &Text,
+                      const policy::CrashEvidence &Evidence) {
+  absl::Time Now = io::monotonicNow();
+  for (policy::RequestStanding Standing :
+       {policy::RequestStanding::Suspect, policy::RequestStanding::Probation,
+        policy::RequestStanding::Quarantined})
+    fmt::format_to(std::back_inserter(Text),
+                   "knapweedloft_crashing_requests{{standing=\"{}\"}} {}\n",
+                   policy::RequestStandingNames.nameOf(Standing),
+                   Evidence.requestsOf(Standing, Now).size());
+  append(Text, "crash_reports_known", static_cast<double>(Evidence.crashes()));
+}
+
 } // namespace
 
 std::string Node::Impl::metricsText() const {
@@ -59,10 +72,12 @@
   append(Text, "target_cancelled_total",
          static_cast<double>(Target.m_Cancelled));
   append(Text, "target_checks_total", static_cast<double>(Target.m_Checks));
+  append(Text, "target_crashes_total", static_cast<double>(Target.m_Crashes));
   append(Text, "target_queued", static_cast<double>(m_Target->queued()));
   append(Text, "target_open", m_Target->state().isOpen() ? 1 : 0);
   appendLatency(Text, "target_wait", Target.m_Wait);
   appendLatency(Text, "target_run", Target.m_Run);
+  appendQuarantine(Text, m_Quarantine->evidence());
   append(Text, "config_version",
          m_Catalog ? static_cast<double>(m_Catalog->version()) : 0);
   append(Text, "store_reached", m_Operator->isStoreAvailable() ? 1 : 0);
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -75,6 +75,7 @@
                                  const std::string &Tag) {
                     return isOwnAnswer(Response, Field, Tag);
                   }});
+  makeQuarantine();
   makeTarget();
   makeEntry();
   makePeers();
@@ -97,6 +98,30 @@
 
 Node::Impl::~Impl() = default;
 
+void Node::Impl::makeQuarantine() {
+  RequestQuarantine::Options Options;
+  Options.m_Self = m_Self;
+  Options.m_Hooks.m_Broadcast = [this](const wire::SuspectsT &Message) {
+    for (link::PeerHandle Link : m_Peers->links())
+      m_Links->send(Link, Message);
+  };
+  Options.m_Hooks.m_Send = [this](link::PeerHandle To,
+                                  const wire::SuspectsT &Message) {
+    m_Links->send(To, Message);
+  };
+  Options.m_Hooks.m_WriteRecord =
+      [this](std::string Value,
+             const std::function<void(bool, absl::Time)> &OnDone) {
+        StoredRecord Own{.m_Key = m_Self.m_Name, .m_Value = std::move(Value)};
+        m_Ports.m_Store.m_Write(m_Ports.m_CrashTopic, Own,
+                                [OnDone](StoreOutcome Outcome, absl::Time Now) {
+                                  OnDone(Outcome == StoreOutcome::Done, Now);
+                                });
+      };
+  m_Quarantine = std::make_unique<RequestQuarantine>(
+      std::move(Options), ComponentLog(m_EventLog, "quarantine"));
+}
+
 void Node::Impl::makeEntry() {
   EntryPath::Options Options;
   Options.m_Self = m_Self;
@@ -123,6 +148,13 @@
   Options.m_Hooks.m_RouteRunningUntil = [this](absl::Time End) {
     return m_Target->routeRunningUntil(End);
   };
+  Options.m_Hooks.m_Judge = [this](model::Fingerprint Request, absl::Time Now) {
+    return m_Quarantine->judge(Request, Now);
+  };
+  Options.m_Hooks.m_DescribeCrashes = [this](model::Fingerprint Request,
+                                             absl::Time Now) {
+    return m_Quarantine->describeCrashes(Request, Now);
+  };
   m_Entry = std::make_unique<EntryPath>(std::move(Options),
                                         ComponentLog(m_EventLog, "entry"));
 }
@@ -146,6 +178,18 @@
     m_Client->cancel(Call);
   };
   Options.m_Hooks.m_OnChange = [this](absl::Time Now) { sendTargetState(Now); };
+  Options.m_Hooks.m_Judge = [this](model::Fingerprint Request, absl::Time Now) {
+    return m_Quarantine->judge(Request, Now);
+  };
+  Options.m_Hooks.m_OnCrash =
+      [this](const std::string &Instance,
+             std::span<const model::Fingerprint> InFlight, absl::Time Now) {
+        m_Quarantine->onTargetCrash(Instance, InFlight, Now);
+      };
+  Options.m_Hooks.m_OnCompleted = [this](model::Fingerprint Request,
+                                         absl::Time Now) {
+    m_Quarantine->onCompleted(Request, Now);
+  };
   m_Target = std::make_unique<TargetPath>(std::move(Options),
                                           ComponentLog(m_EventLog, "target"),
                                           io::monotonicNow());
@@ -236,6 +280,19 @@
   };
   Members.m_OnAvailability = [](bool, absl::Time) {};
   m_Members = std::make_unique<RecordFollower>(std::move(Members));
+
+  RecordFollower::Options Crashes = followerOptions();
+  Crashes.m_Topic = m_Ports.m_CrashTopic;
+  // Links carry the same reports; the records are for daemons without a link.
+  Crashes.m_PollTimeout = [this] {
+    return MaxPollTimeout * absl::Uniform(m_Random, 0.5, 1.0);
+  };
+  Crashes.m_OnRecord = [this](const StoredRecord &Record, absl::Time Now) {
+    m_Quarantine->onRecord(Record, Now, absl::Now());
+  };
+  Crashes.m_OnFirstRead = [this](absl::Time) { m_Quarantine->onRecordsRead(); };
+  Crashes.m_OnAvailability = [](bool, absl::Time) {};
+  m_CrashRecords = std::make_unique<RecordFollower>(std::move(Crashes));
 }
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -82,10 +82,17 @@
 
 void TargetPath::applyStateChange(absl::Time Now) {
   TargetAvailability After = m_State.availability();
-  if (After == m_AppliedAvailability && m_State.instance() == m_AppliedInstance)
+  std::int64_t FormerStart =
+      std::exchange(m_AppliedStartTimeMs, m_State.startTimeMs());
+  bool IsReplaced = m_State.instance() != m_AppliedInstance ||
+                    (FormerStart != 0 && m_AppliedStartTimeMs != 0 &&
+                     FormerStart != m_AppliedStartTimeMs);
+  if (After == m_AppliedAvailability && !IsReplaced)
     return;
   TargetAvailability Before = std::exchange(m_AppliedAvailability, After);
-  m_AppliedInstance = m_State.instance();
+  std::string Former = std::exchange(m_AppliedInstance, m_State.instance());
+  if (IsReplaced && !Former.empty() && Before != TargetAvailability::Leaving)
+    onTargetReplaced(Former, Now);
   m_Log.state("The target's availability or instance changed.",
               {{"from", TargetAvailabilityNames.nameOf(Before)},
                {"to", TargetAvailabilityNames.nameOf(After)},
@@ -164,6 +171,7 @@
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
   m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Now);
+  onCheckOfBrokenRuns(Result.m_Failure, Instance, Now);
   if (IsHealthy) {
     applyReportedSlots(Response);
     const std::string *ColdRemaining = http::findHeader(
@@ -174,6 +182,8 @@
     setCold(absl::Milliseconds(RemainingMs.value_or(0)), Now);
   }
   applyStateChange(Now);
+  if (Result.m_Failure == Failure::None)
+    m_Unanswered.clear();
 }
 
 void TargetPath::stop(absl::Time Now) {
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -67,6 +67,8 @@
   ++m_Counts.m_Forwards;
   model::ForwardId Id = app::fromWire(Message.id);
   RefusalReason Reason = validate(Message);
+  if (Reason == RefusalReason::None)
+    Reason = quarantineOf(Message, Now);
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ClosedRetryAfter);
     return;
@@ -117,6 +119,8 @@
 }
 
 void TargetPath::start(JobId Id, absl::Time Now) {
+  if (!beginSuspect(Id, Now))
+    return;
   PendingRequest &Next = m_Pending.at(Id);
   ++m_Counts.m_Started;
   m_Counts.m_Wait.add(Now - Next.m_Arrived);
@@ -146,10 +150,12 @@
   bool IsRepresentative = Result.m_Failure == Failure::None &&
                           Result.m_Response.m_Status < FirstFailureStatus;
   m_Scheduler.finish(Id, Now - Done.m_Started, IsRepresentative);
+  if (Id == m_SuspectJob)
+    m_SuspectJob = 0;
   if (Result.m_Failure == Failure::None)
     onResponse(Done, Result.m_Response, Now);
   else
-    onIncompleteAnswer(Done, Result.m_Failure, Now);
+    onIncompleteAnswer(std::move(Done), Result.m_Failure, Now);
   poll(Now);
 }
 
@@ -164,6 +170,7 @@
            ClosedRetryAfter);
     return;
   }
+  m_Unanswered.clear();
   if (http::findHeader(Response.m_Headers, Names.m_NotRun)) {
     ++m_Counts.m_TargetShed;
     refuse(Done.m_From, Done.m_Id, RefusalReason::Overloaded, Ran::No,
@@ -179,6 +186,8 @@
   }
   ++m_Counts.m_Answered;
   m_Counts.m_Run.add(Now - Done.m_Started);
+  if (m_Options.m_Hooks.m_OnCompleted)
+    m_Options.m_Hooks.m_OnCompleted(Done.m_Message.fingerprint, Now);
   m_Log.routine("The target answered.",
                 {{"id", Done.m_Message.call_id},
                  {"status", Response.m_Status},
@@ -195,22 +204,34 @@
   answer(Done, std::move(Answer));
 }
 
-void TargetPath::onIncompleteAnswer(const PendingRequest &Done, Failure Failure,
+void TargetPath::onIncompleteAnswer(PendingRequest Done, Failure Failure,
                                     absl::Time Now) {
   ++m_Counts.m_Incomplete;
-  m_Log.notable("The target gave no complete answer.",
-                {{"id", Done.m_Message.call_id},
-                 {"how", http::FailureNames.nameOf(Failure)},
-                 {"instance", Done.m_Instance},
-                 {"took", Now - Done.m_Started}});
+  m_Log.notable(
+      "The target gave no complete answer.",
+      {{"id", Done.m_Message.call_id},
+       {"how", http::FailureNames.nameOf(Failure)},
+       {"instance", Done.m_Instance},
+       {"request", fmt::format("{:016x}", Done.m_Message.fingerprint)},
+       {"took", Now - Done.m_Started}});
   if (Failure == Failure::NotSent) {
-    m_State.onConnectionRefused();
+    // Peers must not hear that the target is down before they hear of a crash.
+    if (m_Broken)
+      m_Broken->m_IsRefused = true;
+    else
+      m_State.onConnectionRefused();
     m_NextCheck = std::max(m_NextCheck, Now + m_Options.m_CheckInterval);
     applyStateChange(Now);
     refuse(Done.m_From, Done.m_Id, RefusalReason::NoTarget, Ran::No,
            ClosedRetryAfter);
     return;
   }
+  if (Failure == Failure::Cut) {
+    onRunBroken(std::move(Done), Now);
+    return;
+  }
+  if (Failure == Failure::TimedOut)
+    onRunUnanswered(Done.m_Message.fingerprint);
   RefusalReason Reason = Failure == Failure::TimedOut
                              ? RefusalReason::DeadlinePassed
                              : RefusalReason::BadAnswer;
@@ -275,7 +296,10 @@
   PendingRequest Cancelled = std::move(m_Pending.at(Job));
   m_Pending.erase(Job);
   m_JobByForward.erase(Found);
+  if (Job == m_SuspectJob)
+    m_SuspectJob = 0;
   if (Cancelled.m_IsStarted) {
+    onRunUnanswered(Cancelled.m_Message.fingerprint);
     m_Options.m_Hooks.m_CancelCall(Cancelled.m_Call);
     m_Scheduler.finish(Job, Now - Cancelled.m_Started, false);
   } else {
@@ -324,6 +348,8 @@
   m_ShareController.update(m_Scheduler.limit(), Now);
   logAdmittedShare();
   poll(Now);
+  judgeBrokenRuns(Now);
+  releaseAnswers(Now);
   bool IsCheckNeeded =
       m_State.needsCheck() || (!m_IsColdTimeKnown && m_State.isOpen());
   if (IsCheckNeeded && !m_IsChecking && Now >= m_NextCheck)
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -6,7 +6,11 @@
 #include "gtest/gtest.h"
 
 #include <deque>
+#include <map>
+#include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace knapweedloft::mesh {
 namespace {
@@ -62,6 +66,30 @@
             .m_ColdRemaining = ColdRemaining};
   }
 
+  /// From here on crashes are reported to the test.
+  void reportCrashes() {
+    TargetPath::Options Options = options();
+    Options.m_Hooks.m_OnCrash = [this](const std::string &Instance,
+                                       std::span<const model::Fingerprint> Runs,
+                                       absl::Time) {
+      m_Crashes.emplace_back(Instance, std::vector(Runs.begin(), Runs.end()));
+    };
+    Options.m_Hooks.m_Judge = [this](model::Fingerprint Request, absl::Time) {
+      return policy::RequestJudgement{.m_Standing = m_Standings[Request]};
+    };
+    m_Path =
+        TargetPath(std::move(Options), ComponentLog(m_Log, "target"), m_Now);
+    m_Path.setCatalog(makeCatalog());
+    m_Path.onReport(report(1), m_Now);
+  }
+
+  void tick(int Times) {
+    for (int Count = 0; Count < Times; ++Count) {
+      m_Now += absl::Milliseconds(20);
+      m_Path.tick(m_Now);
+    }
+  }
+
   void forward(std::uint64_t Sequence, bool IsIdempotent = true,
                const std::string &Route = "reads") {
     wire::ForwardT Message;
@@ -77,6 +105,7 @@
     Message.aim_us = 1'000'000;
     Message.call_id = "c1";
     Message.lines = "Host: site\r\n";
+    Message.fingerprint = 100 + Sequence;
     m_Path.onForward({}, Message, m_Now);
   }
 
@@ -98,6 +127,9 @@
   std::vector<wire::AnswerT> m_Answers;
   std::deque<Called> m_Calls;
   std::vector<http::LoopClient::CallId> m_CancelledCalls;
+  std::vector<std::pair<std::string, std::vector<model::Fingerprint>>>
+      m_Crashes;
+  std::map<model::Fingerprint, policy::RequestStanding> m_Standings;
   TargetPath m_Path;
 };
 
@@ -231,6 +263,101 @@
   EXPECT_EQ(m_Path.routeRunningUntil(m_Now + absl::Seconds(3)), "");
 }
 
+TEST_F(TargetPathTest, OnResult_AllRunsBreakAndTargetIsGone_ReportsCrash) {
+  reportCrashes();
+  forward(1);
+  forward(2, false);
+  m_Now += absl::Milliseconds(5);
+  finish(0, http::Failure::Cut);
+  finish(1, http::Failure::Cut);
+  EXPECT_EQ(m_Answers.size(), 1U); // Only what may be retried is held.
+  tick(2);
+  ASSERT_EQ(m_Calls.size(), 3U); // The health check.
+  EXPECT_TRUE(m_Crashes.empty());
+  finish(2, http::Failure::NotSent);
+  ASSERT_EQ(m_Crashes.size(), 1U);
+  EXPECT_EQ(m_Crashes[0].first, "i-1");
+  EXPECT_EQ(m_Crashes[0].second, (std::vector<model::Fingerprint>{101, 102}));
+  EXPECT_EQ(m_Answers.size(), 1U);
+  tick(1);
+  EXPECT_EQ(m_Answers.size(), 2U);
+  EXPECT_EQ(m_Path.pending(), 0U);
+}
+
+TEST_F(TargetPathTest, OnResult_RunBreaksWhileOthersGoOn_IsNoCrash) {
+  reportCrashes();
+  forward(1);
+  forward(2);
+  finish(0, http::Failure::Cut);
+  tick(3);
+  EXPECT_EQ(m_Calls.size(), 2U); // No health check is needed.
+  EXPECT_EQ(m_Answers.size(), 1U);
+  EXPECT_TRUE(m_Crashes.empty());
+}
+
+TEST_F(TargetPathTest, OnResult_RunsBreakAndTargetIsHealthy_IsNoCrash) {
+  reportCrashes();
+  forward(1);
+  finish(0, http::Failure::Cut);
+  tick(2);
+  finish(1, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"I-Am", "i-1"}}});
+  EXPECT_EQ(m_Answers.size(), 1U);
+  EXPECT_TRUE(m_Crashes.empty());
+}
+
+TEST_F(TargetPathTest, OnResult_LeavingTargetEnds_IsNoCrash) {
+  reportCrashes();
+  forward(1);
+  m_Path.onReport(report(2, TargetCondition::Draining), m_Now);
+  finish(0, http::Failure::Cut);
+  tick(50);
+  EXPECT_EQ(m_Answers.size(), 1U);
+  EXPECT_TRUE(m_Crashes.empty());
+}
+
+TEST_F(TargetPathTest, OnReport_NewInstanceWhileRunsHang_ReportsCrash) {
+  reportCrashes();
+  forward(1);
+  forward(2);
+  m_Now += absl::Seconds(3);
+  finish(0, http::Failure::TimedOut);
+  TargetReport Restarted = report(1);
+  Restarted.m_StartTimeMs = 9; // Under the same name.
+  m_Path.onReport(Restarted, m_Now);
+  ASSERT_EQ(m_Crashes.size(), 1U);
+  EXPECT_EQ(m_Crashes[0].second, (std::vector<model::Fingerprint>{101, 102}));
+}
+
+TEST_F(TargetPathTest, OnForward_QuarantinedRequest_DoesNotReachTarget) {
+  reportCrashes();
+  m_Standings[101] = policy::RequestStanding::Quarantined;
+  forward(1);
+  EXPECT_TRUE(m_Calls.empty());
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(ranOf(0), Ran::No);
+  EXPECT_EQ(m_Answers[0].refusal,
+            static_cast<std::uint8_t>(model::RefusalReason::Quarantined));
+}
+
+TEST_F(TargetPathTest, OnForward_SecondSuspect_IsRefusedWhileOneRuns) {
+  reportCrashes();
+  m_Standings[101] = policy::RequestStanding::Suspect;
+  m_Standings[102] = policy::RequestStanding::Suspect;
+  forward(1);
+  forward(2);
+  forward(3);
+  EXPECT_EQ(m_Calls.size(), 2U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].status, 0); // Did not reach the target.
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}}});
+  forward(4);
+  m_Standings[104] = policy::RequestStanding::Suspect;
+  forward(2);
+  EXPECT_EQ(m_Calls.size(), 4U);
+}
+
 TEST_F(TargetPathTest, OnForward_NonIdempotent_ReusesNoIdleConnection) {
   m_Path.onReport(report(1), m_Now);
   forward(1, false);
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "TestSite.h"
 
+#include "absl/random/distributions.h"
 #include "fmt/format.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 constexpr absl::Duration HeartbeatInterval = absl::Milliseconds(1500);
 /// Between a daemon and its target.
 constexpr absl::Duration LocalDelay = absl::Microseconds(200);
+constexpr absl::Duration StoreDelay = absl::Milliseconds(4);
 constexpr absl::Duration DrainTime = absl::Seconds(1);
 constexpr std::int64_t WaitMs = 3000;
 
@@ -91,20 +93,133 @@
   m_Now = End;
 }
 
+void TestFleet::skip(absl::Duration For) {
+  m_Now += For;
+  std::multimap<absl::Time, std::function<void()>> Moved;
+  for (auto &[When, Task] : m_Events)
+    Moved.emplace(When + For, std::move(Task));
+  m_Events = std::move(Moved);
+}
+
 void TestFleet::start(std::size_t Index) {
   Daemon &Made = m_Daemons[Index];
   ++Made.m_Life;
   Made.m_Self.m_Incarnation = Made.m_Life * 1000 + Index + 1;
   for (PeerTarget &Known : Made.m_Targets)
     Known = {};
+  makeQuarantine(Index);
+  makeRecords(Index);
   makeTarget(Index);
   makeEntry(Index);
   Made.m_Entry->setCatalog(makeCatalog(), m_Now);
   Made.m_Target->setCatalog(makeCatalog());
   Made.m_Entry->rates().onMembersKnown(m_Now, m_Random);
+  Made.m_Records->start(m_Now);
   tick(Index);
 }
 
+void TestFleet::makeQuarantine(std::size_t Index) {
+  RequestQuarantine::Options Options;
+  Options.m_Self = m_Daemons[Index].m_Self;
+  Options.m_Hooks.m_Broadcast = [this, Index](const wire::SuspectsT &Message) {
+    for (std::size_t Other = 0; Other < size(); ++Other)
+      if (Other != Index)
+        sendEvidence(Index, Other, Message);
+  };
+  Options.m_Hooks.m_Send = [this, Index](link::PeerHandle To,
+                                         const wire::SuspectsT &Message) {
+    sendEvidence(Index, To.m_Index, Message);
+  };
+  Options.m_Hooks.m_WriteRecord =
+      [this, Index](std::string Value,
+                    const std::function<void(bool, absl::Time)> &OnDone) {
+        writeStore(Index,
+                   {.m_Key = m_Daemons[Index].m_Self.m_Name,
+                    .m_Value = std::move(Value)},
+                   [OnDone](StoreOutcome Outcome, absl::Time Now) {
+                     OnDone(Outcome == StoreOutcome::Done, Now);
+                   });
+      };
+  m_Daemons[Index].m_Quarantine = std::make_unique<RequestQuarantine>(
+      std::move(Options), ComponentLog(m_Log, "quarantine"));
+}
+
+void TestFleet::sendEvidence(std::size_t From, std::size_t To,
+                             const wire::SuspectsT &Message) {
+  wire::EnvelopeT Envelope;
+  Envelope.message.Set(wire::SuspectsT(Message));
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::CreateEnvelope(Builder, &Envelope));
+  m_EvidenceBytes += Builder.GetSize();
+  deliver(From, To, [this, To, Message] {
+    m_Daemons[To].m_Quarantine->onMessage(Message, m_Now);
+  });
+}
+
+void TestFleet::makeRecords(std::size_t Index) {
+  RecordFollower::Options Options;
+  Options.m_Topic = "crashes";
+  Options.m_Port.m_ReadNewest = [this, Index](const std::string &,
+                                              StorePort::OnRead OnRead) {
+    readStore(Index, false, 0, std::move(OnRead));
+  };
+  Options.m_Port.m_ReadFrom = [this, Index](const std::string &,
+                                            std::uint64_t From, absl::Duration,
+                                            StorePort::OnRead OnRead) {
+    readStore(Index, true, From, std::move(OnRead));
+  };
+  Options.m_Schedule = [this, Index](std::function<void()> Task,
+                                     absl::Duration After) {
+    later(Index, After, std::move(Task));
+  };
+  Options.m_Random = [this] { return absl::Uniform(m_Random, 0.0, 1.0); };
+  Options.m_OnRecord = [this, Index](const StoredRecord &Record, absl::Time) {
+    m_Daemons[Index].m_Quarantine->onRecord(Record, m_Now, m_Now);
+  };
+  Options.m_OnFirstRead = [this, Index](absl::Time) {
+    m_Daemons[Index].m_Quarantine->onRecordsRead();
+  };
+  Options.m_OnAvailability = [](bool, absl::Time) {};
+  m_Daemons[Index].m_Records =
+      std::make_unique<RecordFollower>(std::move(Options));
+}
+
+void TestFleet::readStore(std::size_t Index, bool IsPoll, std::uint64_t From,
+                          StorePort::OnRead OnRead) {
+  later(
+      Index, StoreDelay,
+      [this, Index, IsPoll, From, OnRead = std::move(OnRead)] {
+        if (!m_IsStoreAvailable)
+          return OnRead({.m_Outcome = StoreOutcome::Refused}, m_Now);
+        if (IsPoll && From >= m_Store.size()) {
+          m_Polls.push_back([this, Index, From, OnRead, Life = lifeOf(Index)] {
+            if (Life == lifeOf(Index))
+              readStore(Index, true, From, OnRead);
+          });
+          return;
+        }
+        StoreReadResult Read{.m_Outcome = StoreOutcome::Done,
+                             .m_End = m_Store.size()};
+        Read.m_Records.assign(
+            m_Store.begin() + static_cast<std::ptrdiff_t>(From), m_Store.end());
+        OnRead(std::move(Read), m_Now);
+      });
+}
+
+void TestFleet::writeStore(std::size_t Index, StoredRecord Record,
+                           StorePort::OnWritten OnWritten) {
+  later(Index, StoreDelay,
+        [this, Record = std::move(Record), OnWritten = std::move(OnWritten)] {
+          if (!m_IsStoreAvailable)
+            return OnWritten(StoreOutcome::Refused, m_Now);
+          m_Store.push_back(Record);
+          m_Store.back().m_Offset = m_Store.size() - 1;
+          OnWritten(StoreOutcome::Done, m_Now);
+          for (const auto &Poll : std::exchange(m_Polls, {}))
+            Poll();
+        });
+}
+
 void TestFleet::makeEntry(std::size_t Index) {
   EntryPath::Options Options;
   Options.m_Self = m_Daemons[Index].m_Self;
@@ -151,6 +266,14 @@
   Options.m_Hooks.m_RouteRunningUntil = [](absl::Time) {
     return std::string();
   };
+  Options.m_Hooks.m_Judge = [this, Index](model::Fingerprint Request,
+                                          absl::Time Now) {
+    return m_Daemons[Index].m_Quarantine->judge(Request, Now);
+  };
+  Options.m_Hooks.m_DescribeCrashes = [this, Index](model::Fingerprint Request,
+                                                    absl::Time Now) {
+    return m_Daemons[Index].m_Quarantine->describeCrashes(Request, Now);
+  };
   m_Daemons[Index].m_Entry = std::make_unique<EntryPath>(
       std::move(Options), ComponentLog(m_Log, "entry"));
 }
@@ -170,9 +293,9 @@
               m_Daemons[To.m_Index].m_Entry->onAnswer(*Shared, m_Now);
             });
   };
-  Options.m_Hooks.m_Call = [this, Index](http::LoopClient::Call Call,
+  Options.m_Hooks.m_Call = [this, Index](const http::LoopClient::Call &Call,
                                          http::LoopClient::Done OnDone) {
-    return callTarget(Index, std::move(Call), std::move(OnDone));
+    return callTarget(Index, Call, std::move(OnDone));
   };
   Options.m_Hooks.m_CancelCall = [this, Index](http::LoopClient::CallId Id) {
     m_Daemons[Index].m_Running.erase(Id);
@@ -180,6 +303,20 @@
   Options.m_Hooks.m_OnChange = [this, Index](absl::Time) {
     publishTarget(Index);
   };
+  Options.m_Hooks.m_Judge = [this, Index](model::Fingerprint Request,
+                                          absl::Time Now) {
+    return m_Daemons[Index].m_Quarantine->judge(Request, Now);
+  };
+  Options.m_Hooks.m_OnCrash =
+      [this, Index](const std::string &Instance,
+                    std::span<const model::Fingerprint> InFlight,
+                    absl::Time Now) {
+        m_Daemons[Index].m_Quarantine->onTargetCrash(Instance, InFlight, Now);
+      };
+  Options.m_Hooks.m_OnCompleted = [this, Index](model::Fingerprint Request,
+                                                absl::Time Now) {
+    m_Daemons[Index].m_Quarantine->onCompleted(Request, Now);
+  };
   m_Daemons[Index].m_Target = std::make_unique<TargetPath>(
       std::move(Options), ComponentLog(m_Log, "target"), m_Now);
 }
@@ -187,6 +324,7 @@
 void TestFleet::tick(std::size_t Index) {
   m_Daemons[Index].m_Entry->tick(m_Now);
   m_Daemons[Index].m_Target->tick(m_Now);
+  m_Daemons[Index].m_Quarantine->tick(m_Now, m_Now);
   later(Index, Tick, [this, Index] { tick(Index); });
 }
 
@@ -236,6 +374,8 @@
     Daemon &Here = m_Daemons[From];
     if (IsLinked) {
       publishTarget(From);
+      Here.m_Quarantine->onLinkUp({static_cast<std::uint32_t>(To)},
+                                  m_Daemons[To].m_Self.m_Name, m_Now);
       continue;
     }
     Here.m_Targets[To].m_IsOpen = false;
@@ -259,22 +399,27 @@
     setLinked(Left, Right, true);
 }
 
-void TestFleet::restartDaemon(std::size_t Index) {
-  for (std::size_t Other = 0; Other < size(); ++Other)
-    if (Other != Index)
-      setLinked(Index, Other, false);
-  m_Daemons[Index].m_Running.clear();
-  start(Index);
-  for (std::size_t Other = 0; Other < size(); ++Other)
-    if (Other != Index)
-      setLinked(Index, Other, true);
-  if (m_Daemons[Index].m_IsTargetUp)
-    reportTarget(Index, TargetCondition::Ready);
+void TestFleet::restartDaemons(const std::vector<std::size_t> &Indices) {
+  for (std::size_t Index : Indices)
+    for (std::size_t Other = 0; Other < size(); ++Other)
+      if (Other != Index)
+        setLinked(Index, Other, false);
+  for (std::size_t Index : Indices) {
+    m_Daemons[Index].m_Running.clear();
+    start(Index);
+  }
+  for (std::size_t Index : Indices) {
+    for (std::size_t Other = 0; Other < size(); ++Other)
+      if (Other != Index)
+        setLinked(Index, Other, true);
+    if (m_Daemons[Index].m_IsTargetUp)
+      reportTarget(Index, TargetCondition::Ready);
+  }
 }
 
-http::LoopClient::CallId TestFleet::callTarget(std::size_t Index,
-                                               http::LoopClient::Call Call,
-                                               http::LoopClient::Done OnDone) {
+http::LoopClient::CallId
+TestFleet::callTarget(std::size_t Index, const http::LoopClient::Call &Call,
+                      http::LoopClient::Done OnDone) {
   http::LoopClient::CallId Id = ++m_LastCall;
   std::string Path = pathOf(Call.m_Text);
   m_Daemons[Index].m_Running[Id] = {Path, std::move(OnDone)};
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -2,6 +2,8 @@
 #define KNAPWEEDLOFT_MESH_TESTS_TESTFLEET_H
 
 #include "mesh/EntryPath.h"
+#include "mesh/RecordFollower.h"
+#include "mesh/RequestQuarantine.h"
 #include "mesh/TargetPath.h"
 #include "telemetry/EventLog.h"
 
@@ -22,7 +24,7 @@
 ///
 /// A target stand-in crashes as soon as it begins to run a request whose path
 /// is poisonous, and is back some seconds later as a new instance. Links
-/// between daemons have a delay and can be cut.
+/// between daemons have a delay and can be cut; the store can be unavailable.
 class TestFleet {
 public:
   struct Options {
@@ -48,8 +50,11 @@
   [[nodiscard]] std::size_t size() const { return m_Daemons.size(); }
   /// Advances the virtual time.
   void run(absl::Duration For);
+  /// Advances the virtual time without running anything, as over a long calm.
+  void skip(absl::Duration For);
 
   void makePoisonous(const std::string &Path) { m_Poisonous.insert(Path); }
+  void cure(const std::string &Path) { m_Poisonous.erase(Path); }
   /// A caller sends a request to daemon \p Index.
   void request(std::size_t Index, const std::string &Path);
 
@@ -59,11 +64,12 @@
   /// The target reports that it leaves, and ends a second later with the
   /// requests it still has.
   void drainTarget(std::size_t Index);
-  /// The daemon is killed and starts again without what it knew.
-  void restartDaemon(std::size_t Index);
+  /// Daemons are killed at once and start again without what they knew.
+  void restartDaemons(const std::vector<std::size_t> &Indices);
   /// Cuts the links between daemons for which \p IsCut holds.
   void cutLinks(const std::function<bool(std::size_t, std::size_t)> &IsCut);
   void healLinks();
+  void setStoreAvailable(bool IsAvailable) { m_IsStoreAvailable = IsAvailable; }
 
   /// Times at which a request reached a target.
   [[nodiscard]] const std::vector<absl::Time> &
@@ -81,6 +87,14 @@
   [[nodiscard]] const std::vector<Answered> &answers() const {
     return m_Answers;
   }
+  [[nodiscard]] const RequestQuarantine &quarantine(std::size_t Index) const {
+    return *m_Daemons[Index].m_Quarantine;
+  }
+  [[nodiscard]] RequestQuarantine &quarantine(std::size_t Index) {
+    return *m_Daemons[Index].m_Quarantine;
+  }
+  /// Bytes of evidence that daemons sent to each other.
+  [[nodiscard]] std::size_t evidenceBytes() const { return m_EvidenceBytes; }
   /// \returns the number of answers with a status to a path that begins so.
   [[nodiscard]] std::size_t answered(const std::string &PathPrefix,
                                      int Status) const;
@@ -95,6 +109,8 @@
     model::Member m_Self;
     std::unique_ptr<EntryPath> m_Entry;
     std::unique_ptr<TargetPath> m_Target;
+    std::unique_ptr<RequestQuarantine> m_Quarantine;
+    std::unique_ptr<RecordFollower> m_Records;
     /// As each other daemon last heard.
     std::vector<PeerTarget> m_Targets;
     std::uint64_t m_Life = 0;
@@ -115,15 +131,26 @@
   void start(std::size_t Index);
   void makeEntry(std::size_t Index);
   void makeTarget(std::size_t Index);
+  void makeQuarantine(std::size_t Index);
+  void makeRecords(std::size_t Index);
+  void sendEvidence(std::size_t From, std::size_t To,
+                    const wire::SuspectsT &Message);
+  void readStore(std::size_t Index, bool IsPoll, std::uint64_t From,
+                 StorePort::OnRead OnRead);
+  void writeStore(std::size_t Index, StoredRecord Record,
+                  StorePort::OnWritten OnWritten);
   void tick(std::size_t Index);
   void reportTarget(std::size_t Index, TargetCondition Condition);
   void heartbeat(std::size_t Index);
   void publishTarget(std::size_t Index);
   void setLinked(std::size_t Left, std::size_t Right, bool IsLinked);
   http::LoopClient::CallId callTarget(std::size_t Index,
-                                      http::LoopClient::Call Call,
+                                      const http::LoopClient::Call &Call,
                                       http::LoopClient::Done OnDone);
   void breakCalls(std::size_t Index);
+  [[nodiscard]] std::uint64_t lifeOf(std::size_t Index) const {
+    return m_Daemons[Index].m_Life;
+  }
   [[nodiscard]] std::string instanceOf(std::size_t Index) const;
 
   Options m_Settings;
@@ -133,12 +160,16 @@
       {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
   std::vector<Daemon> m_Daemons;
   std::set<std::pair<std::size_t, std::size_t>> m_Cut;
+  bool m_IsStoreAvailable = true;
+  std::vector<StoredRecord> m_Store;
+  std::vector<std::function<void()>> m_Polls; ///< That wait for a record.
   std::set<std::string> m_Poisonous;
   std::map<std::string, std::vector<absl::Time>> m_Arrivals;
   std::map<std::string, std::vector<absl::Time>> m_Crashes;
   std::map<std::uint64_t, std::string> m_PathByExchange;
   std::vector<Answered> m_Answers;
   absl::BitGen m_Random;
+  std::size_t m_EvidenceBytes = 0;
   std::uint64_t m_LastExchange = 0;
   http::LoopClient::CallId m_LastCall = 0;
 };
--- /dev/null
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -0,0 +1,139 @@
+#ifndef KNAPWEEDLOFT_POLICY_CRASHEVIDENCE_H
+#define KNAPWEEDLOFT_POLICY_CRASHEVIDENCE_H
+
+#include "policy/RequestStanding.h"
+#include "policy/TargetCrash.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace knapweedloft::policy {
+
+/// Finds the requests that crash their targets, from the crashes that all
+/// daemons report.
+///
+/// A crash counts against each request that was in flight at it, unless a
+/// target completed the same request afterwards or shortly before. Three such
+/// crashes quarantine the request; more of them lengthen the quarantine. All
+/// daemons that hold the same reports conclude the same, in whatever order the
+/// reports arrive. Not thread-safe.
+///
+/// \code
+///   Evidence.addCrash(Crash, Now);
+///   if (Evidence.judge(Request, Now).m_Standing ==
+///       RequestStanding::Quarantined)
+///     refuse();
+/// \endcode
+class CrashEvidence {
+public:
+  struct Options {
+    unsigned m_SuspectCrashes = 2;
+    unsigned m_QuarantineCrashes = 3;
+    /// Quarantine after the crash that begins it and after each later one; the
+    /// last period holds for all others. Each end may cost a target.
+    std::array<absl::Duration, 3> m_QuarantinePeriods{
+        absl::Minutes(1), absl::Minutes(30), absl::Hours(24)};
+    /// How long a crash counts against a request that is not quarantined.
+    absl::Duration m_EvidencePeriod = absl::Hours(1);
+    /// How long the crashes count after the end of a quarantine.
+    absl::Duration m_ProbationPeriod = absl::Hours(7 * 24);
+    /// A request that a target completed no longer than this before a crash is
+    /// not suspected.
+    absl::Duration m_CompletionPeriod = absl::Seconds(2);
+    /// Completions are remembered for this long, since reports of crashes may
+    /// be late; those of suspects as long as these are suspected.
+    absl::Duration m_CompletionRetention = absl::Minutes(1);
+    std::size_t m_MaxCompletions = 8'192;
+    std::size_t m_MaxInFlight = 512; ///< Of one crash; others are dropped.
+    /// Over all crashes; those in flight at a single crash are dropped first.
+    std::size_t m_MaxFingerprints = 16'384;
+  };
+
+  using Completion = std::pair<model::Fingerprint, absl::Time>;
+
+  explicit CrashEvidence(const Options &Settings) : m_Settings(Settings) {}
+
+  [[nodiscard]] RequestJudgement judge(model::Fingerprint Request,
+                                       absl::Time Now) const;
+
+  /// \returns those of \p InFlight that a crash at \p Now may be due to: none
+  /// that targets completed shortly before. Known suspects come first.
+  [[nodiscard]] std::vector<model::Fingerprint>
+  suspectsOf(std::span<const model::Fingerprint> InFlight,
+             absl::Time Now) const;
+
+  /// Adds a report. \returns whether it was new.
+  bool addCrash(TargetCrash Crash, absl::Time Now);
+
+  /// The target beside this daemon completed \p Request. \returns whether it
+  /// clears a suspect, which the other daemons have to know.
+  bool addOwnCompletion(model::Fingerprint Request, absl::Time Now);
+  /// Adds what another daemon reported or an operator decided.
+  void addCompletion(model::Fingerprint Request, absl::Time At);
+
+  /// \returns the own completions that clear requests of \p Crash which would
+  /// be suspects without them.
+  [[nodiscard]] std::vector<Completion>
+  completionsAgainst(const TargetCrash &Crash) const;
+
+  /// \returns the completions of all requests that were in flight at a crash.
+  [[nodiscard]] std::vector<Completion> completions() const;
+  /// \returns the crashes that count against \p Request, oldest first.
+  [[nodiscard]] std::vector<const TargetCrash *>
+  crashesOf(model::Fingerprint Request) const;
+  /// \returns the crashes that \p Daemon reported, oldest first.
+  [[nodiscard]] std::vector<const TargetCrash *>
+  crashesBy(const std::string &Daemon) const;
+  /// \returns the requests whose standing is \p Standing.
+  [[nodiscard]] std::vector<model::Fingerprint>
+  requestsOf(RequestStanding Standing, absl::Time Now) const;
+
+  [[nodiscard]] std::size_t crashes() const { return m_Crashes.size(); }
+  [[nodiscard]] std::size_t fingerprints() const { return m_Fingerprints; }
+
+  /// Drops what no longer counts.
+  void expire(absl::Time Now);
+
+private:
+  using CrashNumber = std::uint64_t;
+
+  struct CompletionTime {
+    absl::Time m_At = absl::InfinitePast();
+    bool m_IsOwn = false; ///< Seen by this daemon.
+  };
+
+  [[nodiscard]] bool isKnown(const TargetCrash &Crash) const;
+  [[nodiscard]] bool counts(const TargetCrash &Crash,
+                            model::Fingerprint Request) const;
+  [[nodiscard]] bool isExpired(const TargetCrash &Crash,
+                               model::Fingerprint Request,
+                               absl::Time Now) const;
+  [[nodiscard]] absl::Duration longestRetention() const;
+  [[nodiscard]] std::vector<CrashNumber> oldestFirst() const;
+  template <typename PredicateT>
+  void dropIf(CrashNumber Number, PredicateT IsDropped);
+  void limitFingerprints();
+  void expireCompletions(absl::Time Now);
+
+  Options m_Settings;
+  CrashNumber m_LastCrash = 0;
+  std::map<CrashNumber, TargetCrash> m_Crashes;
+  absl::flat_hash_map<model::Fingerprint, std::vector<CrashNumber>> m_ByRequest;
+  std::size_t m_Fingerprints = 0; ///< Over all crashes.
+  absl::flat_hash_map<model::Fingerprint, CompletionTime> m_Completions;
+  std::deque<Completion> m_RecentCompletions; ///< Oldest first.
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_CRASHEVIDENCE_H
--- /dev/null
+++ b/libs/policy/include/policy/RequestStanding.h
@@ -0,0 +1,32 @@
+#ifndef KNAPWEEDLOFT_POLICY_REQUESTSTANDING_H
+#define KNAPWEEDLOFT_POLICY_REQUESTSTANDING_H
+
+#include "model/NameTable.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace knapweedloft::policy {
+
+/// How a request may be run, by the crashes that it was in flight at.
+enum class RequestStanding : std::uint8_t {
+  Clear,
+  Suspect,    ///< A target runs one such request at a time.
+  Probation,  ///< Its quarantine is over: one target runs it, one at a time.
+  Quarantined ///< No target runs it.
+};
+
+inline constexpr model::NameTable<RequestStanding, 4> RequestStandingNames{
+    {"clear", "suspect", "probation", "quarantined"}};
+
+/// The standing of a request and what it follows from.
+struct RequestJudgement {
+  RequestStanding m_Standing = RequestStanding::Clear;
+  unsigned m_Crashes = 0; ///< That count against the request.
+  absl::Time m_Until = absl::InfinitePast(); ///< End of the quarantine.
+};
+
+} // namespace knapweedloft::policy
+
+#endif // KNAPWEEDLOFT_POLICY_REQUESTSTANDING_H
--- /dev/null
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -0,0 +1,253 @@
+#include "policy/CrashEvidence.h"
+
+#include <algorithm>
+
+namespace knapweedloft::policy {
+
+using model::Fingerprint;
+
+bool CrashEvidence::counts(const TargetCrash &Crash,
+                           Fingerprint Request) const {
+  auto Completed = m_Completions.find(Request);
+  return Completed == m_Completions.end() ||
+         Crash.m_At > Completed->second.m_At + m_Settings.m_CompletionPeriod;
+}
+
+RequestJudgement CrashEvidence::judge(Fingerprint Request,
+                                      absl::Time Now) const {
+  RequestJudgement Found;
+  auto Known = m_ByRequest.find(Request);
+  if (Known == m_ByRequest.end())
+    return Found;
+  absl::Time Latest = absl::InfinitePast();
+  for (CrashNumber Number : Known->second) {
+    const TargetCrash &Crash = m_Crashes.at(Number);
+    if (!counts(Crash, Request))
+      continue;
+    ++Found.m_Crashes;
+    Latest = std::max(Latest, Crash.m_At);
+  }
+  if (Found.m_Crashes < m_Settings.m_SuspectCrashes)
+    return Found;
+  Found.m_Standing = RequestStanding::Suspect;
+  if (Found.m_Crashes < m_Settings.m_QuarantineCrashes)
+    return Found;
+  std::size_t Period =
+      std::min<std::size_t>(Found.m_Crashes - m_Settings.m_QuarantineCrashes,
+                            m_Settings.m_QuarantinePeriods.size() - 1);
+  Found.m_Until = Latest + m_Settings.m_QuarantinePeriods[Period];
+  Found.m_Standing = Now < Found.m_Until ? RequestStanding::Quarantined
+                                         : RequestStanding::Probation;
+  return Found;
+}
+
+std::vector<Fingerprint>
+CrashEvidence::suspectsOf(std::span<const Fingerprint> InFlight,
+                          absl::Time Now) const {
+  std::vector<Fingerprint> Suspects;
+  for (Fingerprint Request : InFlight) {
+    auto Completed = m_Completions.find(Request);
+    bool IsCleared =
+        Completed != m_Completions.end() &&
+        Now <= Completed->second.m_At + m_Settings.m_CompletionPeriod;
+    bool IsListed =
+        std::find(Suspects.begin(), Suspects.end(), Request) != Suspects.end();
+    if (Request != 0 && !IsCleared && !IsListed)
+      Suspects.push_back(Request);
+  }
+  std::stable_partition(
+      Suspects.begin(), Suspects.end(),
+      [this](Fingerprint Request) { return m_ByRequest.contains(Request); });
+  return Suspects;
+}
+
+bool CrashEvidence::isKnown(const TargetCrash &Crash) const {
+  return std::any_of(m_Crashes.begin(), m_Crashes.end(),
+                     [&](const auto &Entry) {
+                       const TargetCrash &Known = Entry.second;
+                       return Known.m_Daemon == Crash.m_Daemon &&
+                              Known.m_Incarnation == Crash.m_Incarnation &&
+                              Known.m_Sequence == Crash.m_Sequence;
+                     });
+}
+
+bool CrashEvidence::addCrash(TargetCrash Crash, absl::Time Now) {
+  if (isKnown(Crash) || Now - Crash.m_At > longestRetention())
+    return false;
+  if (Crash.m_InFlight.size() > m_Settings.m_MaxInFlight)
+    Crash.m_InFlight.resize(m_Settings.m_MaxInFlight);
+  CrashNumber Number = ++m_LastCrash;
+  for (Fingerprint Request : Crash.m_InFlight)
+    m_ByRequest[Request].push_back(Number);
+  m_Fingerprints += Crash.m_InFlight.size();
+  m_Crashes.emplace(Number, std::move(Crash));
+  limitFingerprints();
+  return true;
+}
+
+bool CrashEvidence::addOwnCompletion(Fingerprint Request, absl::Time Now) {
+  expireCompletions(Now);
+  bool ClearsSuspect = judge(Request, Now).m_Standing != RequestStanding::Clear;
+  m_Completions[Request] = {.m_At = Now, .m_IsOwn = true};
+  m_RecentCompletions.emplace_back(Request, Now);
+  return ClearsSuspect;
+}
+
+void CrashEvidence::addCompletion(Fingerprint Request, absl::Time At) {
+  if (Request == 0)
+    return;
+  CompletionTime &Known = m_Completions[Request];
+  if (Known.m_At >= At)
+    return;
+  Known = {.m_At = At};
+  m_RecentCompletions.emplace_back(Request, At);
+}
+
+std::vector<CrashEvidence::Completion>
+CrashEvidence::completionsAgainst(const TargetCrash &Crash) const {
+  std::vector<Completion> Found;
+  for (Fingerprint Request : Crash.m_InFlight) {
+    auto Completed = m_Completions.find(Request);
+    auto Known = m_ByRequest.find(Request);
+    if (Completed == m_Completions.end() || !Completed->second.m_IsOwn ||
+        Known == m_ByRequest.end() ||
+        Known->second.size() < m_Settings.m_SuspectCrashes)
+      continue;
+    bool Clears = std::any_of(Known->second.begin(), Known->second.end(),
+                              [&](CrashNumber Number) {
+                                return !counts(m_Crashes.at(Number), Request);
+                              });
+    if (Clears)
+      Found.emplace_back(Request, Completed->second.m_At);
+  }
+  return Found;
+}
+
+std::vector<CrashEvidence::Completion> CrashEvidence::completions() const {
+  std::vector<Completion> Found;
+  for (const auto &[Request, Numbers] : m_ByRequest) {
+    auto Completed = m_Completions.find(Request);
+    if (Completed != m_Completions.end())
+      Found.emplace_back(Request, Completed->second.m_At);
+  }
+  return Found;
+}
+
+std::vector<const TargetCrash *>
+CrashEvidence::crashesOf(Fingerprint Request) const {
+  std::vector<const TargetCrash *> Found;
+  auto Known = m_ByRequest.find(Request);
+  if (Known == m_ByRequest.end())
+    return Found;
+  for (CrashNumber Number : Known->second)
+    if (const TargetCrash &Crash = m_Crashes.at(Number); counts(Crash, Request))
+      Found.push_back(&Crash);
+  std::sort(Found.begin(), Found.end(),
+            [](const TargetCrash *Left, const TargetCrash *Right) {
+              return Left->m_At < Right->m_At;
+            });
+  return Found;
+}
+
+std::vector<const TargetCrash *>
+CrashEvidence::crashesBy(const std::string &Daemon) const {
+  std::vector<const TargetCrash *> Found;
+  for (CrashNumber Number : oldestFirst())
+    if (const TargetCrash &Crash = m_Crashes.at(Number);
+        Crash.m_Daemon == Daemon)
+      Found.push_back(&Crash);
+  return Found;
+}
+
+std::vector<Fingerprint> CrashEvidence::requestsOf(RequestStanding Standing,
+                                                   absl::Time Now) const {
+  std::vector<Fingerprint> Found;
+  for (const auto &[Request, Numbers] : m_ByRequest)
+    if (judge(Request, Now).m_Standing == Standing)
+      Found.push_back(Request);
+  return Found;
+}
+
+std::vector<CrashEvidence::CrashNumber> CrashEvidence::oldestFirst() const {
+  std::vector<std::pair<absl::Time, CrashNumber>> Sorted;
+  for (const auto &[Number, Crash] : m_Crashes)
+    Sorted.emplace_back(Crash.m_At, Number);
+  std::sort(Sorted.begin(), Sorted.end());
+  std::vector<CrashNumber> Numbers;
+  Numbers.reserve(Sorted.size());
+  for (const auto &[At, Number] : Sorted)
+    Numbers.push_back(Number);
+  return Numbers;
+}
+
+template <typename PredicateT>
+void CrashEvidence::dropIf(CrashNumber Number, PredicateT IsDropped) {
+  TargetCrash &Crash = m_Crashes.at(Number);
+  std::size_t Before = Crash.m_InFlight.size();
+  std::erase_if(Crash.m_InFlight, [&](Fingerprint Request) {
+    if (!IsDropped(Request))
+      return false;
+    std::vector<CrashNumber> &Numbers = m_ByRequest.at(Request);
+    std::erase(Numbers, Number);
+    if (Numbers.empty()) {
+      m_ByRequest.erase(Request);
+      m_Completions.erase(Request);
+    }
+    return true;
+  });
+  m_Fingerprints -= Before - Crash.m_InFlight.size();
+  if (Crash.m_InFlight.empty())
+    m_Crashes.erase(Number);
+}
+
+void CrashEvidence::limitFingerprints() {
+  if (m_Fingerprints <= m_Settings.m_MaxFingerprints)
+    return;
+  // Some room is made at once, as finding the oldest crashes takes long.
+  std::size_t Kept = m_Settings.m_MaxFingerprints / 8 * 7;
+  for (bool IsAnyDropped : {false, true})
+    for (CrashNumber Number : oldestFirst()) {
+      if (m_Fingerprints <= Kept)
+        return;
+      dropIf(Number, [&](Fingerprint Request) {
+        return IsAnyDropped || m_ByRequest.at(Request).size() == 1;
+      });
+    }
+}
+
+absl::Duration CrashEvidence::longestRetention() const {
+  return m_Settings.m_QuarantinePeriods.back() + m_Settings.m_ProbationPeriod;
+}
+
+bool CrashEvidence::isExpired(const TargetCrash &Crash, Fingerprint Request,
+                              absl::Time Now) const {
+  RequestJudgement Found = judge(Request, Now);
+  if (Found.m_Crashes >= m_Settings.m_QuarantineCrashes)
+    return Now - Found.m_Until > m_Settings.m_ProbationPeriod;
+  return Now - Crash.m_At > m_Settings.m_EvidencePeriod;
+}
+
+void CrashEvidence::expireCompletions(absl::Time Now) {
+  while (!m_RecentCompletions.empty() &&
+         (m_RecentCompletions.size() >= m_Settings.m_MaxCompletions ||
+          Now - m_RecentCompletions.front().second >
+              m_Settings.m_CompletionRetention)) {
+    auto [Request, At] = m_RecentCompletions.front();
+    m_RecentCompletions.pop_front();
+    auto Known = m_Completions.find(Request);
+    if (Known != m_Completions.end() && Known->second.m_At == At &&
+        !m_ByRequest.contains(Request))
+      m_Completions.erase(Known);
+  }
+}
+
+void CrashEvidence::expire(absl::Time Now) {
+  expireCompletions(Now);
+  for (CrashNumber Number : oldestFirst()) {
+    const TargetCrash &Crash = m_Crashes.at(Number);
+    dropIf(Number,
+           [&](Fingerprint Request) { return isExpired(Crash, Request, Now); });
+  }
+}
+
+} // namespace knapweedloft::policy
--- /dev/null
+++ b/libs/policy/tests/CrashEvidenceTest.cpp
@@ -0,0 +1,179 @@
+#include "policy/CrashEvidence.h"
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+
+#include <numeric>
+
+namespace knapweedloft::policy {
+namespace {
+
+using model::Fingerprint;
+using testing::ElementsAre;
+using testing::Pair;
+
+constexpr Fingerprint Poison = 500;
+constexpr Fingerprint Popular = 7;
+
+class CrashEvidenceTest : public testing::Test {
+protected:
+  TargetCrash crash(std::vector<Fingerprint> InFlight,
+                    const std::string &Daemon = "a") {
+    return {.m_Daemon = Daemon,
+            .m_Incarnation = 1,
+            .m_Sequence = ++m_Sequence,
+            .m_Instance = "i-1",
+            .m_At = m_Now,
+            .m_InFlight = std::move(InFlight)};
+  }
+
+  void addCrashes(int Count, Fingerprint Request = Poison) {
+    for (int Added = 0; Added < Count; ++Added)
+      EXPECT_TRUE(m_Evidence.addCrash(crash({Request}), m_Now));
+  }
+
+  RequestStanding standing(Fingerprint Request = Poison) const {
+    return m_Evidence.judge(Request, m_Now).m_Standing;
+  }
+
+  absl::Time m_Now = absl::FromUnixSeconds(1'000'000);
+  std::uint32_t m_Sequence = 0;
+  CrashEvidence m_Evidence{{}};
+};
+
+TEST_F(CrashEvidenceTest, Judge_ThirdCrash_QuarantinesRequest) {
+  addCrashes(1);
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+  addCrashes(1);
+  EXPECT_EQ(standing(), RequestStanding::Suspect);
+  addCrashes(1);
+  EXPECT_EQ(standing(), RequestStanding::Quarantined);
+  EXPECT_EQ(m_Evidence.judge(Poison, m_Now).m_Crashes, 3U);
+}
+
+TEST_F(CrashEvidenceTest, Judge_QuarantineEnds_OnProbationThenLonger) {
+  addCrashes(3);
+  m_Now += absl::Minutes(1);
+  EXPECT_EQ(standing(), RequestStanding::Probation);
+  addCrashes(1);
+  m_Now += absl::Minutes(29);
+  EXPECT_EQ(standing(), RequestStanding::Quarantined);
+  m_Now += absl::Minutes(1);
+  EXPECT_EQ(standing(), RequestStanding::Probation);
+  addCrashes(1);
+  m_Now += absl::Hours(23);
+  EXPECT_EQ(standing(), RequestStanding::Quarantined);
+}
+
+TEST_F(CrashEvidenceTest, AddCrash_SameReportTwice_CountsOnce) {
+  TargetCrash Report = crash({Poison});
+  EXPECT_TRUE(m_Evidence.addCrash(Report, m_Now));
+  EXPECT_FALSE(m_Evidence.addCrash(Report, m_Now));
+  addCrashes(1);
+  EXPECT_EQ(standing(), RequestStanding::Suspect);
+}
+
+TEST_F(CrashEvidenceTest, Judge_ReportsInAnyOrder_ConcludesTheSame) {
+  CrashEvidence Other{{}};
+  std::vector<TargetCrash> Reports;
+  for (int Count = 0; Count < 4; ++Count) {
+    Reports.push_back(crash({Poison}));
+    m_Now += absl::Seconds(10);
+  }
+  for (const TargetCrash &Report : Reports)
+    m_Evidence.addCrash(Report, m_Now);
+  std::reverse(Reports.begin(), Reports.end());
+  for (const TargetCrash &Report : Reports)
+    Other.addCrash(Report, m_Now);
+  EXPECT_EQ(m_Evidence.judge(Poison, m_Now).m_Until,
+            Other.judge(Poison, m_Now).m_Until);
+  EXPECT_EQ(Other.judge(Poison, m_Now).m_Crashes, 4U);
+}
+
+TEST_F(CrashEvidenceTest, AddOwnCompletion_OfSuspect_ClearsIt) {
+  addCrashes(2);
+  EXPECT_TRUE(m_Evidence.addOwnCompletion(Poison, m_Now));
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+  // Only later crashes count again.
+  m_Now += absl::Seconds(3);
+  addCrashes(2);
+  EXPECT_EQ(standing(), RequestStanding::Suspect);
+}
+
+TEST_F(CrashEvidenceTest, SuspectsOf_CompletedShortlyBefore_AreLeftOut) {
+  m_Evidence.addOwnCompletion(Popular, m_Now);
+  m_Now += absl::Seconds(1);
+  const std::vector<Fingerprint> InFlight = {Popular, Poison, Poison, 0};
+  EXPECT_THAT(m_Evidence.suspectsOf(InFlight, m_Now), ElementsAre(Poison));
+  m_Now += absl::Seconds(2);
+  EXPECT_THAT(m_Evidence.suspectsOf(InFlight, m_Now),
+              ElementsAre(Popular, Poison));
+}
+
+TEST_F(CrashEvidenceTest, SuspectsOf_KnownSuspect_ComesFirst) {
+  addCrashes(1);
+  const std::vector<Fingerprint> InFlight = {1, 2, Poison};
+  EXPECT_THAT(m_Evidence.suspectsOf(InFlight, m_Now),
+              ElementsAre(Poison, 1, 2));
+}
+
+TEST_F(CrashEvidenceTest, AddCompletion_OlderThanKnown_IsIgnored) {
+  addCrashes(3);
+  m_Evidence.addCompletion(Poison, m_Now);
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+  m_Evidence.addCompletion(Poison, m_Now - absl::Minutes(1));
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+}
+
+TEST_F(CrashEvidenceTest, CompletionsAgainst_OwnCompletionClears_IsReturned) {
+  addCrashes(1, Popular);
+  m_Evidence.addOwnCompletion(Popular, m_Now);
+  m_Now += absl::Seconds(1);
+  TargetCrash Second = crash({Popular, Poison}, "b");
+  m_Evidence.addCrash(Second, m_Now);
+  EXPECT_THAT(m_Evidence.completionsAgainst(Second),
+              ElementsAre(Pair(Popular, m_Now - absl::Seconds(1))));
+}
+
+TEST_F(CrashEvidenceTest, Expire_SingleCrash_IsForgottenAfterAnHour) {
+  addCrashes(1);
+  m_Now += absl::Minutes(61);
+  m_Evidence.expire(m_Now);
+  EXPECT_EQ(m_Evidence.crashes(), 0U);
+  EXPECT_EQ(m_Evidence.fingerprints(), 0U);
+}
+
+TEST_F(CrashEvidenceTest, Expire_EndedQuarantine_IsRemembered) {
+  addCrashes(3);
+  m_Now += absl::Hours(5);
+  m_Evidence.expire(m_Now);
+  EXPECT_EQ(standing(), RequestStanding::Probation);
+  m_Now += absl::Hours(24 * 8);
+  m_Evidence.expire(m_Now);
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+}
+
+TEST_F(CrashEvidenceTest, AddCrash_ManyDifferentRequests_KeepsOnlySuspects) {
+  addCrashes(2);
+  Fingerprint Next = 10'000;
+  for (int Count = 0; Count < 200; ++Count) {
+    std::vector<Fingerprint> InFlight(1000);
+    std::iota(InFlight.begin(), InFlight.end(), Next);
+    Next += 1000;
+    m_Evidence.addCrash(crash(InFlight), m_Now);
+    m_Now += absl::Milliseconds(10);
+  }
+  EXPECT_LE(m_Evidence.fingerprints(), 16'384U);
+  EXPECT_EQ(standing(), RequestStanding::Suspect);
+}
+
+TEST_F(CrashEvidenceTest, AddOwnCompletion_ManyDifferentRequests_StaysBounded) {
+  CrashEvidence Small{{.m_MaxCompletions = 100}};
+  for (Fingerprint Request = 1; Request < 1000; ++Request)
+    Small.addOwnCompletion(Request, m_Now);
+  const std::vector<Fingerprint> InFlight = {1, 999};
+  EXPECT_THAT(Small.suspectsOf(InFlight, m_Now), ElementsAre(1));
+}
+
+} // namespace
+} // namespace knapweedloft::policy
