Soak: send requests that crash their targets

Two requests, sent over and over among the others, crash each target that runs them; more than three runs later than 3 s after the third crash, sent by daemons in touch, are a breach.

--- a/tools/soak/include/soak/PromiseChecker.h
+++ b/tools/soak/include/soak/PromiseChecker.h
@@ -27,6 +27,8 @@
     std::string m_Customer;
     bool m_MayRepeat = false;
     std::size_t m_AnswerBytes = 0;
+    /// The daemon that it is sent to has run undisturbed for a while.
+    bool m_IsInTouch = false;
   };
 
   /// A customer's limit; 0: none.
@@ -47,6 +49,12 @@
   /// A target began to work on a request.
   void onRun(const std::string &CallId, const std::string &Target,
              absl::Time Now);
+  /// A target crashes by a run of this request. \p Name is the same for all
+  /// requests that are the same.
+  void onCrash(const std::string &Name, const std::string &CallId,
+               absl::Time Now);
+  /// What no store has taken of crashes is lost with the daemons.
+  void onAllDaemonsKilled() { m_Crashes.clear(); }
   /// The caller of a request has a whole answer.
   void onAnswer(const std::string &CallId, const http::HttpResponse &Answer,
                 absl::Time Now);
@@ -68,12 +76,19 @@
     int m_Status = 0; ///< Of the answer; 0: none yet.
   };
 
+  struct Crashes {
+    unsigned m_Count = 0;
+    absl::Time m_Third;
+    unsigned m_Late = 0; ///< Runs long after the third crash.
+  };
+
   void checkRate(const std::string &Customer, absl::Time Now);
 
   std::function<void(const std::string &)> m_OnBreach;
   absl::flat_hash_map<std::string, State> m_States;
   absl::flat_hash_map<std::string, Rate> m_Rates;
   absl::flat_hash_map<std::string, std::deque<absl::Time>> m_Taken;
+  absl::flat_hash_map<std::string, Crashes> m_Crashes;
   std::uint64_t m_Breaches = 0;
   std::uint64_t m_Answered = 0;
   std::uint64_t m_Succeeded = 0;
--- a/tools/soak/include/soak/SoakTarget.h
+++ b/tools/soak/include/soak/SoakTarget.h
@@ -17,6 +17,9 @@
 
 namespace knapweedloft::soak {
 
+/// Requests for paths that begin so crash every target that runs them.
+inline constexpr std::string_view CrashingPathPrefix = "/reads/crash-";
+
 /// A target by the users' page: runs so many requests at once, queues a few,
 /// says what it did not run, reports to the daemon beside it, crashes and comes
 /// back as another instance. Belongs to the thread of the loop.
--- a/tools/soak/src/Faults.cpp
+++ b/tools/soak/src/Faults.cpp
@@ -46,6 +46,7 @@
                    At.name(), absl::ToDoubleSeconds(For)));
   switch (Kind) {
   case FaultKind::KillAllDaemons:
+    m_Checker.onAllDaemonsKilled();
     for (auto &One : m_Vms)
       injectAtDaemon(FaultKind::KillDaemon, *One, For, Now);
     return;
--- a/tools/soak/src/PromiseChecker.cpp
+++ b/tools/soak/src/PromiseChecker.cpp
@@ -17,6 +17,11 @@
 constexpr double RateOver = 1.1;
 constexpr double RateSlack = 20;
 
+/// The users' rules: three retries later than this after the third crash.
+constexpr unsigned CountedCrashes = 3;
+constexpr absl::Duration StabilityWindow = absl::Seconds(3);
+constexpr unsigned MaxLateRuns = 3;
+
 /// \returns whether a status promises that the request never runs.
 bool isPromise(int Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
@@ -52,6 +57,20 @@
     checkRate(Of.m_Request.m_Customer, Now);
 }
 
+void PromiseChecker::onCrash(const std::string &Name, const std::string &CallId,
+                             absl::Time Now) {
+  Crashes &Of = m_Crashes[Name];
+  if (++Of.m_Count == CountedCrashes)
+    Of.m_Third = Now;
+  bool IsLate = Of.m_Count > CountedCrashes &&
+                Now > Of.m_Third + StabilityWindow &&
+                m_States[CallId].m_Request.m_IsInTouch;
+  if (IsLate && ++Of.m_Late > MaxLateRuns)
+    breach(fmt::format("id={} is the same request as {} others that crashed "
+                       "their targets",
+                       CallId, Of.m_Count - 1));
+}
+
 void PromiseChecker::checkRate(const std::string &Customer, absl::Time Now) {
   auto Limit = m_Rates.find(Customer);
   if (Limit == m_Rates.end() || Limit->second.m_PerSecond <= 0)
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -162,6 +162,10 @@
       1 / absl::ToDoubleSeconds(m_Settings.m_MeanRun));
   http::ExchangeId Id = Next.m_Id;
   m_Running.emplace(Id, Next);
+  if (Next.m_Request.m_Path.starts_with(CrashingPathPrefix)) {
+    m_Checker.onCrash(Next.m_Request.m_Path, Next.m_CallId, io::monotonicNow());
+    return later(m_Life, absl::ZeroDuration(), [this] { crash(); });
+  }
   later(m_Life, absl::Seconds(Length(m_Random)), [this, Id] { finish(Id); });
 }
 
--- a/tools/soak/src/Traffic.cpp
+++ b/tools/soak/src/Traffic.cpp
@@ -30,6 +30,10 @@
 constexpr double HotPart = 0.5;
 /// Failed requests that partners' software sends again without a pause.
 constexpr double ResentPart = 0.5;
+/// Of all requests those that crash their targets; they are two, sent over and
+/// over.
+constexpr double CrashingPart = 0.004;
+constexpr absl::Duration StabilityWindow = absl::Seconds(3);
 
 } // namespace
 
@@ -57,6 +61,12 @@
   double Turn = draw(0, 1);
   Asked Next;
   Next.m_Vm = Vm;
+  if (draw(0, 1) < CrashingPart) {
+    Next.m_Request = {.m_Customer = "acme", .m_MayRepeat = true};
+    return send(std::move(Next), "GET",
+                fmt::format("{}{}", CrashingPathPrefix, m_LastCall % 2),
+                "acme-key");
+  }
   std::string Route = Turn < ReadsPart                ? "reads"
                       : Turn < ReadsPart + OrdersPart ? "orders"
                                                       : "lookups";
@@ -77,6 +87,8 @@
       fmt::format("s{}-{}", m_Settings.m_Seed, ++m_LastCall);
   Next.m_Sent = Now;
   Next.m_End = Now + Wait;
+  Next.m_Request.m_IsInTouch =
+      m_Vms[Next.m_Vm]->wasCalm(Now - StabilityWindow, Now);
   m_Checker.onSent(Next.m_Request, Now);
   http::HttpRequest Request;
   Request.m_Method = Method;
--- a/tools/soak/tests/PromiseCheckerTest.cpp
+++ b/tools/soak/tests/PromiseCheckerTest.cpp
@@ -70,6 +70,16 @@
   EXPECT_EQ(m_Lines.size(), 2U);
 }
 
+TEST_F(PromiseCheckerTest, OnCrash_FourthLateRun_IsABreach) {
+  for (int Count = 0; Count < 8; ++Count) {
+    std::string Id = std::to_string(Count);
+    m_Checker.onSent({.m_CallId = Id, .m_IsInTouch = true}, m_Now);
+    m_Checker.onCrash("poison", Id, m_Now);
+    m_Now += absl::Seconds(4);
+    EXPECT_EQ(m_Lines.size(), Count < 6 ? 0U : Count - 5U);
+  }
+}
+
 TEST_F(PromiseCheckerTest, OnRun_NobodySentIt_IsABreach) {
   m_Checker.onRun("x", "t", m_Now);
   EXPECT_EQ(m_Lines.size(), 1U);
