Tell of a caller's end only after the call that found it

What callers saw: a daemon ended by itself with "raw_hash_map<>::at" when many of its connections were reset at once, and with it all that it held.

Cause: LoopServer::answer closes a connection whose peer has reset it, and ran m_OnGone for the other requests on it inside the call. EntryPath then forgot a request while it went through a list of them, though hooks may not call back.

Evidence: LoopTest.Server_CallerResetsDuringAnswer_* failed before (the hook had run once when answer() returned) and passes now: the hook runs from the loop.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -34,7 +34,8 @@
     /// \p From is the peer's IP number.
     std::function<void(ExchangeId, ParsedMessage, const std::string &From)>
         m_OnRequest;
-    /// The peer is gone and the request, not answered yet, with it.
+    /// The peer is gone and the request, not answered yet, with it. Never runs
+    /// inside a call of the server.
     std::function<void(ExchangeId)> m_OnGone;
   };
 
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -228,8 +228,12 @@
     if (Open.m_Answer)
       continue;
     --m_Pending;
-    if (m_Settings.m_Hooks.m_OnGone)
-      m_Settings.m_Hooks.m_OnGone({Id, Open.m_Sequence});
+    // Not at once: this may run inside a call of answer().
+    m_Loop.post(
+        [this, Gone = ExchangeId{Id, Open.m_Sequence}, IsAlive = m_IsAlive] {
+          if (*IsAlive && m_Settings.m_Hooks.m_OnGone)
+            m_Settings.m_Hooks.m_OnGone(Gone);
+        });
   }
 }
 
--- a/libs/http/tests/LoopTest.cpp
+++ b/libs/http/tests/LoopTest.cpp
@@ -135,6 +135,22 @@
   });
 }
 
+// Guards against a daemon ended by a caller that resets while it is answered.
+TEST_F(LoopTest, Server_CallerResetsDuringAnswer_TellsOnlyAfterwards) {
+  m_AwaitedRequests = 2;
+  serve(nullptr);
+  RawSocket Caller = RawSocket::connectTo(m_Server->port());
+  Caller.sendAll("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+  m_Arrived.WaitForNotification();
+  onLoop([&] {
+    Caller.reset();
+    m_Server->answer(m_Ids[0], {});
+    EXPECT_EQ(m_Gone, 0);
+  });
+  m_Left.WaitForNotification();
+  EXPECT_EQ(m_Gone, 1);
+}
+
 TEST_F(LoopTest, Server_BrokenRequest_IsRefusedAndClosed) {
   serve([](const ParsedMessage &) { return HttpResponse{}; });
   RawSocket Caller = RawSocket::connectTo(m_Server->port());
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -56,6 +56,13 @@
     return ntohs(Address.sin_port);
   }
 
+  /// Closes the connection with a reset.
+  void reset() {
+    linger AtOnce{.l_onoff = 1, .l_linger = 0};
+    setsockopt(m_Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+    closeNow();
+  }
+
   bool sendAll(std::string_view Bytes) const {
     while (!Bytes.empty()) {
       ssize_t Sent = send(m_Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
