--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -3,6 +3,7 @@
 #include "TestSite.h"
 #include "model/Ran.h"
 
+#include "absl/time/clock.h"
 #include "gtest/gtest.h"
 
 #include <deque>
@@ -65,6 +66,12 @@
     Options.m_Hooks.m_RouteRunningUntil = [this](absl::Time) {
       return m_Running;
     };
+    Options.m_Hooks.m_Judge = [this](model::Fingerprint Request, absl::Time) {
+      return Request == m_Crashing ? m_Judgement : policy::RequestJudgement{};
+    };
+    Options.m_Hooks.m_DescribeCrashes = [](model::Fingerprint, absl::Time) {
+      return std::string("vm1/i-1 2.0s ago");
+    };
     return Options;
   }
 
@@ -122,8 +129,13 @@
   }
 
   absl::Time m_Now = absl::FromUnixSeconds(1000);
-  telemetry::EventLog m_Log{
-      {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
+  std::string m_LogText;
+  telemetry::EventLog m_Log{{.m_Sink = [this](std::string_view Text) {
+    m_LogText += Text;
+    return Text.size();
+  }}};
+  model::Fingerprint m_Crashing = 0;
+  policy::RequestJudgement m_Judgement;
   std::vector<PeerTarget> m_Targets{target("d1", 11), target("d2", 12)};
   std::deque<Sent> m_Sent;
   std::vector<Answered> m_Answers;
@@ -172,6 +184,65 @@
   EXPECT_EQ(m_Answers[0].m_Status, 503);
 }
 
+TEST_F(EntryPathTest, OnRequest_SameRequest_HasSameFingerprint) {
+  request("/reads/1");
+  request("/reads/1", {{"Call-Id", "c2"}, {"Time-Left", "500"}});
+  request("/reads/2");
+  request("/reads/1?part=2");
+  ASSERT_EQ(m_Sent.size(), 4U);
+  auto PrintOf = [this](std::size_t Index) {
+    return m_Sent[Index].m_Message.fingerprint;
+  };
+  EXPECT_NE(PrintOf(0), 0U);
+  EXPECT_EQ(PrintOf(0), PrintOf(1));
+  EXPECT_NE(PrintOf(0), PrintOf(2));
+  EXPECT_NE(PrintOf(0), PrintOf(3));
+}
+
+TEST_F(EntryPathTest, OnRequest_Quarantined_IsRefusedAtOnceWithCause) {
+  request("/reads/1");
+  m_Crashing = m_Sent[0].m_Message.fingerprint;
+  m_Judgement = {.m_Standing = policy::RequestStanding::Quarantined,
+                 .m_Crashes = 3,
+                 .m_Until = m_Now + absl::Seconds(40)};
+  request("/reads/1");
+  EXPECT_EQ(m_Sent.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 422);
+  EXPECT_EQ(m_Answers[0].m_Body,
+            R"({"reason":"quarantined","ran":"no","detail":)"
+            R"("3 targets crashed while they ran this request"})");
+  m_Log.flush(absl::Now());
+  std::size_t Line = m_LogText.find("entry: Request is quarantined. id=c1 ");
+  ASSERT_NE(Line, std::string::npos);
+  EXPECT_NE(m_LogText.find("decided_by=\"vm1/i-1 2.0s ago\"", Line),
+            std::string::npos);
+}
+
+TEST_F(EntryPathTest, OnAnswer_QuarantinedWhileItRan_IsNotRetried) {
+  request("/reads/1");
+  m_Crashing = m_Sent[0].m_Message.fingerprint;
+  m_Judgement.m_Standing = policy::RequestStanding::Quarantined;
+  refuse(0, RefusalReason::BadAnswer, Ran::Unknown, true);
+  EXPECT_EQ(m_Sent.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 504);
+}
+
+TEST_F(EntryPathTest, OnAnswer_RefusedOnProbation_IsOfferedToOneTargetOnly) {
+  request("/reads/1");
+  m_Crashing = m_Sent[0].m_Message.fingerprint;
+  m_Judgement.m_Standing = policy::RequestStanding::Probation;
+  request("/reads/1");
+  request("/reads/1");
+  ASSERT_EQ(m_Sent.size(), 3U);
+  EXPECT_EQ(m_Sent[1].m_To, m_Sent[2].m_To);
+  refuse(1, RefusalReason::Quarantined, Ran::No, false);
+  EXPECT_EQ(m_Sent.size(), 3U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 422);
+}
+
 TEST_F(EntryPathTest, OnRequest_OverTheRate_Is429WithRetryAfter) {
   for (int Index = 0; Index < 3; ++Index)
     request("/reads/1", {{"Authorization", "Key other"}});
