Bound the completions in the record of crashes; log what a target side refuses

Found on reading the diff: the record of a daemon listed the completions of every request that was in flight at any crash, up to 1 MB where the store takes 256 KB, so that a write could have been refused for good. Now those of requests in flight at several crashes, 1,024 at most. A target side that knows of a quarantine before the entry side logs its own line with the request's id. A request on probation whose target cannot be reached is never called "not run" after it may have run.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -195,6 +195,7 @@
   void retry(PendingId Id, const char *Cause, absl::Time Now);
   void relay(PendingId Id, wire::AnswerT &Answer, absl::Time Now);
   void end(PendingId Id, const Refusal &Why, absl::Time Now);
+  void endQuarantined(PendingId Id, absl::Time Now);
   void refuse(http::ExchangeId Id, const Pending &Refused, const Refusal &Why,
               absl::Time Now);
   void logQuarantined(const Pending &Refused, absl::Time Now) const;
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -192,6 +192,8 @@
                                                   absl::Time Now) const;
   [[nodiscard]] policy::RequestJudgement judge(const wire::ForwardT &Message,
                                                absl::Time Now) const;
+  void logQuarantine(const wire::ForwardT &Message, model::RefusalReason Reason,
+                     absl::Time Now) const;
   /// Marks a run as the only one of a suspected request. \returns false after
   /// refusing it.
   [[nodiscard]] bool beginSuspect(JobId Id, absl::Time Now);
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -94,10 +94,7 @@
       (Answer && Answer->refusal ==
                      static_cast<std::uint8_t>(RefusalReason::Quarantined));
   if (IsQuarantined && !HasArrived) {
-    end(Id,
-        {Request.m_MayHaveRun ? RefusalReason::OutcomeUnknown
-                              : RefusalReason::Quarantined},
-        Now);
+    endQuarantined(Id, Now);
     return;
   }
   if (!HasArrived) {
@@ -187,6 +184,13 @@
   forget(Id);
 }
 
+void EntryPath::endQuarantined(PendingId Id, absl::Time Now) {
+  end(Id,
+      {m_Pending.at(Id).m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                                     : RefusalReason::Quarantined},
+      Now);
+}
+
 void EntryPath::refuse(http::ExchangeId Id, const Pending &Refused,
                        const Refusal &Why, absl::Time Now) {
   ++m_Counts.m_RefusedByReason[static_cast<std::size_t>(Why.m_Reason)];
@@ -207,7 +211,7 @@
   if (Why.m_Reason == RefusalReason::Quarantined) {
     logQuarantined(Refused, Now);
     Body = fmt::format(
-        R"({{"reason":"{}","ran":"{}","detail":"{} targets crashed while they ran this request"}})",
+        R"({{"reason":"{}","ran":"{}","detail":"targets crashed while they ran this request: {} are known"}})",
         Reason, DidRun, judge(Refused, Now).m_Crashes);
   }
   m_Log.notable(
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -284,7 +284,10 @@
     if (auto Target = State.m_Chooser.find(Daemons[Owner.front()]))
       if (forward(Id, Request, State, *Target, Now))
         return;
-  end(Id, {RefusalReason::NoTarget}, Now);
+  end(Id,
+      {Request.m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                            : RefusalReason::NoTarget},
+      Now);
 }
 
 void EntryPath::dispatch(PendingId Id, absl::Time Now) {
@@ -293,10 +296,7 @@
   if (Standing == RequestStanding::Probation)
     return dispatchOnProbation(Id, Now);
   if (Standing == RequestStanding::Quarantined)
-    return end(Id,
-               {Request.m_MayHaveRun ? RefusalReason::OutcomeUnknown
-                                     : RefusalReason::Quarantined},
-               Now);
+    return endQuarantined(Id, Now);
   ServiceState &State = serviceOf(Request.m_Service, Now);
   while (true) {
     auto Target = State.m_Chooser.choose({.m_Excluded = Request.m_Excluded},
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -19,6 +19,7 @@
 
 /// A record of the store holds 256 KB.
 constexpr std::size_t MaxStoredFingerprints = 8'192;
+constexpr std::size_t MaxStoredCompletions = 1'024;
 constexpr std::size_t MaxDescribedCrashes = 5;
 constexpr absl::Duration ExpiryInterval = absl::Minutes(1);
 /// Bounds ages that other processes tell.
@@ -237,7 +238,10 @@
          {"at_ms", absl::ToUnixMillis(Wall - (Now - Crash->m_At))},
          {"in_flight", std::move(InFlight)}});
   }
-  for (const auto &[Request, At] : m_Evidence.completions())
+  std::vector<CrashEvidence::Completion> Completions = m_Evidence.completions();
+  if (Completions.size() > MaxStoredCompletions)
+    Completions.resize(MaxStoredCompletions);
+  for (const auto &[Request, At] : Completions)
     Text["completed"].push_back(
         {{"request", fmt::format("{:016x}", Request)},
          {"at_ms", absl::ToUnixMillis(Wall - (Now - At))}});
--- a/libs/mesh/src/TargetCrashes.cpp
+++ b/libs/mesh/src/TargetCrashes.cpp
@@ -2,6 +2,8 @@
 // quarantine of requests.
 #include "mesh/TargetPath.h"
 
+#include "fmt/format.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -41,6 +43,20 @@
   return RefusalReason::Quarantined;
 }
 
+void TargetPath::logQuarantine(const wire::ForwardT &Message,
+                               RefusalReason Reason, absl::Time Now) const {
+  if (Reason == RefusalReason::None)
+    return;
+  policy::RequestJudgement Found = judge(Message, Now);
+  m_Log.notable(
+      "Request not run for its crashes.",
+      {{"id", Message.call_id},
+       {"reason", model::RefusalReasonNames.nameOf(Reason)},
+       {"request", fmt::format("{:016x}", Message.fingerprint)},
+       {"standing", policy::RequestStandingNames.nameOf(Found.m_Standing)},
+       {"crashes", Found.m_Crashes}});
+}
+
 bool TargetPath::beginSuspect(JobId Id, absl::Time Now) {
   PendingRequest &Next = m_Pending.at(Id);
   RefusalReason Reason = quarantineOf(Next.m_Message, Now);
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -67,8 +67,10 @@
   ++m_Counts.m_Forwards;
   model::ForwardId Id = app::fromWire(Message.id);
   RefusalReason Reason = validate(Message);
-  if (Reason == RefusalReason::None)
+  if (Reason == RefusalReason::None) {
     Reason = quarantineOf(Message, Now);
+    logQuarantine(Message, Reason, Now);
+  }
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ClosedRetryAfter);
     return;
--- a/libs/policy/include/policy/CrashEvidence.h
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -86,7 +86,8 @@
   [[nodiscard]] std::vector<Completion>
   completionsAgainst(const TargetCrash &Crash) const;
 
-  /// \returns the completions of all requests that were in flight at a crash.
+  /// \returns the completions of requests that were in flight at several
+  /// crashes.
   [[nodiscard]] std::vector<Completion> completions() const;
   /// \returns the crashes that count against \p Request, oldest first.
   [[nodiscard]] std::vector<const TargetCrash *>
--- a/libs/policy/src/CrashEvidence.cpp
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -127,7 +127,8 @@
   std::vector<Completion> Found;
   for (const auto &[Request, Numbers] : m_ByRequest) {
     auto Completed = m_Completions.find(Request);
-    if (Completed != m_Completions.end())
+    if (Completed != m_Completions.end() &&
+        Numbers.size() >= m_Settings.m_SuspectCrashes)
       Found.emplace_back(Request, Completed->second.m_At);
   }
   return Found;
