Send a request on probation back when its target takes no requests

What callers saw: a request whose quarantine had ended was answered 422, which is final, where the one target that may run it was closed at that moment.

Cause: every refusal of a request on probation was taken for a quarantine. Found on reading the diff.

--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -88,16 +88,17 @@
   bool DidNotRun = Answer && static_cast<Ran>(Answer->ran) == Ran::No;
   bool HasArrived = !DidNotRun || Answer->status != 0;
   Request.m_Excluded.push_back(Request.m_Target);
-  // A request on probation is offered to one target only.
   bool IsQuarantined =
-      judge(Request, Now).m_Standing == RequestStanding::Probation ||
-      (Answer && Answer->refusal ==
-                     static_cast<std::uint8_t>(RefusalReason::Quarantined));
+      Answer &&
+      Answer->refusal == static_cast<std::uint8_t>(RefusalReason::Quarantined);
   if (IsQuarantined && !HasArrived) {
     endQuarantined(Id, Now);
     return;
   }
-  if (!HasArrived) {
+  // A request on probation is offered to one target only.
+  bool IsOnProbation =
+      judge(Request, Now).m_Standing == RequestStanding::Probation;
+  if (!HasArrived && !IsOnProbation) {
     ++m_Counts.m_Reroutes;
     if (++Request.m_Refusals < m_Options.m_MaxRefusals &&
         Now < Request.m_CompleteBy) {
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -243,6 +243,19 @@
   EXPECT_EQ(m_Answers[0].m_Status, 422);
 }
 
+// Guards against a final answer to a request that may run a moment later.
+TEST_F(EntryPathTest, OnAnswer_ProbationTargetClosed_Is503WithRetryAfter) {
+  request("/reads/1");
+  m_Crashing = m_Sent[0].m_Message.fingerprint;
+  m_Judgement.m_Standing = policy::RequestStanding::Probation;
+  request("/reads/1");
+  refuse(1, RefusalReason::NoTarget, Ran::No, false);
+  EXPECT_EQ(m_Sent.size(), 2U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+  EXPECT_NE(m_Answers[0].m_Lines.find("Retry-After: "), std::string::npos);
+}
+
 TEST_F(EntryPathTest, OnRequest_OverTheRate_Is429WithRetryAfter) {
   for (int Index = 0; Index < 3; ++Index)
     request("/reads/1", {{"Authorization", "Key other"}});
