Report a crash that one silent connection hides

What callers saw: nothing yet; found on reading the diff. A target that crashes while one of its connections has gone silent looks alive, as a run from before goes on, so the requests in flight were forgotten and the crash not counted.

Runs that broke are now kept until the target answers; if another instance takes its place first, they were in flight at a crash.

Evidence: TargetPathTest.OnReport_NewInstanceAfterRunsBroke_* reported only the silent run before (102 of 101 and 102).

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -244,8 +244,8 @@
   JobId m_SuspectJob = 0; ///< The running job of a suspected request; 0: none.
   std::optional<BrokenRuns> m_Broken;
   std::deque<HeldAnswer> m_HeldAnswers; ///< Of crashes that were reported.
-  /// Runs that timed out or were cancelled since the target last answered. A
-  /// target that crashes without closing its connections leaves only these.
+  /// Runs that broke, timed out or were cancelled since the target last
+  /// answered. They were in flight if another instance takes its place.
   std::deque<model::Fingerprint> m_Unanswered;
   TargetCounts m_Counts;
 };
--- a/libs/mesh/src/TargetCrashes.cpp
+++ b/libs/mesh/src/TargetCrashes.cpp
@@ -106,14 +106,11 @@
       });
   if (IsGone)
     return concludeBrokenRuns(true, Now);
-  if (IsStillRunning)
-    return concludeBrokenRuns(false, Now);
-  if (Now > m_Broken->m_Since + m_Options.m_CrashConfirmTimeout) {
-    std::vector<model::Fingerprint> InFlight = m_Broken->m_InFlight;
-    concludeBrokenRuns(false, Now);
-    for (model::Fingerprint Request : InFlight)
+  if (IsStillRunning ||
+      Now > m_Broken->m_Since + m_Options.m_CrashConfirmTimeout) {
+    for (model::Fingerprint Request : m_Broken->m_InFlight)
       onRunUnanswered(Request);
-    return;
+    return concludeBrokenRuns(false, Now);
   }
   bool IsFirstCheck = !std::exchange(m_Broken->m_IsChecked, true);
   if (!m_IsChecking && (IsFirstCheck || Now >= m_NextCheck))
@@ -136,9 +133,9 @@
 void TargetPath::concludeBrokenRuns(bool IsCrash, absl::Time Now) {
   BrokenRuns Broken = std::move(*m_Broken);
   m_Broken.reset();
-  m_Unanswered.clear();
   absl::Time ReleaseAt = Now;
   if (IsCrash) {
+    m_Unanswered.clear();
     ++m_Counts.m_Crashes;
     ReleaseAt += m_Options.m_CrashReportTime;
     m_Options.m_Hooks.m_OnCrash(Broken.m_Instance, Broken.m_InFlight, Now);
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -295,6 +295,22 @@
   EXPECT_TRUE(m_Crashes.empty());
 }
 
+// Guards against a crash that one silent connection hides.
+TEST_F(TargetPathTest, OnReport_NewInstanceAfterRunsBroke_ReportsCrash) {
+  reportCrashes();
+  forward(1);
+  forward(2);
+  finish(0, http::Failure::Cut);
+  tick(3);
+  EXPECT_TRUE(m_Crashes.empty());
+  TargetReport Restarted = report(1);
+  Restarted.m_Instance = "i-2";
+  Restarted.m_StartTimeMs = 9;
+  m_Path.onReport(Restarted, m_Now);
+  ASSERT_EQ(m_Crashes.size(), 1U);
+  EXPECT_EQ(m_Crashes[0].second, (std::vector<model::Fingerprint>{101, 102}));
+}
+
 TEST_F(TargetPathTest, OnResult_RunsBreakAndTargetIsHealthy_IsNoCrash) {
   reportCrashes();
   forward(1);
