Count a request once for each crash, however often a report lists it

What callers saw: nothing yet; found on reading the diff. One report that lists a fingerprint three times, from a damaged or foreign record of the store, would have quarantined that request, and its expiry would have ended the daemon ("raw_hash_map<>::at").

Evidence: CrashEvidenceTest.AddCrash_RequestListedTwice_* failed before. Local reports had no doubles; reports of others were taken as they came.

--- a/libs/policy/src/CrashEvidence.cpp
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -1,11 +1,25 @@
 #include "policy/CrashEvidence.h"
 
+#include "absl/container/flat_hash_set.h"
+
 #include <algorithm>
 
 namespace knapweedloft::policy {
 
 using model::Fingerprint;
 
+namespace {
+
+/// Keeps the first of equal fingerprints, and none that is unknown.
+void keepDistinct(std::vector<Fingerprint> &Requests) {
+  absl::flat_hash_set<Fingerprint> Seen;
+  std::erase_if(Requests, [&Seen](Fingerprint Request) {
+    return Request == 0 || !Seen.insert(Request).second;
+  });
+}
+
+} // namespace
+
 bool CrashEvidence::counts(const TargetCrash &Crash,
                            Fingerprint Request) const {
   auto Completed = m_Completions.find(Request);
@@ -50,11 +64,10 @@
     bool IsCleared =
         Completed != m_Completions.end() &&
         Now <= Completed->second.m_At + m_Settings.m_CompletionPeriod;
-    bool IsListed =
-        std::find(Suspects.begin(), Suspects.end(), Request) != Suspects.end();
-    if (Request != 0 && !IsCleared && !IsListed)
+    if (!IsCleared)
       Suspects.push_back(Request);
   }
+  keepDistinct(Suspects);
   std::stable_partition(
       Suspects.begin(), Suspects.end(),
       [this](Fingerprint Request) { return m_ByRequest.contains(Request); });
@@ -74,6 +87,7 @@
 bool CrashEvidence::addCrash(TargetCrash Crash, absl::Time Now) {
   if (isKnown(Crash) || Now - Crash.m_At > longestRetention())
     return false;
+  keepDistinct(Crash.m_InFlight);
   if (Crash.m_InFlight.size() > m_Settings.m_MaxInFlight)
     Crash.m_InFlight.resize(m_Settings.m_MaxInFlight);
   CrashNumber Number = ++m_LastCrash;
--- a/libs/policy/tests/CrashEvidenceTest.cpp
+++ b/libs/policy/tests/CrashEvidenceTest.cpp
@@ -73,6 +73,17 @@
   EXPECT_EQ(standing(), RequestStanding::Suspect);
 }
 
+// Guards against one malformed report that quarantines a request.
+TEST_F(CrashEvidenceTest, AddCrash_RequestListedTwice_CountsOnce) {
+  EXPECT_TRUE(
+      m_Evidence.addCrash(crash({Poison, Poison, 0, Poison, 0}), m_Now));
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+  EXPECT_EQ(m_Evidence.fingerprints(), 1U);
+  m_Now += absl::Hours(2);
+  m_Evidence.expire(m_Now);
+  EXPECT_EQ(m_Evidence.fingerprints(), 0U);
+}
+
 TEST_F(CrashEvidenceTest, Judge_ReportsInAnyOrder_ConcludesTheSame) {
   CrashEvidence Other{{}};
   std::vector<TargetCrash> Reports;
