Judge crashes by their times, not by when their reports are read

What callers saw: nothing yet; found on reading the diff. Live daemons forget a crash after an hour, but the records in the store keep it. In the same way a request that was released or completed came back into quarantine, as the completion was forgotten before the crashes.

Crashes now count only in a chain without a gap of an hour, whenever they are read; the completion that cleared them is kept as long as they are, and what is told to peers is also written to the store.

Evidence: CrashEvidenceTest.Judge_OldCrashesFarApart_* (6 crashes counted, 0 expected) and Expire_ClearedRequest_* (quarantined again) failed before.

--- a/libs/mesh/include/mesh/RequestQuarantine.h
+++ b/libs/mesh/include/mesh/RequestQuarantine.h
@@ -89,7 +89,7 @@
   bool addCrash(policy::TargetCrash Crash, absl::Time Now);
   void broadcastCompletions(
       const std::vector<policy::CrashEvidence::Completion> &Completions,
-      absl::Time Now) const;
+      absl::Time Now);
   void logQuarantined(const std::vector<model::Fingerprint> &InFlight,
                       absl::Time Now) const;
   [[nodiscard]] std::vector<const policy::TargetCrash *> storedCrashes() const;
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -79,7 +79,7 @@
 
 std::string RequestQuarantine::describeCrashes(Fingerprint Request,
                                                absl::Time Now) const {
-  std::vector<const TargetCrash *> Crashes = m_Evidence.crashesOf(Request);
+  std::vector<const TargetCrash *> Crashes = m_Evidence.crashesOf(Request, Now);
   std::reverse(Crashes.begin(), Crashes.end());
   std::string Text;
   for (std::size_t Index = 0; Index < Crashes.size(); ++Index) {
@@ -140,15 +140,14 @@
     return;
   m_Log.state("A suspected request was completed.",
               {{"request", fmt::format("{:016x}", Request)}});
-  m_NeedsWrite = true;
   broadcastCompletions({{Request, Now}}, Now);
 }
 
 void RequestQuarantine::broadcastCompletions(
-    const std::vector<CrashEvidence::Completion> &Completions,
-    absl::Time Now) const {
+    const std::vector<CrashEvidence::Completion> &Completions, absl::Time Now) {
   if (Completions.empty())
     return;
+  m_NeedsWrite = true;
   wire::SuspectsT Message;
   append(Message, Completions, Now);
   m_Options.m_Hooks.m_Broadcast(Message);
@@ -181,10 +180,9 @@
 }
 
 bool RequestQuarantine::release(Fingerprint Request, absl::Time Now) {
-  if (m_Evidence.crashesOf(Request).empty())
+  if (m_Evidence.crashesOf(Request, Now).empty())
     return false;
   m_Evidence.addCompletion(Request, Now);
-  m_NeedsWrite = true;
   m_Log.state("A request was released by an operator.",
               {{"request", fmt::format("{:016x}", Request)}});
   broadcastCompletions({{Request, Now}}, Now);
--- a/libs/policy/include/policy/CrashEvidence.h
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -43,7 +43,8 @@
     /// last period holds for all others. Each end may cost a target.
     std::array<absl::Duration, 3> m_QuarantinePeriods{
         absl::Minutes(1), absl::Minutes(30), absl::Hours(24)};
-    /// How long a crash counts against a request that is not quarantined.
+    /// How long crashes count against a request that is not quarantined, from
+    /// the latest on.
     absl::Duration m_EvidencePeriod = absl::Hours(1);
     /// How long the crashes count after the end of a quarantine.
     absl::Duration m_ProbationPeriod = absl::Hours(7 * 24);
@@ -91,7 +92,7 @@
   [[nodiscard]] std::vector<Completion> completions() const;
   /// \returns the crashes that count against \p Request, oldest first.
   [[nodiscard]] std::vector<const TargetCrash *>
-  crashesOf(model::Fingerprint Request) const;
+  crashesOf(model::Fingerprint Request, absl::Time Now) const;
   /// \returns the crashes that \p Daemon reported, oldest first.
   [[nodiscard]] std::vector<const TargetCrash *>
   crashesBy(const std::string &Daemon) const;
@@ -119,6 +120,18 @@
   [[nodiscard]] bool isExpired(const TargetCrash &Crash,
                                model::Fingerprint Request,
                                absl::Time Now) const;
+  /// \returns the end of the quarantine that \p Crashes, enough for one and
+  /// oldest first, lead to.
+  [[nodiscard]] absl::Time
+  quarantineEnd(const std::vector<const TargetCrash *> &Crashes) const;
+  /// \returns whether \p Crashes, oldest first, no longer count at \p At.
+  [[nodiscard]] bool
+  isForgotten(const std::vector<const TargetCrash *> &Crashes,
+              absl::Time At) const;
+  /// \returns those of \p Crashes that count at \p Now, oldest first. It
+  /// depends on their times only, not on when they were reported.
+  [[nodiscard]] std::vector<const TargetCrash *>
+  remembered(std::vector<const TargetCrash *> Crashes, absl::Time Now) const;
   [[nodiscard]] absl::Duration longestRetention() const;
   [[nodiscard]] std::vector<CrashNumber> oldestFirst() const;
   template <typename PredicateT>
--- a/libs/policy/src/CrashEvidence.cpp
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -27,29 +27,49 @@
          Crash.m_At > Completed->second.m_At + m_Settings.m_CompletionPeriod;
 }
 
+absl::Time CrashEvidence::quarantineEnd(
+    const std::vector<const TargetCrash *> &Crashes) const {
+  std::size_t Period = std::min(Crashes.size() - m_Settings.m_QuarantineCrashes,
+                                m_Settings.m_QuarantinePeriods.size() - 1);
+  return Crashes.back()->m_At + m_Settings.m_QuarantinePeriods[Period];
+}
+
+bool CrashEvidence::isForgotten(const std::vector<const TargetCrash *> &Crashes,
+                                absl::Time At) const {
+  if (Crashes.size() < m_Settings.m_QuarantineCrashes)
+    return At - Crashes.back()->m_At > m_Settings.m_EvidencePeriod;
+  return At - quarantineEnd(Crashes) > m_Settings.m_ProbationPeriod;
+}
+
+std::vector<const TargetCrash *>
+CrashEvidence::remembered(std::vector<const TargetCrash *> Crashes,
+                          absl::Time Now) const {
+  std::sort(Crashes.begin(), Crashes.end(),
+            [](const TargetCrash *Left, const TargetCrash *Right) {
+              return Left->m_At < Right->m_At;
+            });
+  std::vector<const TargetCrash *> Remembered;
+  for (const TargetCrash *Crash : Crashes) {
+    if (!Remembered.empty() && isForgotten(Remembered, Crash->m_At))
+      Remembered.clear();
+    Remembered.push_back(Crash);
+  }
+  if (!Remembered.empty() && isForgotten(Remembered, Now))
+    Remembered.clear();
+  return Remembered;
+}
+
 RequestJudgement CrashEvidence::judge(Fingerprint Request,
                                       absl::Time Now) const {
   RequestJudgement Found;
-  auto Known = m_ByRequest.find(Request);
-  if (Known == m_ByRequest.end())
-    return Found;
-  absl::Time Latest = absl::InfinitePast();
-  for (CrashNumber Number : Known->second) {
-    const TargetCrash &Crash = m_Crashes.at(Number);
-    if (!counts(Crash, Request))
-      continue;
-    ++Found.m_Crashes;
-    Latest = std::max(Latest, Crash.m_At);
-  }
+  std::vector<const TargetCrash *> Crashes = crashesOf(Request, Now);
+  Found.m_Crashes = static_cast<unsigned>(Crashes.size());
   if (Found.m_Crashes < m_Settings.m_SuspectCrashes)
     return Found;
   Found.m_Standing = RequestStanding::Suspect;
   if (Found.m_Crashes < m_Settings.m_QuarantineCrashes)
     return Found;
-  std::size_t Period =
-      std::min<std::size_t>(Found.m_Crashes - m_Settings.m_QuarantineCrashes,
-                            m_Settings.m_QuarantinePeriods.size() - 1);
-  Found.m_Until = Latest + m_Settings.m_QuarantinePeriods[Period];
+  Found.m_Until = quarantineEnd(Crashes);
   Found.m_Standing = Now < Found.m_Until ? RequestStanding::Quarantined
                                          : RequestStanding::Probation;
   return Found;
@@ -149,7 +169,7 @@
 }
 
 std::vector<const TargetCrash *>
-CrashEvidence::crashesOf(Fingerprint Request) const {
+CrashEvidence::crashesOf(Fingerprint Request, absl::Time Now) const {
   std::vector<const TargetCrash *> Found;
   auto Known = m_ByRequest.find(Request);
   if (Known == m_ByRequest.end())
@@ -157,11 +177,7 @@
   for (CrashNumber Number : Known->second)
     if (const TargetCrash &Crash = m_Crashes.at(Number); counts(Crash, Request))
       Found.push_back(&Crash);
-  std::sort(Found.begin(), Found.end(),
-            [](const TargetCrash *Left, const TargetCrash *Right) {
-              return Left->m_At < Right->m_At;
-            });
-  return Found;
+  return remembered(std::move(Found), Now);
 }
 
 std::vector<const TargetCrash *>
@@ -236,10 +252,13 @@
 
 bool CrashEvidence::isExpired(const TargetCrash &Crash, Fingerprint Request,
                               absl::Time Now) const {
-  RequestJudgement Found = judge(Request, Now);
-  if (Found.m_Crashes >= m_Settings.m_QuarantineCrashes)
-    return Now - Found.m_Until > m_Settings.m_ProbationPeriod;
-  return Now - Crash.m_At > m_Settings.m_EvidencePeriod;
+  // Crashes that a completion cleared are kept like the others, and with them
+  // the completion, as long as a report may bring them again.
+  std::vector<const TargetCrash *> Crashes;
+  for (CrashNumber Number : m_ByRequest.at(Request))
+    Crashes.push_back(&m_Crashes.at(Number));
+  Crashes = remembered(std::move(Crashes), Now);
+  return std::find(Crashes.begin(), Crashes.end(), &Crash) == Crashes.end();
 }
 
 void CrashEvidence::expireCompletions(absl::Time Now) {
--- a/libs/policy/tests/CrashEvidenceTest.cpp
+++ b/libs/policy/tests/CrashEvidenceTest.cpp
@@ -154,6 +154,35 @@
   EXPECT_EQ(m_Evidence.fingerprints(), 0U);
 }
 
+// Guards against old records that quarantine a sound request after a restart.
+TEST_F(CrashEvidenceTest, Judge_OldCrashesFarApart_AreNotAddedUp) {
+  std::vector<TargetCrash> Reports;
+  for (int Count = 0; Count < 6; ++Count) {
+    Reports.push_back(crash({Popular}));
+    m_Now += absl::Minutes(61);
+  }
+  for (const TargetCrash &Report : Reports)
+    m_Evidence.addCrash(Report, m_Now);
+  EXPECT_EQ(standing(Popular), RequestStanding::Clear);
+  EXPECT_EQ(m_Evidence.judge(Popular, m_Now).m_Crashes, 0U);
+}
+
+// Guards against a released request that old records quarantine again.
+TEST_F(CrashEvidenceTest, Expire_ClearedRequest_KeepsItsCompletion) {
+  std::vector<TargetCrash> Reports;
+  for (int Count = 0; Count < 5; ++Count)
+    Reports.push_back(crash({Poison}));
+  for (const TargetCrash &Report : Reports)
+    m_Evidence.addCrash(Report, m_Now);
+  m_Evidence.addCompletion(Poison, m_Now);
+  m_Now += absl::Hours(2);
+  m_Evidence.expire(m_Now);
+  for (const TargetCrash &Report : Reports)
+    m_Evidence.addCrash(Report, m_Now);
+  EXPECT_EQ(standing(), RequestStanding::Clear);
+  EXPECT_EQ(m_Evidence.completions().size(), 1U);
+}
+
 TEST_F(CrashEvidenceTest, Expire_EndedQuarantine_IsRemembered) {
   addCrashes(3);
   m_Now += absl::Hours(5);
