--- a/libs/mesh/tests/CrashingRequestTest.cpp
+++ b/libs/mesh/tests/CrashingRequestTest.cpp
@@ -247,7 +247,8 @@
 }
 
 TEST_P(CrashingRequestTest, Crash_ManyRequestsInFlight_BoundsMemoryAndBytes) {
-  constexpr std::size_t MaxBytesPerReport = 16 << 10;
+  // 512 fingerprints and what surrounds them.
+  constexpr std::size_t MaxBytesPerReport = 512 * 8 + 1024;
   constexpr std::size_t Rounds = 5;
   for (std::size_t Round = 0; Round < Rounds; ++Round) {
     for (int Sent = 0; Sent < 100; ++Sent)
--- a/libs/policy/tests/CrashEvidenceTest.cpp
+++ b/libs/policy/tests/CrashEvidenceTest.cpp
@@ -169,9 +169,9 @@
 
 // Guards against a released request that old records quarantine again.
 TEST_F(CrashEvidenceTest, Expire_ClearedRequest_KeepsItsCompletion) {
-  std::vector<TargetCrash> Reports;
-  for (int Count = 0; Count < 5; ++Count)
-    Reports.push_back(crash({Poison}));
+  std::vector<TargetCrash> Reports(5);
+  for (TargetCrash &Report : Reports)
+    Report = crash({Poison});
   for (const TargetCrash &Report : Reports)
     m_Evidence.addCrash(Report, m_Now);
   m_Evidence.addCompletion(Poison, m_Now);
