Read the records of crashes only where links are missing, and not one by one

What it cost: each write of a crash woke the long poll of every daemon.

Links carry the same reports, so a daemon whose known members are all linked does not poll. Others wait a second between reads, more in large fleets.

RecordFollowerTest.Poll_RecordsWithPause_* and Poll_NotNeeded_*; the options are new, so they did not compile before.

--- a/libs/mesh/include/mesh/RecordFollower.h
+++ b/libs/mesh/include/mesh/RecordFollower.h
@@ -36,6 +36,12 @@
     /// Finite: all keys are read again at this interval, give or take half of
     /// it at random, instead of polling.
     absl::Duration m_ReadAllInterval = absl::InfiniteDuration();
+    /// Shortest time between a poll that brought records and the next one:
+    /// records that come together then cost one call. Null: none.
+    std::function<absl::Duration()> m_PollPause;
+    /// \returns whether records may be missed without a poll; asked again after
+    /// the pause between polls. Null: always.
+    std::function<bool()> m_IsPollNeeded;
     absl::Duration m_MinRetryDelay = absl::Milliseconds(100);
     absl::Duration m_MaxRetryDelay = absl::Seconds(1);
     /// Runs a task after a delay.
@@ -73,6 +79,7 @@
 private:
   void scheduleNextRead();
   void poll();
+  void pollAfterPause();
   void readAll();
   void onReadAll(const StoreReadResult &Read, absl::Time Now);
   void onPolled(const StoreReadResult &Read, absl::Time Now);
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -25,6 +25,12 @@
 constexpr absl::Duration MinPollTimeout = absl::Seconds(4);
 constexpr absl::Duration MaxPollTimeout =
     absl::Seconds(25); // The store allows 30 s.
+/// A crash makes every daemon that misses a link read its record. The pause
+/// keeps all daemons together below a thousand reads a second, half of what the
+/// store allows, and fleets of up to 2,400 within the 3 s in which they have to
+/// know.
+constexpr absl::Duration MinCrashPollPause = absl::Seconds(1);
+constexpr absl::Duration CrashPollPause = absl::Milliseconds(1);
 /// Each of the four levels of a call tree may use a quarter of the retry
 /// budget, since the calls of a retried request are retries too.
 constexpr double CallTreeLevels = 4;
@@ -284,6 +290,15 @@
   RecordFollower::Options Crashes = followerOptions();
   Crashes.m_Topic = m_Ports.m_CrashTopic;
   // Links carry the same reports; the records are for daemons without a link.
+  Crashes.m_IsPollNeeded = [this] {
+    return m_Peers->linked() + 1 < m_Peers->daemons();
+  };
+  Crashes.m_PollPause = [this] {
+    absl::Duration Pause =
+        CrashPollPause * static_cast<double>(m_Peers->daemons());
+    return std::max(MinCrashPollPause, Pause) *
+           absl::Uniform(m_Random, 0.75, 1.25);
+  };
   Crashes.m_PollTimeout = [this] {
     return MaxPollTimeout * absl::Uniform(m_Random, 0.5, 1.0);
   };
--- a/libs/mesh/src/RecordFollower.cpp
+++ b/libs/mesh/src/RecordFollower.cpp
@@ -23,7 +23,15 @@
       });
 }
 
+void RecordFollower::pollAfterPause() {
+  if (!m_Settings.m_PollPause)
+    return poll();
+  m_Settings.m_Schedule([this] { poll(); }, m_Settings.m_PollPause());
+}
+
 void RecordFollower::poll() {
+  if (m_Settings.m_IsPollNeeded && !m_Settings.m_IsPollNeeded())
+    return pollAfterPause();
   m_Settings.m_Port.m_ReadFrom(m_Settings.m_Topic, m_Next,
                                m_Settings.m_PollTimeout
                                    ? m_Settings.m_PollTimeout()
@@ -86,7 +94,10 @@
   }
   m_End = std::max(m_End, m_Next);
   onSuccess(Now);
-  poll();
+  if (Read.m_Records.empty())
+    poll();
+  else
+    pollAfterPause();
 }
 
 void RecordFollower::put(const StoredRecord &Record, absl::Time Now) {
--- a/libs/mesh/tests/RecordFollowerTest.cpp
+++ b/libs/mesh/tests/RecordFollowerTest.cpp
@@ -93,6 +93,41 @@
   EXPECT_EQ(m_Calls.front().m_From, 7U);
 }
 
+// Guards against a read by every daemon for every record of a burst.
+TEST_F(RecordFollowerTest, Poll_RecordsWithPause_NextPollComesAfterPause) {
+  RecordFollower::Options Options = options();
+  Options.m_PollPause = [] { return absl::Seconds(1); };
+  RecordFollower Paused(Options);
+  m_Calls.clear();
+  Paused.start(m_Now);
+  answer(done({}, 0));
+  ASSERT_EQ(m_Calls.size(), 1U);
+  answer(done({record("a", "1", 0)}, 1));
+  EXPECT_TRUE(m_Calls.empty());
+  runTasks();
+  ASSERT_EQ(m_Calls.size(), 1U);
+  // The records of the pause come together.
+  answer(done({record("b", "2", 1), record("c", "3", 2)}, 3));
+  EXPECT_EQ(m_Seen, (Seen{"a=1", "b=2", "c=3"}));
+}
+
+TEST_F(RecordFollowerTest, Poll_NotNeeded_MakesNoCallUntilItIs) {
+  bool IsNeeded = false;
+  RecordFollower::Options Options = options();
+  Options.m_PollPause = [] { return absl::Seconds(1); };
+  Options.m_IsPollNeeded = [&IsNeeded] { return IsNeeded; };
+  RecordFollower Idle(Options);
+  m_Calls.clear();
+  Idle.start(m_Now);
+  answer(done({}, 7));
+  runTasks();
+  EXPECT_TRUE(m_Calls.empty());
+  IsNeeded = true;
+  runTasks();
+  ASSERT_EQ(m_Calls.size(), 1U);
+  EXPECT_EQ(m_Calls.front().m_From, 7U);
+}
+
 TEST_F(RecordFollowerTest, Poll_HistoryExpired_ReadsAllAndReportsDeletedKeys) {
   answer(done({record("config", "v1", 1), record("zone", "x", 2)}, 3));
   answer({.m_Outcome = StoreOutcome::Expired});
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -173,6 +173,12 @@
     later(Index, After, std::move(Task));
   };
   Options.m_Random = [this] { return absl::Uniform(m_Random, 0.0, 1.0); };
+  Options.m_PollPause = [] { return absl::Seconds(1); };
+  Options.m_IsPollNeeded = [this, Index] {
+    return std::any_of(m_Cut.begin(), m_Cut.end(), [Index](const auto &Pair) {
+      return Pair.first == Index || Pair.second == Index;
+    });
+  };
   Options.m_OnRecord = [this, Index](const StoredRecord &Record, absl::Time) {
     m_Daemons[Index].m_Quarantine->onRecord(Record, m_Now, m_Now);
   };
