Play crashing requests in a fleet of several services, and by seeded schedules

TestFleet drew from an unseeded generator, so a play could not be repeated.

The fleet gains several services, delays between data centers, planned stops and the notion of a daemon in touch. CrashingRequestTest also runs with 12 daemons of four services, and CrashingRequestScheduleTest plays schedules of restarts, cuts, an unavailable store, resets, drains, crashes, stops and bursts; retries are counted where the entry daemon was in touch.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -22,10 +22,10 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/node_hash_map.h"
-#include "absl/random/random.h"
 
 #include <cstdint>
 #include <functional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,6 +79,7 @@
     /// How long after the end of a request's time the entry side still waits
     /// for the answer of its target.
     absl::Duration m_AnswerGrace = absl::Milliseconds(30);
+    std::uint64_t m_Seed = 0; ///< Of random choices; 0: drawn.
     Hooks m_Hooks;
   };
 
@@ -207,7 +208,7 @@
   ComponentLog m_Log;
   CatalogPtr m_Catalog;
   policy::ReplicatedRateLimiter m_Rates;
-  absl::BitGen m_Random;
+  std::mt19937_64 m_Random;
   PendingId m_LastId = 0;
   std::uint64_t m_LastSequence = 0;
   std::uint64_t m_TargetsVersion = 1;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -58,6 +58,8 @@
 
 EntryPath::EntryPath(Options Settings, ComponentLog Log)
     : m_Options(std::move(Settings)), m_Log(Log), m_Rates(m_Options.m_Rates),
+      m_Random(m_Options.m_Seed != 0 ? m_Options.m_Seed
+                                     : std::random_device()()),
       m_Admission(
           {m_Options.m_PriorityAdmission, m_Options.m_Hooks.m_TargetsOf}) {}
 
@@ -409,6 +411,7 @@
   for (const auto &[Id, Request] : m_Pending)
     if (Request.m_IsSent && Request.m_To.m_Incarnation == Daemon)
       Lost.push_back(Id);
+  std::sort(Lost.begin(), Lost.end());
   for (PendingId Id : Lost) {
     Pending &Request = m_Pending.at(Id);
     m_BySequence.erase(Request.m_Sequence);
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -322,6 +322,7 @@
     else
       ToCancel.push_back(Request.m_Id);
   }
+  std::sort(ToCancel.begin(), ToCancel.end());
   for (const model::ForwardId &Id : ToCancel)
     onCancel(Id, Now);
 }
--- /dev/null
+++ b/libs/mesh/tests/CrashingRequestScheduleTest.cpp
@@ -0,0 +1,183 @@
+#include "TestFleet.h"
+
+#include "absl/random/distributions.h"
+#include "gtest/gtest.h"
+
+#include <array>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace knapweedloft::mesh {
+namespace {
+
+using testing::TestFleet;
+
+/// The users' rule on requests that crash their targets: retries by daemons in
+/// touch, later than StabilityWindow after the third crash.
+constexpr std::size_t MaxRetries = 3;
+constexpr absl::Duration StabilityWindow = absl::Seconds(3);
+
+const std::string Poison = "/reads/poison";
+const std::string Popular = "/reads/popular";
+const std::string Sound = "/reads/sound/";
+
+/// Calls a fleet at random and disturbs it by a schedule drawn from a seed.
+class RandomPlay {
+public:
+  RandomPlay(const TestFleet::Options &Settings)
+      : m_Fleet(Settings), m_Random(Settings.m_Seed) {
+    m_Fleet.makePoisonous(Poison);
+  }
+
+  void play(absl::Duration For) {
+    absl::Time End = m_Fleet.now() + For;
+    absl::Time NextDisturbance = m_Fleet.now() + gap(absl::Seconds(3));
+    absl::Time NextPoison = m_Fleet.now() + gap(absl::Seconds(1));
+    absl::Time NextPopular = m_Fleet.now();
+    while (m_Fleet.now() < End) {
+      if (m_Fleet.now() >= NextDisturbance) {
+        disturb();
+        NextDisturbance = m_Fleet.now() + gap(absl::Seconds(3));
+      }
+      if (m_Fleet.now() >= NextPoison) {
+        m_Fleet.request(anyDaemon(), Poison);
+        NextPoison = m_Fleet.now() + gap(absl::Seconds(1));
+      }
+      if (m_Fleet.now() >= NextPopular) {
+        m_Fleet.request(anyDaemon(), Popular);
+        NextPopular = m_Fleet.now() + gap(absl::Milliseconds(250));
+      }
+      m_Fleet.request(anyDaemon(), Sound + std::to_string(++m_LastSound));
+      m_Fleet.run(absl::Milliseconds(50));
+      heal();
+    }
+  }
+
+  [[nodiscard]] TestFleet &fleet() { return m_Fleet; }
+
+private:
+  absl::Duration gap(absl::Duration Mean) {
+    return Mean * absl::Exponential(m_Random, 1.0);
+  }
+  std::size_t anyDaemon() {
+    return absl::Uniform<std::size_t>(m_Random, 0, m_Fleet.size());
+  }
+
+  void disturb() {
+    std::size_t At = anyDaemon();
+    switch (absl::Uniform(m_Random, 0, 8)) {
+    case 0:
+      return restartHalf();
+    case 1:
+      m_Fleet.cutLinks([Zone = At % 3](std::size_t Left, std::size_t Right) {
+        return (Left % 3 == Zone) != (Right % 3 == Zone);
+      });
+      m_HealLinksAt = m_Fleet.now() + gap(absl::Seconds(4));
+      return;
+    case 2:
+      m_Fleet.setStoreAvailable(false);
+      m_HealStoreAt = m_Fleet.now() + gap(absl::Seconds(4));
+      return;
+    case 3:
+      return m_Fleet.resetConnections(At);
+    case 4:
+      return m_Fleet.drainTarget(At);
+    case 5:
+      return m_Fleet.crashTarget(At);
+    case 6:
+      return m_Fleet.stopDaemon(At);
+    default:
+      for (std::size_t Index = 0; Index < m_Fleet.size(); ++Index)
+        m_Fleet.request(Index, Poison);
+      return;
+    }
+  }
+
+  void restartHalf() {
+    std::vector<std::size_t> Chosen;
+    for (std::size_t Index = 0; Index < m_Fleet.size(); ++Index)
+      if (absl::Bernoulli(m_Random, 0.5) && 2 * Chosen.size() < m_Fleet.size())
+        Chosen.push_back(Index);
+    m_Fleet.restartDaemons(Chosen);
+  }
+
+  void heal() {
+    if (m_Fleet.now() >= m_HealLinksAt) {
+      m_Fleet.healLinks();
+      m_HealLinksAt = absl::InfiniteFuture();
+    }
+    if (m_Fleet.now() >= m_HealStoreAt) {
+      m_Fleet.setStoreAvailable(true);
+      m_HealStoreAt = absl::InfiniteFuture();
+    }
+  }
+
+  TestFleet m_Fleet;
+  std::mt19937_64 m_Random;
+  absl::Time m_HealLinksAt = absl::InfiniteFuture();
+  absl::Time m_HealStoreAt = absl::InfiniteFuture();
+  int m_LastSound = 0;
+};
+
+/// Time that a target takes for a request, from the seed.
+absl::Duration runTime(std::uint64_t Seed) {
+  constexpr std::array<absl::Duration, 3> Times{
+      absl::Milliseconds(60), absl::Milliseconds(220), absl::Milliseconds(880)};
+  return Times[Seed % Times.size()];
+}
+
+/// Four services of three targets, one of each in every data center.
+TestFleet::Options threeTargetsEach(std::uint64_t Seed) {
+  return {.m_Daemons = 12,
+          .m_Services = 4,
+          .m_Seed = Seed,
+          .m_LinkDelay = absl::Microseconds(200),
+          .m_RemoteDelay = absl::Microseconds(900),
+          .m_StopTime = absl::Seconds(6),
+          .m_Run = runTime(Seed)};
+}
+
+TestFleet::Options oneService(std::size_t Daemons, std::uint64_t Seed) {
+  return {.m_Daemons = Daemons, .m_Seed = Seed, .m_Run = runTime(Seed)};
+}
+
+/// Each block plays as many schedules.
+constexpr std::uint64_t SeedsPerBlock = 25;
+constexpr absl::Duration PlayTime = absl::Seconds(40);
+
+class CrashingRequestScheduleTest
+    : public ::testing::TestWithParam<std::uint64_t> {
+protected:
+  template <typename MakeT> void play(const MakeT &Make) {
+    for (std::uint64_t Count = 0; Count < SeedsPerBlock; ++Count) {
+      std::uint64_t Seed = GetParam() * SeedsPerBlock + Count + 1;
+      RandomPlay Play(Make(Seed));
+      Play.play(PlayTime);
+      TestFleet &Fleet = Play.fleet();
+      EXPECT_LE(Fleet.retriesInTouch(Poison, StabilityWindow), MaxRetries)
+          << "seed " << Seed;
+    }
+  }
+};
+
+// Guards against a crashing request that is sent on while the fleet is
+// disturbed.
+TEST_P(CrashingRequestScheduleTest, Resend_ThreeTargetsEach_StaysBounded) {
+  play(threeTargetsEach);
+}
+
+TEST_P(CrashingRequestScheduleTest, Resend_ThreeDaemons_StaysBounded) {
+  play([](std::uint64_t Seed) { return oneService(3, Seed); });
+}
+
+TEST_P(CrashingRequestScheduleTest, Resend_ThirteenDaemons_StaysBounded) {
+  play([](std::uint64_t Seed) { return oneService(13, Seed); });
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CrashingRequestScheduleTest,
+                         ::testing::Range<std::uint64_t>(0, 20));
+
+} // namespace
+} // namespace knapweedloft::mesh
--- a/libs/mesh/tests/CrashingRequestTest.cpp
+++ b/libs/mesh/tests/CrashingRequestTest.cpp
@@ -24,13 +24,28 @@
 const std::string Popular = "/reads/popular";
 const std::string Sound = "/reads/sound/";
 
+constexpr std::size_t ManyServicesDaemons = 12;
+
+/// The parameter is the number of daemons. ManyServicesDaemons are four
+/// services of three targets, one of each in every data center; others are one
+/// service.
 class CrashingRequestTest : public ::testing::TestWithParam<std::size_t> {
 protected:
-  CrashingRequestTest() : m_Fleet({.m_Daemons = GetParam()}) {
+  CrashingRequestTest() : m_Fleet(options(GetParam())) {
     m_Fleet.makePoisonous(Poison);
     m_Fleet.makePoisonous(OtherPoison);
   }
 
+  static TestFleet::Options options(std::size_t Daemons) {
+    TestFleet::Options Options{.m_Daemons = Daemons};
+    if (Daemons != ManyServicesDaemons)
+      return Options;
+    Options.m_Services = 4;
+    Options.m_LinkDelay = absl::Microseconds(200);
+    Options.m_RemoteDelay = absl::Microseconds(900);
+    return Options;
+  }
+
   /// Every daemon receives the requests at once, beside sound ones.
   void sendToAll(const std::vector<std::string> &Paths = {Poison}) {
     for (std::size_t Index = 0; Index < m_Fleet.size(); ++Index) {
@@ -266,7 +281,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Daemons, CrashingRequestTest,
-                         ::testing::Values(3, 13, 60));
+                         ::testing::Values(3, ManyServicesDaemons, 13, 60));
 
 } // namespace
 } // namespace knapweedloft::mesh
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -24,6 +24,35 @@
   return RequestText.substr(From, RequestText.find(' ', From) - From);
 }
 
+std::string callIdOf(const std::string &RequestText) {
+  constexpr std::string_view Field = "Call-Id: ";
+  std::size_t From = RequestText.find(Field);
+  if (From == std::string::npos)
+    return {};
+  From += Field.size();
+  return RequestText.substr(From, RequestText.find('\r', From) - From);
+}
+
+std::string serviceName(std::size_t Number) {
+  return Number == 0 ? "archive" : fmt::format("service-{}", Number);
+}
+
+/// The catalog of one service, with others like it.
+CatalogPtr catalogOf(std::size_t Services) {
+  Catalog Made = makeCatalog()->catalog();
+  for (std::size_t Number = 1; Number < Services; ++Number) {
+    CatalogRoute Route = Made.m_Routes.front();
+    Route.m_Name = serviceName(Number);
+    Route.m_PathPrefix = "/" + Route.m_Name + "/";
+    Route.m_WeightedServices = {{Route.m_Name, 1}};
+    Made.m_Routes.push_back(Route);
+    CatalogService Service = Made.m_Services.front();
+    Service.m_Name = Route.m_Name;
+    Made.m_Services.push_back(Service);
+  }
+  return std::make_shared<const CatalogIndex>(std::move(Made));
+}
+
 http::HttpResult failed(http::Failure How) {
   http::HttpResult Result;
   Result.m_Failure = How;
@@ -33,13 +62,14 @@
 } // namespace
 
 TestFleet::TestFleet(const Options &Settings)
-    : m_Settings(Settings), m_Daemons(Settings.m_Daemons) {
+    : m_Settings(Settings), m_Daemons(Settings.m_Daemons),
+      m_Random(Settings.m_Seed) {
   for (std::size_t Index = 0; Index < size(); ++Index) {
     Daemon &Made = m_Daemons[Index];
     Made.m_Self = {.m_Name = fmt::format("daemon-{:02}", Index),
                    .m_Region = "r",
                    .m_DataCenter = std::string(1, 'a' + char(Index % 3)),
-                   .m_Service = "archive"};
+                   .m_Service = serviceName(Index / 3 % m_Settings.m_Services)};
     Made.m_Targets.resize(size());
   }
   for (std::size_t Index = 0; Index < size(); ++Index)
@@ -71,13 +101,36 @@
   return From == To || !m_Cut.contains(std::minmax(From, To));
 }
 
+bool TestFleet::hasCutLink(std::size_t Index) const {
+  return std::any_of(m_Cut.begin(), m_Cut.end(), [Index](const auto &Pair) {
+    return Pair.first == Index || Pair.second == Index;
+  });
+}
+
+absl::Duration TestFleet::delayBetween(std::size_t From, std::size_t To) const {
+  if (From == To)
+    return absl::ZeroDuration();
+  bool IsRemote = From % 3 != To % 3;
+  return m_Settings.m_LinkDelay +
+         (IsRemote ? m_Settings.m_RemoteDelay : absl::ZeroDuration());
+}
+
+bool TestFleet::isInTouch(std::size_t Index) const {
+  absl::Time Since = m_Now - m_Settings.m_StabilityWindow;
+  return m_IsStoreAvailable && !hasCutLink(Index) &&
+         m_StoreDisturbedAt <= Since && m_Daemons[Index].m_DisturbedAt <= Since;
+}
+
+void TestFleet::setStoreAvailable(bool IsAvailable) {
+  m_IsStoreAvailable = IsAvailable;
+  m_StoreDisturbedAt = m_Now;
+}
+
 void TestFleet::deliver(std::size_t From, std::size_t To,
                         std::function<void()> Task) {
   if (!isLinked(From, To))
     return;
-  absl::Duration Delay =
-      From == To ? absl::ZeroDuration() : m_Settings.m_LinkDelay;
-  later(To, Delay, [this, From, To, Task = std::move(Task)] {
+  later(To, delayBetween(From, To), [this, From, To, Task = std::move(Task)] {
     if (isLinked(From, To))
       Task();
   });
@@ -111,8 +164,9 @@
   makeRecords(Index);
   makeTarget(Index);
   makeEntry(Index);
-  Made.m_Entry->setCatalog(makeCatalog(), m_Now);
-  Made.m_Target->setCatalog(makeCatalog());
+  CatalogPtr Catalog = catalogOf(m_Settings.m_Services);
+  Made.m_Entry->setCatalog(Catalog, m_Now);
+  Made.m_Target->setCatalog(Catalog);
   Made.m_Entry->rates().onMembersKnown(m_Now, m_Random);
   Made.m_Records->start(m_Now);
   tick(Index);
@@ -174,11 +228,7 @@
   };
   Options.m_Random = [this] { return absl::Uniform(m_Random, 0.0, 1.0); };
   Options.m_PollPause = [] { return absl::Seconds(1); };
-  Options.m_IsPollNeeded = [this, Index] {
-    return std::any_of(m_Cut.begin(), m_Cut.end(), [Index](const auto &Pair) {
-      return Pair.first == Index || Pair.second == Index;
-    });
-  };
+  Options.m_IsPollNeeded = [this, Index] { return hasCutLink(Index); };
   Options.m_OnRecord = [this, Index](const StoredRecord &Record, absl::Time) {
     m_Daemons[Index].m_Quarantine->onRecord(Record, m_Now, m_Now);
   };
@@ -230,6 +280,7 @@
   EntryPath::Options Options;
   Options.m_Self = m_Daemons[Index].m_Self;
   Options.m_SelfAddress = "10.0.0.1";
+  Options.m_Seed = m_Random();
   Options.m_HeaderNames = Names;
   Options.m_RetryBudget = {.m_Ratio = 0.05, .m_MaxTokens = 2};
   Options.m_Hooks.m_Forward = [this, Index](const model::Member &To,
@@ -262,10 +313,10 @@
     m_Answers.push_back(
         {m_PathByExchange[Id.m_Sequence], Status, std::string(Body), m_Now});
   };
-  Options.m_Hooks.m_TargetsOf = [this, Index](const std::string &) {
+  Options.m_Hooks.m_TargetsOf = [this, Index](const std::string &Service) {
     std::vector<PeerTarget> Known;
     for (const PeerTarget &One : m_Daemons[Index].m_Targets)
-      if (One.m_Member.m_Incarnation != 0)
+      if (One.m_Member.m_Incarnation != 0 && One.m_Member.m_Service == Service)
         Known.push_back(One);
     return Known;
   };
@@ -288,7 +339,7 @@
   TargetPath::Options Options;
   Options.m_Self = m_Daemons[Index].m_Self.m_Incarnation;
   Options.m_DataCenter = m_Daemons[Index].m_Self.m_DataCenter;
-  Options.m_Service = "archive";
+  Options.m_Service = m_Daemons[Index].m_Self.m_Service;
   Options.m_At = {fmt::format("10.0.1.{}", Index), 80};
   Options.m_HeaderNames = Names;
   Options.m_Hooks.m_Answer = [this, Index](link::PeerHandle To,
@@ -342,7 +393,7 @@
   Daemon &Beside = m_Daemons[Index];
   Beside.m_Target->onReport(
       {.m_Instance = instanceOf(Index),
-       .m_Service = "archive",
+       .m_Service = Beside.m_Self.m_Service,
        .m_At = {fmt::format("10.0.1.{}", Index), 80},
        .m_Condition = Condition,
        .m_Slots = m_Settings.m_Slots,
@@ -395,28 +446,44 @@
     const std::function<bool(std::size_t, std::size_t)> &IsCut) {
   for (std::size_t Left = 0; Left < size(); ++Left)
     for (std::size_t Right = Left + 1; Right < size(); ++Right)
-      if (IsCut(Left, Right))
+      if (IsCut(Left, Right)) {
         setLinked(Left, Right, false);
+        disturb(Left);
+        disturb(Right);
+      }
+}
+
+void TestFleet::stopDaemon(std::size_t Index) {
+  m_Daemons[Index].m_Target->stop(m_Now);
+  m_Daemons[Index].m_Entry->stopAfter(m_Now);
+  disturb(Index);
+  later(Index, m_Settings.m_StopTime,
+        [this, Index] { restartDaemons({Index}); });
 }
 
 void TestFleet::healLinks() {
   auto Healed = m_Cut;
-  for (auto [Left, Right] : Healed)
+  for (auto [Left, Right] : Healed) {
     setLinked(Left, Right, true);
+    disturb(Left);
+    disturb(Right);
+  }
 }
 
 void TestFleet::restartDaemons(const std::vector<std::size_t> &Indices) {
+  auto CutBefore = m_Cut;
   for (std::size_t Index : Indices)
     for (std::size_t Other = 0; Other < size(); ++Other)
       if (Other != Index)
         setLinked(Index, Other, false);
   for (std::size_t Index : Indices) {
     m_Daemons[Index].m_Running.clear();
+    disturb(Index);
     start(Index);
   }
   for (std::size_t Index : Indices) {
     for (std::size_t Other = 0; Other < size(); ++Other)
-      if (Other != Index)
+      if (Other != Index && !CutBefore.contains(std::minmax(Index, Other)))
         setLinked(Index, Other, true);
     if (m_Daemons[Index].m_IsTargetUp)
       reportTarget(Index, TargetCondition::Ready);
@@ -428,8 +495,9 @@
                       http::LoopClient::Done OnDone) {
   http::LoopClient::CallId Id = ++m_LastCall;
   std::string Path = pathOf(Call.m_Text);
-  m_Daemons[Index].m_Running[Id] = {Path, std::move(OnDone)};
-  later(Index, LocalDelay, [this, Index, Id, Path] {
+  std::size_t Entry = m_EntryByCall[callIdOf(Call.m_Text)];
+  m_Daemons[Index].m_Running[Id] = {Path, Entry, std::move(OnDone)};
+  later(Index, LocalDelay, [this, Index, Id, Path, Entry] {
     Daemon &Beside = m_Daemons[Index];
     auto Found = Beside.m_Running.find(Id);
     if (Found == Beside.m_Running.end())
@@ -441,7 +509,7 @@
       return;
     }
     if (Path != "/health")
-      m_Arrivals[Path].push_back(m_Now);
+      m_Arrivals[Path].push_back({m_Now, Entry, isInTouch(Entry)});
     if (m_Poisonous.contains(Path)) {
       m_Crashes[Path].push_back(m_Now);
       crashTarget(Index);
@@ -473,7 +541,10 @@
     });
 }
 
-void TestFleet::resetConnections(std::size_t Index) { breakCalls(Index); }
+void TestFleet::resetConnections(std::size_t Index) {
+  disturb(Index);
+  breakCalls(Index);
+}
 
 void TestFleet::crashTarget(std::size_t Index) {
   Daemon &Beside = m_Daemons[Index];
@@ -507,6 +578,7 @@
                        {"Time-Left", fmt::format("{}", WaitMs)},
                        {"Authorization", "Key secret"}};
   m_PathByExchange[Exchange] = Path;
+  m_EntryByCall[fmt::format("c{}", Exchange)] = Index;
   m_Daemons[Index].m_Entry->onRequest({1, Exchange}, std::move(Message),
                                       "10.9.9.9", m_Now);
 }
@@ -516,10 +588,22 @@
   const std::vector<absl::Time> &Crashes = m_Crashes[Path];
   if (Crashes.size() < 3)
     return 0;
-  const std::vector<absl::Time> &All = m_Arrivals[Path];
+  const std::vector<Arrival> &All = m_Arrivals[Path];
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const Arrival &One) {
+        return One.m_At > Crashes[2] + After;
+      }));
+}
+
+std::size_t TestFleet::retriesInTouch(const std::string &Path,
+                                      absl::Duration After) {
+  const std::vector<absl::Time> &Crashes = m_Crashes[Path];
+  if (Crashes.size() < 3)
+    return 0;
+  const std::vector<Arrival> &All = m_Arrivals[Path];
   return static_cast<std::size_t>(
-      std::count_if(All.begin(), All.end(), [&](absl::Time Arrival) {
-        return Arrival > Crashes[2] + After;
+      std::count_if(All.begin(), All.end(), [&](const Arrival &One) {
+        return One.m_IsEntryInTouch && One.m_At > Crashes[2] + After;
       }));
 }
 
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -7,29 +7,41 @@
 #include "mesh/TargetPath.h"
 #include "telemetry/EventLog.h"
 
-#include "absl/random/random.h"
 #include "absl/time/time.h"
 
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace knapweedloft::mesh::testing {
 
-/// The daemons of one service, each with a target, in virtual time.
+/// The daemons of a site, each with a target, in virtual time.
 ///
-/// A target stand-in crashes as soon as it begins to run a request whose path
-/// is poisonous, and is back some seconds later as a new instance. Links
-/// between daemons have a delay and can be cut; the store can be unavailable.
+/// Daemon \c i is in data center \c i modulo 3 and serves service \c i / 3
+/// modulo the number of services: "archive", which has the paths "/reads/",
+/// then "service-1" with the paths "/service-1/" and so on. A target stand-in
+/// crashes as soon as it begins to run a request whose path is poisonous, and
+/// is back some seconds later as a new instance. Links between daemons have a
+/// delay and can be cut; the store can be unavailable. Plays with the same seed
+/// are alike.
 class TestFleet {
 public:
   struct Options {
     std::size_t m_Daemons = 3;
+    std::size_t m_Services = 1;
+    std::uint64_t m_Seed = 1;
     absl::Duration m_LinkDelay = absl::Milliseconds(1);
+    /// Added between data centers.
+    absl::Duration m_RemoteDelay = absl::ZeroDuration();
+    /// From the order to stop until a daemon has ended.
+    absl::Duration m_StopTime = absl::Seconds(6);
+    /// A daemon that was undisturbed for this long is in touch.
+    absl::Duration m_StabilityWindow = absl::Seconds(3);
     absl::Duration m_Run = absl::Milliseconds(60);
     absl::Duration m_TargetRestart = absl::Seconds(4);
     std::uint32_t m_Slots = 20;
@@ -43,6 +55,13 @@
     absl::Time m_At;
   };
 
+  /// A request that reached a target.
+  struct Arrival {
+    absl::Time m_At;
+    std::size_t m_Entry = 0; ///< Daemon that received it from its caller.
+    bool m_IsEntryInTouch = false;
+  };
+
   explicit TestFleet(const Options &Settings);
   ~TestFleet();
 
@@ -66,14 +85,14 @@
   void drainTarget(std::size_t Index);
   /// Daemons are killed at once and start again without what they knew.
   void restartDaemons(const std::vector<std::size_t> &Indices);
+  /// A daemon is told to stop, ends and starts again.
+  void stopDaemon(std::size_t Index);
   /// Cuts the links between daemons for which \p IsCut holds.
   void cutLinks(const std::function<bool(std::size_t, std::size_t)> &IsCut);
   void healLinks();
-  void setStoreAvailable(bool IsAvailable) { m_IsStoreAvailable = IsAvailable; }
+  void setStoreAvailable(bool IsAvailable);
 
-  /// Times at which a request reached a target.
-  [[nodiscard]] const std::vector<absl::Time> &
-  arrivals(const std::string &Path) {
+  [[nodiscard]] const std::vector<Arrival> &arrivals(const std::string &Path) {
     return m_Arrivals[Path];
   }
   /// Times at which a request crashed a target.
@@ -84,6 +103,12 @@
   /// Arrivals later than \p After the third crash.
   [[nodiscard]] std::size_t arrivalsAfterThirdCrash(const std::string &Path,
                                                     absl::Duration After);
+  /// Those of them that entered by daemons in touch.
+  [[nodiscard]] std::size_t retriesInTouch(const std::string &Path,
+                                           absl::Duration After);
+  /// \returns whether a daemon, its links and the store have been undisturbed
+  /// for the stability window.
+  [[nodiscard]] bool isInTouch(std::size_t Index) const;
   [[nodiscard]] const std::vector<Answered> &answers() const {
     return m_Answers;
   }
@@ -102,6 +127,7 @@
 private:
   struct TargetCall {
     std::string m_Path;
+    std::size_t m_Entry = 0;
     http::LoopClient::Done m_OnDone;
   };
 
@@ -116,6 +142,7 @@
     std::uint64_t m_Life = 0;
     std::uint64_t m_Instance = 1;
     std::uint64_t m_Reports = 0;
+    absl::Time m_DisturbedAt = absl::InfinitePast();
     bool m_IsTargetUp = true;
     bool m_IsTargetLeaving = false;
     std::map<http::LoopClient::CallId, TargetCall> m_Running;
@@ -128,6 +155,10 @@
   /// Delivers over the link between two daemons, if it is up all the while.
   void deliver(std::size_t From, std::size_t To, std::function<void()> Task);
   [[nodiscard]] bool isLinked(std::size_t From, std::size_t To) const;
+  [[nodiscard]] bool hasCutLink(std::size_t Index) const;
+  [[nodiscard]] absl::Duration delayBetween(std::size_t From,
+                                            std::size_t To) const;
+  void disturb(std::size_t Index) { m_Daemons[Index].m_DisturbedAt = m_Now; }
   void start(std::size_t Index);
   void makeEntry(std::size_t Index);
   void makeTarget(std::size_t Index);
@@ -161,14 +192,16 @@
   std::vector<Daemon> m_Daemons;
   std::set<std::pair<std::size_t, std::size_t>> m_Cut;
   bool m_IsStoreAvailable = true;
+  absl::Time m_StoreDisturbedAt = absl::InfinitePast();
   std::vector<StoredRecord> m_Store;
   std::vector<std::function<void()>> m_Polls; ///< That wait for a record.
   std::set<std::string> m_Poisonous;
-  std::map<std::string, std::vector<absl::Time>> m_Arrivals;
+  std::map<std::string, std::vector<Arrival>> m_Arrivals;
   std::map<std::string, std::vector<absl::Time>> m_Crashes;
   std::map<std::uint64_t, std::string> m_PathByExchange;
+  std::map<std::string, std::size_t> m_EntryByCall;
   std::vector<Answered> m_Answers;
-  absl::BitGen m_Random;
+  std::mt19937_64 m_Random;
   std::size_t m_EvidenceBytes = 0;
   std::uint64_t m_LastExchange = 0;
   http::LoopClient::CallId m_LastCall = 0;
