Do not count a crash against requests that another one explains

Callers of a sound request were answered 422 for a minute. It was in flight beside a crashing request at three targets that crashed together, with no completion shortly before, and both then had the same evidence against them.

Cause: a crash counted alike against everything in flight. The report now lists the latest run first, and a crash does not count against a request if one that was started later was in flight at several uncleared crashes. A cause crashes its target as it begins, so it is the latest; company that is wrongly taken for the cause completes elsewhere and then explains nothing.

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -54,7 +54,8 @@
     /// \returns how a request may be run. Null: all may.
     std::function<policy::RequestJudgement(model::Fingerprint, absl::Time Now)>
         m_Judge;
-    /// The target crashed while it ran \p InFlight. Null: not reported.
+    /// The target crashed while it ran \p InFlight, the latest started first.
+    /// Null: not reported.
     std::function<void(const std::string &Instance,
                        std::span<const model::Fingerprint> InFlight,
                        absl::Time Now)>
@@ -152,6 +153,11 @@
     absl::Time m_ReleaseAt = absl::InfiniteFuture();
   };
 
+  struct Run {
+    model::Fingerprint m_Request = 0;
+    absl::Time m_Started;
+  };
+
   /// Runs that broke at about the same time, by a crash or not.
   struct BrokenRuns {
     absl::Time m_Since;
@@ -160,7 +166,7 @@
     bool m_IsRefused = false; ///< The target refused a connection since then.
     std::string m_Instance;
     std::int64_t m_StartTimeMs = 0; ///< Of the instance; 0: unknown.
-    std::vector<model::Fingerprint> m_InFlight;
+    std::vector<Run> m_InFlight;
     std::vector<HeldAnswer> m_Answers;
   };
 
@@ -205,7 +211,9 @@
   /// Another instance has taken the place of \p Former, which had not said
   /// that it leaves.
   void onTargetReplaced(const std::string &Former, absl::Time Now);
-  void onRunUnanswered(model::Fingerprint Request);
+  void onRunUnanswered(const Run &Ended);
+  void reportCrash(const std::string &Instance, std::vector<Run> InFlight,
+                   absl::Time Now);
   void releaseAnswers(absl::Time Now);
 
   // TargetChecks.cpp
@@ -246,7 +254,7 @@
   std::deque<HeldAnswer> m_HeldAnswers; ///< Of crashes that were reported.
   /// Runs that broke, timed out or were cancelled since the target last
   /// answered. They were in flight if another instance takes its place.
-  std::deque<model::Fingerprint> m_Unanswered;
+  std::deque<Run> m_Unanswered;
   TargetCounts m_Counts;
 };
 
--- a/libs/mesh/src/TargetCrashes.cpp
+++ b/libs/mesh/src/TargetCrashes.cpp
@@ -78,7 +78,8 @@
                           .m_Instance = Done.m_Instance,
                           .m_StartTimeMs = m_State.startTimeMs()};
   if (m_Broken && Done.m_Started <= m_Broken->m_Since)
-    m_Broken->m_InFlight.push_back(Done.m_Message.fingerprint);
+    m_Broken->m_InFlight.push_back(
+        {Done.m_Message.fingerprint, Done.m_Started});
   // Only a request that may be retried waits for the report of the crash.
   if (m_Broken && Done.m_Message.is_idempotent)
     m_Broken->m_Answers.push_back({.m_Request = std::move(Done)});
@@ -108,8 +109,8 @@
     return concludeBrokenRuns(true, Now);
   if (IsStillRunning ||
       Now > m_Broken->m_Since + m_Options.m_CrashConfirmTimeout) {
-    for (model::Fingerprint Request : m_Broken->m_InFlight)
-      onRunUnanswered(Request);
+    for (const Run &Broken : m_Broken->m_InFlight)
+      onRunUnanswered(Broken);
     return concludeBrokenRuns(false, Now);
   }
   bool IsFirstCheck = !std::exchange(m_Broken->m_IsChecked, true);
@@ -136,9 +137,8 @@
   absl::Time ReleaseAt = Now;
   if (IsCrash) {
     m_Unanswered.clear();
-    ++m_Counts.m_Crashes;
     ReleaseAt += m_Options.m_CrashReportTime;
-    m_Options.m_Hooks.m_OnCrash(Broken.m_Instance, Broken.m_InFlight, Now);
+    reportCrash(Broken.m_Instance, std::move(Broken.m_InFlight), Now);
   }
   if (Broken.m_IsRefused) {
     m_State.onConnectionRefused();
@@ -151,19 +151,32 @@
   releaseAnswers(Now);
 }
 
-void TargetPath::onRunUnanswered(model::Fingerprint Request) {
+void TargetPath::reportCrash(const std::string &Instance,
+                             std::vector<Run> InFlight, absl::Time Now) {
+  ++m_Counts.m_Crashes;
+  std::stable_sort(InFlight.begin(), InFlight.end(),
+                   [](const Run &Left, const Run &Right) {
+                     return Left.m_Started > Right.m_Started;
+                   });
+  std::vector<model::Fingerprint> Requests;
+  Requests.reserve(InFlight.size());
+  for (const Run &Broken : InFlight)
+    Requests.push_back(Broken.m_Request);
+  m_Options.m_Hooks.m_OnCrash(Instance, Requests, Now);
+}
+
+void TargetPath::onRunUnanswered(const Run &Ended) {
   if (m_Unanswered.size() == MaxUnanswered)
     m_Unanswered.pop_front();
-  m_Unanswered.push_back(Request);
+  m_Unanswered.push_back(Ended);
 }
 
 void TargetPath::onTargetReplaced(const std::string &Former, absl::Time Now) {
-  std::vector<model::Fingerprint> InFlight(m_Unanswered.begin(),
-                                           m_Unanswered.end());
+  std::vector<Run> InFlight(m_Unanswered.begin(), m_Unanswered.end());
   m_Unanswered.clear();
   for (const auto &[Id, Request] : m_Pending)
     if (Request.m_IsStarted && Request.m_Instance == Former)
-      InFlight.push_back(Request.m_Message.fingerprint);
+      InFlight.push_back({Request.m_Message.fingerprint, Request.m_Started});
   if (m_Broken) {
     m_Broken->m_InFlight.insert(m_Broken->m_InFlight.end(), InFlight.begin(),
                                 InFlight.end());
@@ -171,8 +184,7 @@
   }
   if (InFlight.empty() || !m_Options.m_Hooks.m_OnCrash)
     return;
-  ++m_Counts.m_Crashes;
-  m_Options.m_Hooks.m_OnCrash(Former, InFlight, Now);
+  reportCrash(Former, std::move(InFlight), Now);
 }
 
 void TargetPath::releaseAnswers(absl::Time Now) {
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -233,7 +233,7 @@
     return;
   }
   if (Failure == Failure::TimedOut)
-    onRunUnanswered(Done.m_Message.fingerprint);
+    onRunUnanswered({Done.m_Message.fingerprint, Done.m_Started});
   RefusalReason Reason = Failure == Failure::TimedOut
                              ? RefusalReason::DeadlinePassed
                              : RefusalReason::BadAnswer;
@@ -301,7 +301,7 @@
   if (Job == m_SuspectJob)
     m_SuspectJob = 0;
   if (Cancelled.m_IsStarted) {
-    onRunUnanswered(Cancelled.m_Message.fingerprint);
+    onRunUnanswered({Cancelled.m_Message.fingerprint, Cancelled.m_Started});
     m_Options.m_Hooks.m_CancelCall(Cancelled.m_Call);
     m_Scheduler.finish(Job, Now - Cancelled.m_Started, false);
   } else {
--- a/libs/mesh/tests/CrashingRequestScheduleTest.cpp
+++ b/libs/mesh/tests/CrashingRequestScheduleTest.cpp
@@ -18,6 +18,7 @@
 /// touch, later than StabilityWindow after the third crash.
 constexpr std::size_t MaxRetries = 3;
 constexpr absl::Duration StabilityWindow = absl::Seconds(3);
+constexpr int Quarantined = 422;
 
 const std::string Poison = "/reads/poison";
 const std::string Popular = "/reads/popular";
@@ -158,12 +159,14 @@
       TestFleet &Fleet = Play.fleet();
       EXPECT_LE(Fleet.retriesInTouch(Poison, StabilityWindow), MaxRetries)
           << "seed " << Seed;
+      EXPECT_EQ(Fleet.answered(Popular, Quarantined), 0U) << "seed " << Seed;
+      EXPECT_EQ(Fleet.answered(Sound, Quarantined), 0U) << "seed " << Seed;
     }
   }
 };
 
 // Guards against a crashing request that is sent on while the fleet is
-// disturbed.
+// disturbed, and against sound requests that are taken for one.
 TEST_P(CrashingRequestScheduleTest, Resend_ThreeTargetsEach_StaysBounded) {
   play(threeTargetsEach);
 }
--- a/libs/policy/include/policy/CrashEvidence.h
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -23,10 +23,12 @@
 /// daemons report.
 ///
 /// A crash counts against each request that was in flight at it, unless a
-/// target completed the same request afterwards or shortly before. Three such
-/// crashes quarantine the request; more of them lengthen the quarantine. All
-/// daemons that hold the same reports conclude the same, in whatever order the
-/// reports arrive. Not thread-safe.
+/// target completed the same request afterwards or shortly before, or another
+/// request explains it: one that was started later, and was in flight at
+/// several crashes that no completion clears. Three crashes that count
+/// quarantine a request; more of them lengthen the quarantine. All daemons that
+/// hold the same reports conclude the same, in whatever order the reports
+/// arrive. Not thread-safe.
 ///
 /// \code
 ///   Evidence.addCrash(Crash, Now);
@@ -67,8 +69,10 @@
   [[nodiscard]] RequestJudgement judge(model::Fingerprint Request,
                                        absl::Time Now) const;
 
-  /// \returns those of \p InFlight that a crash at \p Now may be due to: none
-  /// that targets completed shortly before. Known suspects come first.
+  /// \returns those of \p InFlight that a crash at \p Now may be due to, in the
+  /// same order: none that targets completed shortly before. If they are too
+  /// many for a report, those that were in flight at no earlier crash are left
+  /// out.
   [[nodiscard]] std::vector<model::Fingerprint>
   suspectsOf(std::span<const model::Fingerprint> InFlight,
              absl::Time Now) const;
@@ -115,8 +119,15 @@
   };
 
   [[nodiscard]] bool isKnown(const TargetCrash &Crash) const;
+  /// \returns whether no completion clears \p Request of \p Crash.
   [[nodiscard]] bool counts(const TargetCrash &Crash,
                             model::Fingerprint Request) const;
+  /// \returns whether another request in flight explains \p Crash.
+  [[nodiscard]] bool isExplained(const TargetCrash &Crash,
+                                 model::Fingerprint Request,
+                                 absl::Time Now) const;
+  [[nodiscard]] std::vector<const TargetCrash *>
+  unclearedCrashesOf(model::Fingerprint Request, absl::Time Now) const;
   [[nodiscard]] bool isExpired(const TargetCrash &Crash,
                                model::Fingerprint Request,
                                absl::Time Now) const;
--- a/libs/policy/include/policy/TargetCrash.h
+++ b/libs/policy/include/policy/TargetCrash.h
@@ -19,7 +19,7 @@
   std::uint32_t m_Sequence = 0; ///< Counts the reports of the incarnation.
   std::string m_Instance;       ///< Of the target.
   absl::Time m_At;
-  std::vector<model::Fingerprint> m_InFlight;
+  std::vector<model::Fingerprint> m_InFlight; ///< The latest started first.
 };
 
 } // namespace knapweedloft::policy
--- a/libs/policy/src/CrashEvidence.cpp
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -88,9 +88,17 @@
       Suspects.push_back(Request);
   }
   keepDistinct(Suspects);
-  std::stable_partition(
-      Suspects.begin(), Suspects.end(),
-      [this](Fingerprint Request) { return m_ByRequest.contains(Request); });
+  std::size_t Excess = Suspects.size() > m_Settings.m_MaxInFlight
+                           ? Suspects.size() - m_Settings.m_MaxInFlight
+                           : 0;
+  // From the back, as those were started first.
+  for (auto Last = Suspects.end(); Excess > 0 && Last != Suspects.begin();) {
+    --Last;
+    if (m_ByRequest.contains(*Last))
+      continue;
+    Last = Suspects.erase(Last);
+    --Excess;
+  }
   return Suspects;
 }
 
@@ -169,7 +177,7 @@
 }
 
 std::vector<const TargetCrash *>
-CrashEvidence::crashesOf(Fingerprint Request, absl::Time Now) const {
+CrashEvidence::unclearedCrashesOf(Fingerprint Request, absl::Time Now) const {
   std::vector<const TargetCrash *> Found;
   auto Known = m_ByRequest.find(Request);
   if (Known == m_ByRequest.end())
@@ -180,6 +188,31 @@
   return remembered(std::move(Found), Now);
 }
 
+bool CrashEvidence::isExplained(const TargetCrash &Crash, Fingerprint Request,
+                                absl::Time Now) const {
+  std::size_t Needed = m_Settings.m_SuspectCrashes;
+  // The list begins with the request that was started last.
+  for (Fingerprint Other : Crash.m_InFlight) {
+    if (Other == Request)
+      return false;
+    if (m_ByRequest.at(Other).size() >= Needed &&
+        unclearedCrashesOf(Other, Now).size() >= Needed)
+      return true;
+  }
+  return false;
+}
+
+std::vector<const TargetCrash *>
+CrashEvidence::crashesOf(Fingerprint Request, absl::Time Now) const {
+  std::vector<const TargetCrash *> Found = unclearedCrashesOf(Request, Now);
+  // A single crash gives no standing, whatever explains it.
+  if (Found.size() >= m_Settings.m_SuspectCrashes)
+    std::erase_if(Found, [&](const TargetCrash *Crash) {
+      return isExplained(*Crash, Request, Now);
+    });
+  return Found;
+}
+
 std::vector<const TargetCrash *>
 CrashEvidence::crashesBy(const std::string &Daemon) const {
   std::vector<const TargetCrash *> Found;
