Give a crashing request three targets in all after its third crash

From the sixth crash on the quarantine lasts 20 days, within the 30 days of ages that daemons tell each other.

Test: CrashEvidenceTest.Judge_CrashesAtEveryProbation_GetsThreeRetries, 8 retries before, 3 now.

--- a/libs/policy/include/policy/CrashEvidence.h
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -42,9 +42,11 @@
     unsigned m_SuspectCrashes = 2;
     unsigned m_QuarantineCrashes = 3;
     /// Quarantine after the crash that begins it and after each later one; the
-    /// last period holds for all others. Each end may cost a target.
-    std::array<absl::Duration, 3> m_QuarantinePeriods{
-        absl::Minutes(1), absl::Minutes(30), absl::Hours(24)};
+    /// last period holds for all others. Each end may cost a target, and three
+    /// retries are allowed in all.
+    std::array<absl::Duration, 4> m_QuarantinePeriods{
+        absl::Minutes(1), absl::Minutes(30), absl::Hours(24),
+        absl::Hours(20 * 24)};
     /// How long crashes count against a request that is not quarantined, from
     /// the latest on.
     absl::Duration m_EvidencePeriod = absl::Hours(1);
--- a/libs/policy/tests/CrashEvidenceTest.cpp
+++ b/libs/policy/tests/CrashEvidenceTest.cpp
@@ -65,6 +65,21 @@
   EXPECT_EQ(standing(), RequestStanding::Quarantined);
 }
 
+// Guards against a crashing request that gets a target at each end of its
+// quarantine for ever.
+TEST_F(CrashEvidenceTest, Judge_CrashesAtEveryProbation_GetsThreeRetries) {
+  addCrashes(3);
+  int Retries = 0;
+  for (absl::Time End = m_Now + absl::Hours(7 * 24); m_Now < End;
+       m_Now += absl::Minutes(1)) {
+    if (standing() != RequestStanding::Probation)
+      continue;
+    addCrashes(1);
+    ++Retries;
+  }
+  EXPECT_EQ(Retries, 3);
+}
+
 TEST_F(CrashEvidenceTest, AddCrash_SameReportTwice_CountsOnce) {
   TargetCrash Report = crash({Poison});
   EXPECT_TRUE(m_Evidence.addCrash(Report, m_Now));
