Keep to the rate limit that a target names in its answers

Cause: no code took the field from an answer; it went on to the caller like any other. Class of fault: a word of a target that is relayed and not read.

The daemon beside a target is the only one that reaches it, so it paces all starts by a RatePacer, queued requests included. It forgets the limit with a restart; therefore entry sides remember what they passed on and say it with each forward.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -12,6 +12,7 @@
 #include "mesh/EntryCounts.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/PeerTarget.h"
+#include "mesh/TargetNotices.h"
 #include "model/Quarantine.h"
 #include "model/RefusalReason.h"
 #include "policy/ReplicatedRateLimiter.h"
@@ -221,6 +222,7 @@
   std::set<std::pair<absl::Time, PendingId>> m_Timeouts;
   EntryAdmission m_Admission;
   CallObserver m_CallObserver{{}};
+  TargetNotices m_Notices;
   absl::Time m_StopsAt = absl::InfiniteFuture();
   EntryCounts m_Counts;
 };
--- a/libs/mesh/include/mesh/HeaderNames.h
+++ b/libs/mesh/include/mesh/HeaderNames.h
@@ -21,6 +21,7 @@
   std::string m_OriginProof;   ///< From a target: shows the answer is its own.
   std::string m_TargetLoad;    ///< From a target: running, waiting, slots.
   std::string m_ColdRemaining; ///< From a target: milliseconds it stays cold.
+  std::string m_RateLimit;     ///< From a target: requests a second it takes.
 
   friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
 };
--- a/libs/mesh/include/mesh/TargetCounts.h
+++ b/libs/mesh/include/mesh/TargetCounts.h
@@ -11,6 +11,7 @@
 struct TargetCounts {
   std::uint64_t m_Forwards = 0;
   std::uint64_t m_Started = 0;
+  std::uint64_t m_PacedStarts = 0; ///< While the target named a rate limit.
   std::uint64_t m_Answered = 0;
   std::uint64_t m_Refused = 0; ///< Forwards that did not reach the target.
   /// The target answered that it did not run the request.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -22,6 +22,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -130,6 +131,8 @@
     return m_Scheduler.load().m_Queued;
   }
   [[nodiscard]] const TargetCounts &counts() const { return m_Counts; }
+  /// \returns the requests a second that the target takes; 0: it named none.
+  [[nodiscard]] double rateLimit() const { return m_RateLimit.m_PerSecond; }
 
 private:
   using JobId = policy::SlotScheduler::JobId;
@@ -153,6 +156,13 @@
     absl::Time m_ReleaseAt = absl::InfiniteFuture();
   };
 
+  /// The rate that the target takes.
+  struct RateLimit {
+    double m_PerSecond = 0;                 ///< 0: it named none.
+    absl::Time m_At = absl::InfinitePast(); ///< Of the latest answer.
+    const char *m_Source = "target";
+  };
+
   struct Run {
     model::Fingerprint m_Request = 0;
     absl::Time m_Started;
@@ -216,6 +226,18 @@
                    absl::Time Now);
   void releaseAnswers(absl::Time Now);
 
+  // TargetRateLimit.cpp
+  /// Takes the rate limit from an answer of the target, or its absence.
+  void applyNamedLimit(const http::HttpResponse &Response,
+                       const PendingRequest &Done, absl::Time Now);
+  /// Takes over what an entry side remembers of the target.
+  void adoptNotice(const wire::ForwardT &Message, absl::Time Now);
+  /// \p At: when the target named it.
+  void setRateLimit(double PerSecond, const char *Source, absl::Time At,
+                    absl::Time Now);
+  void forgetRateLimit(absl::Time Now);
+  [[nodiscard]] std::unique_ptr<wire::TargetNoticeT> notice() const;
+
   // TargetChecks.cpp
   void onWrongInstance(const http::HttpResponse &Response, absl::Time Now);
   void closeQueue(absl::Time Now);
@@ -255,6 +277,10 @@
   /// Runs that broke, timed out or were cancelled since the target last
   /// answered. They were in flight if another instance takes its place.
   std::deque<Run> m_Unanswered;
+  RateLimit m_RateLimit;
+  std::string m_UnreadableLimit; ///< Logged last.
+  /// The present instance has answered this process.
+  bool m_HasAnswered = false;
   TargetCounts m_Counts;
 };
 
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -382,6 +382,7 @@
   Message.instance = To.m_Instance;
   Message.refusals = static_cast<std::uint16_t>(Request.m_Refusals);
   Message.fingerprint = Request.m_Fingerprint;
+  Message.notice = m_Notices.messageFor(To, Now);
   return Message;
 }
 
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -74,6 +74,9 @@
   append(Text, "target_checks_total", static_cast<double>(Target.m_Checks));
   append(Text, "target_crashes_total", static_cast<double>(Target.m_Crashes));
   append(Text, "target_queued", static_cast<double>(m_Target->queued()));
+  append(Text, "target_rate_limit", m_Target->rateLimit());
+  append(Text, "target_rate_limited_starts_total",
+         static_cast<double>(Target.m_PacedStarts));
   append(Text, "target_open", m_Target->state().isOpen() ? 1 : 0);
   appendLatency(Text, "target_wait", Target.m_Wait);
   appendLatency(Text, "target_run", Target.m_Run);
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -93,6 +93,8 @@
   std::string Former = std::exchange(m_AppliedInstance, m_State.instance());
   if (IsReplaced && !Former.empty() && Before != TargetAvailability::Leaving)
     onTargetReplaced(Former, Now);
+  if (IsReplaced)
+    forgetRateLimit(Now);
   m_Log.state("The target's availability or instance changed.",
               {{"from", TargetAvailabilityNames.nameOf(Before)},
                {"to", TargetAvailabilityNames.nameOf(After)},
--- /dev/null
+++ b/libs/mesh/src/TargetNotices.cpp
@@ -0,0 +1,55 @@
+#include "mesh/TargetNotices.h"
+
+#include <algorithm>
+
+namespace knapweedloft::mesh {
+namespace {
+
+/// A notice of a target that has not answered for this long is dropped, since
+/// daemons that are gone for good would fill the table.
+constexpr absl::Duration Retention = absl::Hours(24);
+
+} // namespace
+
+void TargetNotices::onAnswer(const std::string &Daemon,
+                             const wire::AnswerT &Answer, absl::Time Now) {
+  if (Answer.notice) {
+    absl::erase_if(m_ByDaemon, [Now](const auto &Entry) {
+      return Now - Entry.second.m_At > Retention;
+    });
+    m_ByDaemon[Daemon] = {.m_Instance = Answer.notice->instance,
+                          .m_StartTimeMs = Answer.notice->start_time_ms,
+                          .m_RateLimit = Answer.notice->rate_limit,
+                          .m_At = Now};
+    return;
+  }
+  // A refusal by the daemon alone says nothing of its target.
+  bool IsFromTarget = Answer.refusal == 0 || Answer.status != 0;
+  if (IsFromTarget)
+    m_ByDaemon.erase(Daemon);
+}
+
+const TargetNotice *TargetNotices::find(const PeerTarget &Target) const {
+  auto Found = m_ByDaemon.find(Target.m_Member.m_Name);
+  if (Found == m_ByDaemon.end())
+    return nullptr;
+  bool IsReplaced = !Target.m_Instance.empty() &&
+                    Target.m_Instance != Found->second.m_Instance;
+  return IsReplaced ? nullptr : &Found->second;
+}
+
+std::unique_ptr<wire::TargetNoticeT>
+TargetNotices::messageFor(const PeerTarget &Target, absl::Time Now) const {
+  const TargetNotice *Known = find(Target);
+  if (!Known)
+    return nullptr;
+  auto Message = std::make_unique<wire::TargetNoticeT>();
+  Message->instance = Known->m_Instance;
+  Message->start_time_ms = Known->m_StartTimeMs;
+  Message->rate_limit = Known->m_RateLimit;
+  Message->age_us = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, absl::ToInt64Microseconds(Now - Known->m_At)));
+  return Message;
+}
+
+} // namespace knapweedloft::mesh
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -66,6 +66,7 @@
                            absl::Time Now) {
   ++m_Counts.m_Forwards;
   model::ForwardId Id = app::fromWire(Message.id);
+  adoptNotice(Message, Now);
   RefusalReason Reason = validate(Message);
   if (Reason == RefusalReason::None) {
     Reason = quarantineOf(Message, Now);
@@ -125,6 +126,8 @@
     return;
   PendingRequest &Next = m_Pending.at(Id);
   ++m_Counts.m_Started;
+  if (m_RateLimit.m_PerSecond > 0)
+    ++m_Counts.m_PacedStarts;
   m_Counts.m_Wait.add(Now - Next.m_Arrived);
   Next.m_IsStarted = true;
   Next.m_Started = Now;
@@ -173,14 +176,18 @@
     return;
   }
   m_Unanswered.clear();
+  bool IsSuccess = Response.m_Status < FirstFailureStatus;
+  bool IsProven =
+      http::findHeader(Response.m_Headers, Names.m_OriginProof) != nullptr;
+  if (!IsSuccess || IsProven)
+    applyNamedLimit(Response, Done, Now);
   if (http::findHeader(Response.m_Headers, Names.m_NotRun)) {
     ++m_Counts.m_TargetShed;
     refuse(Done.m_From, Done.m_Id, RefusalReason::Overloaded, Ran::No,
            ClosedRetryAfter, true);
     return;
   }
-  bool IsSuccess = Response.m_Status < FirstFailureStatus;
-  if (IsSuccess && !http::findHeader(Response.m_Headers, Names.m_OriginProof)) {
+  if (IsSuccess && !IsProven) {
     ++m_Counts.m_Incomplete;
     refuse(Done.m_From, Done.m_Id, RefusalReason::BadAnswer, Ran::Unknown,
            absl::ZeroDuration());
@@ -244,6 +251,7 @@
   if (Done.m_IsCancelled)
     return;
   Answer.load = load();
+  Answer.notice = notice();
   m_Options.m_Hooks.m_Answer(Done.m_From, std::move(Answer));
 }
 
@@ -261,6 +269,7 @@
   Answer.retry_after_us =
       static_cast<std::uint64_t>(absl::ToInt64Microseconds(RetryAfter));
   Answer.load = load();
+  Answer.notice = notice();
   m_Options.m_Hooks.m_Answer(To, std::move(Answer));
 }
 
@@ -272,15 +281,20 @@
   PendingRequest Refused = std::move(Found->second);
   m_Pending.erase(Found);
   m_JobByForward.erase(Refused.m_Id);
-  m_Log.notable("Request refused before it was run.",
-                {{"id", Refused.m_Message.call_id},
-                 {"reason", model::RefusalReasonNames.nameOf(Reason)},
-                 {"rank", Refused.m_Message.rank},
-                 {"waited", Now - Refused.m_Arrived},
-                 {"left", Refused.m_Deadline - Now},
-                 {"running", m_Scheduler.load().m_Running},
-                 {"queued", m_Scheduler.load().m_Queued},
-                 {"limit", m_Scheduler.load().m_Limit}});
+  m_Log.notable(
+      "Request refused before it was run.",
+      {{"id", Refused.m_Message.call_id},
+       {"reason", model::RefusalReasonNames.nameOf(Reason)},
+       {"rank", Refused.m_Message.rank},
+       {"waited", Now - Refused.m_Arrived},
+       {"left", Refused.m_Deadline - Now},
+       {"running", m_Scheduler.load().m_Running},
+       {"queued", m_Scheduler.load().m_Queued},
+       {"limit", m_Scheduler.load().m_Limit},
+       {"rate_limit", m_RateLimit.m_PerSecond},
+       {"rate_limit_age", m_RateLimit.m_PerSecond > 0 ? Now - m_RateLimit.m_At
+                                                      : absl::ZeroDuration()},
+       {"rate_limit_source", m_RateLimit.m_Source}});
   // A request that another target refused before was counted there.
   bool IsFirst = Refused.m_Message.refusals == 0;
   if (Reason == RefusalReason::Overloaded && IsFirst)
@@ -348,7 +362,7 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
-  m_ShareController.update(m_Scheduler.limit(), Now);
+  m_ShareController.update(m_Scheduler.usableSlots(), Now);
   logAdmittedShare();
   poll(Now);
   judgeBrokenRuns(Now);
@@ -391,8 +405,12 @@
 
 wire::Load TargetPath::load() const {
   policy::SlotScheduler::Load Load = m_Scheduler.load();
-  return {static_cast<float>(Load.m_Limit),
-          Load.m_Running,
+  // A target that takes less than one request at a time counts as busy, so that
+  // it gets only what the others cannot take.
+  std::uint32_t Running =
+      std::max(Load.m_Running, Load.m_UsableSlots < 1 ? 1U : 0U);
+  return {static_cast<float>(Load.m_UsableSlots),
+          Running,
           Load.m_Queued,
           static_cast<float>(1 - m_ShareController.admittedShare()),
           static_cast<std::uint32_t>(absl::ToInt64Microseconds(Load.m_Latency)),
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -160,6 +160,7 @@
   Made.m_Self.m_Incarnation = Made.m_Life * 1000 + Index + 1;
   for (PeerTarget &Known : Made.m_Targets)
     Known = {};
+  Made.m_Told.clear();
   makeQuarantine(Index);
   makeRecords(Index);
   makeTarget(Index);
@@ -308,8 +309,10 @@
               {Message.id.entry(), Message.id.sequence()}, m_Now);
         });
   };
-  Options.m_Hooks.m_Answer = [this](http::ExchangeId Id, int Status,
-                                    std::string_view, std::string_view Body) {
+  Options.m_Hooks.m_Answer = [this, Index](http::ExchangeId Id, int Status,
+                                           std::string_view Lines,
+                                           std::string_view Body) {
+    noteTold(Index, std::string(Lines));
     m_Answers.push_back(
         {m_PathByExchange[Id.m_Sequence], Status, std::string(Body), m_Now});
   };
@@ -509,30 +512,87 @@
       return;
     }
     if (Path != "/health")
-      m_Arrivals[Path].push_back({m_Now, Entry, isInTouch(Entry)});
+      noteArrival(Index, Entry, Path);
     if (m_Poisonous.contains(Path)) {
       m_Crashes[Path].push_back(m_Now);
       crashTarget(Index);
       return;
     }
-    later(Index, Path == "/health" ? LocalDelay : m_Settings.m_Run,
-          [this, Index, Id] {
-            Daemon &Here = m_Daemons[Index];
-            auto Running = Here.m_Running.find(Id);
-            if (Running == Here.m_Running.end())
-              return;
-            TargetCall Done = std::move(Running->second);
-            Here.m_Running.erase(Running);
-            http::HttpResult Result;
-            Result.m_Response = {
-                .m_Status = 200,
-                .m_Headers = {{"Proof", "p"}, {"I-Am", instanceOf(Index)}}};
-            Done.m_OnDone(std::move(Result), m_Now);
-          });
+    later(
+        Index, Path == "/health" ? LocalDelay : m_Settings.m_Run,
+        [this, Index, Id] {
+          Daemon &Here = m_Daemons[Index];
+          auto Running = Here.m_Running.find(Id);
+          if (Running == Here.m_Running.end())
+            return;
+          TargetCall Done = std::move(Running->second);
+          Here.m_Running.erase(Running);
+          http::HttpResult Result;
+          Result.m_Response = {
+              .m_Status = 200,
+              .m_Headers = {{"Proof", "p"}, {"I-Am", instanceOf(Index)}}};
+          if (!Here.m_RateLimit.empty())
+            Result.m_Response.m_Headers.push_back({"Takes", Here.m_RateLimit});
+          Done.m_OnDone(std::move(Result), m_Now);
+        });
   });
   return Id;
 }
 
+void TestFleet::noteTold(std::size_t Entry, const std::string &Lines) {
+  if (Lines.find("Takes: ") == std::string::npos)
+    return;
+  constexpr std::string_view Field = "I-Am: ";
+  std::size_t From = Lines.find(Field) + Field.size();
+  m_Daemons[Entry].m_Told.emplace(
+      Lines.substr(From, Lines.find('\r', From) - From), m_Now);
+}
+
+void TestFleet::noteArrival(std::size_t Index, std::size_t Entry,
+                            const std::string &Path) {
+  constexpr absl::Duration ToldBefore = absl::Milliseconds(500);
+  m_Arrivals[Path].push_back({m_Now, Entry, isInTouch(Entry)});
+  const auto &Told = m_Daemons[Entry].m_Told;
+  auto Found = Told.find(instanceOf(Index));
+  m_Daemons[Index].m_Arrivals.push_back(
+      {m_Now, Found != Told.end() && m_Now >= Found->second + ToldBefore});
+}
+
+void TestFleet::nameRateLimit(std::size_t Index, const std::string &Text) {
+  m_Daemons[Index].m_RateLimit = Text;
+}
+
+void TestFleet::replaceTarget(std::size_t Index) {
+  Daemon &Beside = m_Daemons[Index];
+  breakCalls(Index);
+  Beside.m_RateLimit.clear();
+  ++Beside.m_Instance;
+  Beside.m_Reports = 0;
+  reportTarget(Index, TargetCondition::Ready);
+}
+
+std::size_t TestFleet::mostFromTold(std::size_t Index, absl::Time From,
+                                    absl::Duration Span) const {
+  std::vector<absl::Time> Told;
+  for (const TargetArrival &One : m_Daemons[Index].m_Arrivals)
+    if (One.m_IsTold && One.m_At >= From)
+      Told.push_back(One.m_At);
+  std::size_t Most = 0;
+  for (auto First = Told.begin(); First != Told.end(); ++First) {
+    auto Last = std::lower_bound(First, Told.end(), *First + Span);
+    Most = std::max(Most, static_cast<std::size_t>(Last - First));
+  }
+  return Most;
+}
+
+std::size_t TestFleet::arrivalsAt(std::size_t Index, absl::Time From) const {
+  const auto &All = m_Daemons[Index].m_Arrivals;
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [From](const TargetArrival &One) {
+        return One.m_At >= From;
+      }));
+}
+
 void TestFleet::breakCalls(std::size_t Index) {
   auto Broken = std::exchange(m_Daemons[Index].m_Running, {});
   for (auto &[Id, Call] : Broken)
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -91,6 +91,10 @@
   void cutLinks(const std::function<bool(std::size_t, std::size_t)> &IsCut);
   void healLinks();
   void setStoreAvailable(bool IsAvailable);
+  /// The target names the rate limit \p Text in its answers; empty: none.
+  void nameRateLimit(std::size_t Index, const std::string &Text);
+  /// The target ends and another instance takes its place at once.
+  void replaceTarget(std::size_t Index);
 
   [[nodiscard]] const std::vector<Arrival> &arrivals(const std::string &Path) {
     return m_Arrivals[Path];
@@ -109,6 +113,14 @@
   /// \returns whether a daemon, its links and the store have been undisturbed
   /// for the stability window.
   [[nodiscard]] bool isInTouch(std::size_t Index) const;
+  /// \returns the most requests that reached a target within \p Span, after
+  /// \p From, by daemons that had told their callers of its rate limit at least
+  /// half a second before.
+  [[nodiscard]] std::size_t mostFromTold(std::size_t Index, absl::Time From,
+                                         absl::Duration Span) const;
+  /// \returns the number of requests that reached a target after \p From.
+  [[nodiscard]] std::size_t arrivalsAt(std::size_t Index,
+                                       absl::Time From) const;
   [[nodiscard]] const std::vector<Answered> &answers() const {
     return m_Answers;
   }
@@ -131,6 +143,11 @@
     http::LoopClient::Done m_OnDone;
   };
 
+  struct TargetArrival {
+    absl::Time m_At;
+    bool m_IsTold = false; ///< By an entry side that knew the rate limit.
+  };
+
   struct Daemon {
     model::Member m_Self;
     std::unique_ptr<EntryPath> m_Entry;
@@ -143,6 +160,10 @@
     std::uint64_t m_Instance = 1;
     std::uint64_t m_Reports = 0;
     absl::Time m_DisturbedAt = absl::InfinitePast();
+    std::string m_RateLimit;               ///< That the target names.
+    std::vector<TargetArrival> m_Arrivals; ///< At the target.
+    /// Instances whose rate limit this daemon passed on, and since when.
+    std::map<std::string, absl::Time> m_Told;
     bool m_IsTargetUp = true;
     bool m_IsTargetLeaving = false;
     std::map<http::LoopClient::CallId, TargetCall> m_Running;
@@ -179,6 +200,9 @@
                                       const http::LoopClient::Call &Call,
                                       http::LoopClient::Done OnDone);
   void breakCalls(std::size_t Index);
+  void noteTold(std::size_t Entry, const std::string &Lines);
+  void noteArrival(std::size_t Index, std::size_t Entry,
+                   const std::string &Path);
   [[nodiscard]] std::uint64_t lifeOf(std::size_t Index) const {
     return m_Daemons[Index].m_Life;
   }
--- a/libs/mesh/tests/TestSite.h
+++ b/libs/mesh/tests/TestSite.h
@@ -20,7 +20,8 @@
                                .m_NotRun = "Not-Run",
                                .m_OriginProof = "Proof",
                                .m_TargetLoad = "Load",
-                               .m_ColdRemaining = "Cold-Left"};
+                               .m_ColdRemaining = "Cold-Left",
+                               .m_RateLimit = "Takes"};
 
 inline CatalogPtr makeCatalog() {
   Catalog Made;
--- a/libs/policy/include/policy/SlotScheduler.h
+++ b/libs/policy/include/policy/SlotScheduler.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_POLICY_SLOTSCHEDULER_H
 
 #include "policy/ColdStartPacer.h"
+#include "policy/RatePacer.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -73,6 +74,9 @@
     std::uint32_t m_Running = 0;
     std::uint32_t m_Queued = 0;
     absl::Duration m_Latency; ///< Mean of recent runs.
+    /// Requests that run at once at the rate that the target takes, at most
+    /// m_Limit.
+    double m_UsableSlots = 0;
   };
 
   explicit SlotScheduler(const Options &Settings) : m_Settings(Settings) {}
@@ -86,6 +90,10 @@
     return m_ColdPacer.isCold(Now);
   }
 
+  /// Limits the starts to \p PerSecond; 0: no limit.
+  void setRateLimit(double PerSecond, absl::Time Now);
+  [[nodiscard]] double rateLimit() const { return m_RatePacer.perSecond(); }
+
   [[nodiscard]] Verdict offer(const Job &Next, absl::Time Now);
   /// Reports the end of a run. \p Latency is used for the estimates only if
   /// \p IsRepresentative.
@@ -101,6 +109,7 @@
 
   [[nodiscard]] Load load() const;
   [[nodiscard]] std::uint32_t limit() const;
+  [[nodiscard]] double usableSlots() const;
   /// \returns the expected queue wait of a job of \p Rank that is offered now.
   [[nodiscard]] absl::Duration expectedWait(std::uint32_t Rank,
                                             absl::Time Now) const;
@@ -113,6 +122,9 @@
   [[nodiscard]] bool hasSlot() const { return m_Running.size() < limit(); }
   [[nodiscard]] absl::Duration meanLatency() const;
   [[nodiscard]] double startsPerSecond(absl::Time Now) const;
+  /// Records a start if the cold start and the rate limit allow it. \returns
+  /// whether they do.
+  [[nodiscard]] bool tryPace(absl::Time Now);
   void start(const Job &Next);
   void refuseLate(absl::Time Now, std::vector<Refusal> &Refused);
 
@@ -120,6 +132,7 @@
   std::uint32_t m_Slots = 1;
   ColdStartPacer m_ColdPacer;
   double m_ColdStartsPerSecond = 0;
+  RatePacer m_RatePacer;
   std::uint64_t m_Arrivals = 0;
   std::map<QueueKey, Job> m_Queue;
   absl::flat_hash_map<JobId, QueueKey> m_QueueKeys;
--- a/libs/policy/src/SlotScheduler.cpp
+++ b/libs/policy/src/SlotScheduler.cpp
@@ -22,6 +22,27 @@
   m_ColdPacer.setCold(Until, m_ColdStartsPerSecond);
 }
 
+void SlotScheduler::setRateLimit(double PerSecond, absl::Time Now) {
+  if (PerSecond > 0)
+    m_RatePacer.setRate(PerSecond, Now);
+  else
+    m_RatePacer.clear();
+}
+
+double SlotScheduler::usableSlots() const {
+  if (!m_RatePacer.isLimited())
+    return limit();
+  return std::min<double>(limit(), m_RatePacer.perSecond() *
+                                       absl::ToDoubleSeconds(meanLatency()));
+}
+
+bool SlotScheduler::tryPace(absl::Time Now) {
+  if (m_RatePacer.nextStart(Now) > Now || !m_ColdPacer.tryStart(Now))
+    return false;
+  m_RatePacer.onStart(Now);
+  return true;
+}
+
 absl::Duration SlotScheduler::expectedLatency(JobClass Class) const {
   if (Class < m_LatencySeconds.size() && m_LatencySeconds[Class] > 0)
     return absl::Seconds(m_LatencySeconds[Class]);
@@ -35,6 +56,8 @@
 
 double SlotScheduler::startsPerSecond(absl::Time Now) const {
   double SlotRate = limit() / absl::ToDoubleSeconds(meanLatency());
+  if (m_RatePacer.isLimited())
+    SlotRate = std::min(SlotRate, m_RatePacer.perSecond());
   return m_ColdPacer.isCold(Now) ? std::min(SlotRate, m_ColdStartsPerSecond)
                                  : SlotRate;
 }
@@ -45,7 +68,8 @@
   for (const auto &[Other, Count] : m_QueuedByRank)
     if (Other <= Rank)
       Ahead += Count;
-  bool CanStart = hasSlot() && m_ColdPacer.nextStart(Now) <= Now;
+  bool CanStart = hasSlot() && m_ColdPacer.nextStart(Now) <= Now &&
+                  m_RatePacer.nextStart(Now) <= Now;
   if (Ahead == 0 && CanStart)
     return absl::ZeroDuration();
   return absl::Seconds(static_cast<double>(Ahead + 1) / startsPerSecond(Now));
@@ -56,7 +80,7 @@
 }
 
 SlotScheduler::Verdict SlotScheduler::offer(const Job &Next, absl::Time Now) {
-  if (m_Queue.empty() && hasSlot() && m_ColdPacer.tryStart(Now)) {
+  if (m_Queue.empty() && hasSlot() && tryPace(Now)) {
     start(Next);
     return Verdict::Run;
   }
@@ -110,7 +134,7 @@
       Refused.push_back({Next.m_Id, expectedWait(Next.m_Rank, Now)});
       continue;
     }
-    if (!m_ColdPacer.tryStart(Now))
+    if (!tryPace(Now))
       break;
     cancel(Next.m_Id);
     start(Next);
@@ -154,7 +178,8 @@
   return {.m_Limit = limit(),
           .m_Running = static_cast<std::uint32_t>(m_Running.size()),
           .m_Queued = static_cast<std::uint32_t>(m_Queue.size()),
-          .m_Latency = absl::Seconds(m_MeanLatencySeconds)};
+          .m_Latency = absl::Seconds(m_MeanLatencySeconds),
+          .m_UsableSlots = usableSlots()};
 }
 
 } // namespace knapweedloft::policy
