Send nothing more to a target that says in its answers that it leaves

Callers' requests went on to a target that leaves and says so only in its answers (DRAIN). Cause: the field was relayed and not read, like the rate limit.

The target side closes as after a report that the target leaves. Entry sides remember it by instance and start time: they do not choose the target again and remind its daemon with each forward, so that it holds when that daemon restarts. The start time is told between daemons now, since a target may start again under its id. Health checks do not undo it.

NamedLimitTest restarts the target's daemon at a limit of one a second, where each forgotten limit shows.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -85,6 +85,8 @@
   };
 
   EntryPath(Options Settings, ComponentLog Log);
+  EntryPath(const EntryPath &) = delete;
+  EntryPath &operator=(const EntryPath &) = delete;
 
   void setCatalog(CatalogPtr Catalog, absl::Time Now);
   /// Targets were added, removed, opened or closed.
@@ -170,6 +172,9 @@
   void setTimes(Pending &Request, absl::Time Now) const;
   [[nodiscard]] std::string chooseService(const CatalogRoute &Route);
   ServiceState &serviceOf(const std::string &Name, absl::Time Now);
+  /// \returns the known targets of a service; those that leave are closed.
+  [[nodiscard]] std::vector<PeerTarget>
+  targetsOf(const std::string &Service) const;
   void refreshTargets(const std::string &Name, ServiceState &State,
                       absl::Time Now);
   [[nodiscard]] bool isAdmitted(const Pending &Request, absl::Time Now);
--- a/libs/mesh/include/mesh/HeaderNames.h
+++ b/libs/mesh/include/mesh/HeaderNames.h
@@ -22,6 +22,7 @@
   std::string m_TargetLoad;    ///< From a target: running, waiting, slots.
   std::string m_ColdRemaining; ///< From a target: milliseconds it stays cold.
   std::string m_RateLimit;     ///< From a target: requests a second it takes.
+  std::string m_Leaving;       ///< From a target: "1" if it leaves.
 
   friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
 };
--- a/libs/mesh/include/mesh/PeerTarget.h
+++ b/libs/mesh/include/mesh/PeerTarget.h
@@ -15,6 +15,7 @@
 struct PeerTarget {
   model::Member m_Member;
   std::string m_Instance;
+  std::int64_t m_StartTimeMs = 0; ///< Of the instance; 0: unknown.
   bool m_IsOpen = false; ///< Accepts requests, and its daemon is linked.
   std::vector<CallEdge> m_Calls; ///< Calls that the target makes.
 };
--- a/libs/mesh/include/mesh/TargetNotice.h
+++ b/libs/mesh/include/mesh/TargetNotice.h
@@ -14,7 +14,8 @@
   std::string m_Instance;
   std::int64_t m_StartTimeMs = 0; ///< Of the instance; 0: unknown.
   double m_RateLimit = 0; ///< Requests a second that it takes; 0: named none.
-  absl::Time m_At;        ///< When it was last heard.
+  bool m_IsLeaving = false;
+  absl::Time m_At; ///< When it was last heard.
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/TargetNotices.h
+++ b/libs/mesh/include/mesh/TargetNotices.h
@@ -27,10 +27,14 @@
 /// \endcode
 class TargetNotices {
 public:
-  /// An answer came from the daemon named \p Daemon.
-  void onAnswer(const std::string &Daemon, const wire::AnswerT &Answer,
+  /// An answer came from the daemon named \p Daemon. \returns whether the
+  /// target was not known before to leave.
+  bool onAnswer(const std::string &Daemon, const wire::AnswerT &Answer,
                 absl::Time Now);
 
+  /// \returns whether \p Target has said that it leaves.
+  [[nodiscard]] bool isLeaving(const PeerTarget &Target) const;
+
   /// \returns the notice that is known of \p Target; null: none.
   [[nodiscard]] std::unique_ptr<wire::TargetNoticeT>
   messageFor(const PeerTarget &Target, absl::Time Now) const;
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -226,10 +226,13 @@
                    absl::Time Now);
   void releaseAnswers(absl::Time Now);
 
-  // TargetRateLimit.cpp
+  // TargetWords.cpp
   /// Takes the rate limit from an answer of the target, or its absence.
   void applyNamedLimit(const http::HttpResponse &Response,
                        const PendingRequest &Done, absl::Time Now);
+  /// Takes from an answer of \p Instance whether it leaves.
+  void applyNamedLeave(const http::HttpResponse &Response,
+                       const std::string &Instance, absl::Time Now);
   /// Takes over what an entry side remembers of the target.
   void adoptNotice(const wire::ForwardT &Message, absl::Time Now);
   /// \p At: when the target named it.
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -14,7 +14,7 @@
 enum class TargetAvailability : std::uint8_t {
   Open,
   Unknown,   ///< No report or check yet, or none since a restart.
-  Leaving,   ///< It reported that it leaves; that was acknowledged.
+  Leaving,   ///< It reported, or said in an answer, that it leaves.
   Down,      ///< It does not accept connections.
   Withdrawn, ///< An operator withdrew its data center.
   Stopping   ///< The daemon is stopping.
@@ -29,8 +29,8 @@
 ///
 /// Reports may arrive late, out of order, from earlier instances of the target
 /// or from other targets: the start time orders instances, the sequence number
-/// orders the reports of one instance. Once a target has reported that it
-/// leaves, only a later instance opens it again. Not thread-safe.
+/// orders the reports of one instance. Once a target has said that it leaves,
+/// only a later instance opens it again. Not thread-safe.
 class TargetState {
 public:
   struct Options {
@@ -54,6 +54,8 @@
                      absl::Time Now);
   /// \p Instance answered a request that was sent to another instance.
   void onUnexpectedInstance(const std::string &Instance);
+  /// The target said in an answer of its present instance that it leaves.
+  void onLeaving() { m_IsLeaving = true; }
   /// The target refused a connection.
   void onConnectionRefused();
   void setWithdrawn(bool IsWithdrawn);
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -46,7 +46,12 @@
                                absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
   Request.m_IsSent = false;
-  m_Notices.onAnswer(Request.m_To.m_Name, Answer, Now);
+  if (m_Notices.onAnswer(Request.m_To.m_Name, Answer, Now)) {
+    m_Log.state("A target leaves.", {{"target", Request.m_To.m_Name},
+                                     {"instance", Answer.notice->instance},
+                                     {"id", Request.m_CallId}});
+    onTargetsChanged();
+  }
   auto Reason = static_cast<RefusalReason>(Answer.refusal);
   auto DidRun = static_cast<Ran>(Answer.ran);
   // A refusal by the target itself counts as a failure of the target; a
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -61,7 +61,9 @@
       m_Random(m_Options.m_Seed != 0 ? m_Options.m_Seed
                                      : std::random_device()()),
       m_Admission(
-          {m_Options.m_PriorityAdmission, m_Options.m_Hooks.m_TargetsOf}) {}
+          {m_Options.m_PriorityAdmission,
+           [this](const std::string &Service) { return targetsOf(Service); }}) {
+}
 
 void EntryPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
   if (m_Catalog)
@@ -220,6 +222,14 @@
   return Found->second;
 }
 
+std::vector<PeerTarget> EntryPath::targetsOf(const std::string &Service) const {
+  std::vector<PeerTarget> Targets = m_Options.m_Hooks.m_TargetsOf(Service);
+  for (PeerTarget &Target : Targets)
+    if (m_Notices.isLeaving(Target))
+      Target.m_IsOpen = false;
+  return Targets;
+}
+
 void EntryPath::refreshTargets(const std::string &Name, ServiceState &State,
                                absl::Time Now) {
   if (State.m_TargetsVersion == m_TargetsVersion)
@@ -227,7 +237,7 @@
   State.m_TargetsVersion = m_TargetsVersion;
   State.m_Targets.clear();
   std::vector<policy::TargetInfo> Infos;
-  for (PeerTarget &Target : m_Options.m_Hooks.m_TargetsOf(Name)) {
+  for (PeerTarget &Target : targetsOf(Name)) {
     Infos.push_back({.m_Incarnation = Target.m_Member.m_Incarnation,
                      .m_Name = Target.m_Member.m_Name,
                      .m_Region = Target.m_Member.m_Region,
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -301,6 +301,7 @@
   if (Service == m_Self.m_Service)
     Targets.push_back({.m_Member = m_Self,
                        .m_Instance = m_Target->state().instance(),
+                       .m_StartTimeMs = m_Target->state().startTimeMs(),
                        .m_IsOpen = m_Target->state().isOpen(),
                        .m_Calls = m_Entry->calls()});
   for (PeerTarget &Target : Targets)
@@ -314,6 +315,7 @@
   Message.sequence = m_TargetStateSequence;
   Message.service = m_Self.m_Service;
   Message.instance = m_Target->state().instance();
+  Message.start_time_ms = m_Target->state().startTimeMs();
   Message.is_open = m_Target->state().isOpen();
   Message.is_cold = m_Target->isCold(io::monotonicNow());
   for (const CallEdge &Edge : m_Entry->calls()) {
--- a/libs/mesh/src/PeerLinks.cpp
+++ b/libs/mesh/src/PeerLinks.cpp
@@ -84,6 +84,7 @@
     Remote.m_TargetState.service = State.service;
     Remote.m_TargetState.instance = State.instance;
     Remote.m_TargetState.is_open = State.is_open;
+    Remote.m_TargetState.start_time_ms = State.start_time_ms;
     Remote.m_TargetState.is_cold = State.is_cold;
     Remote.m_TargetState.slots = State.slots;
     Remote.m_Calls.clear();
@@ -133,6 +134,7 @@
       Targets.push_back(
           {.m_Member = Remote.m_Member,
            .m_Instance = Remote.m_TargetState.instance,
+           .m_StartTimeMs = Remote.m_TargetState.start_time_ms,
            .m_IsOpen = Remote.m_TargetState.is_open && !Remote.m_Links.empty(),
            .m_Calls = Remote.m_Calls});
   return Targets;
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -87,8 +87,13 @@
   bool IsReplaced = m_State.instance() != m_AppliedInstance ||
                     (FormerStart != 0 && m_AppliedStartTimeMs != 0 &&
                      FormerStart != m_AppliedStartTimeMs);
-  if (After == m_AppliedAvailability && !IsReplaced)
+  bool IsStartKnown = FormerStart == 0 && m_AppliedStartTimeMs != 0;
+  if (After == m_AppliedAvailability && !IsReplaced) {
+    // Peers compare notices of the target by it.
+    if (IsStartKnown)
+      m_Options.m_Hooks.m_OnChange(Now);
     return;
+  }
   TargetAvailability Before = std::exchange(m_AppliedAvailability, After);
   std::string Former = std::exchange(m_AppliedInstance, m_State.instance());
   if (IsReplaced && !Former.empty() && Before != TargetAvailability::Leaving)
@@ -173,6 +178,8 @@
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
   m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Now);
+  if (Result.m_Failure == Failure::None && Instance)
+    applyNamedLeave(Response, *Instance, Now);
   onCheckOfBrokenRuns(Result.m_Failure, Instance, Now);
   if (IsHealthy) {
     applyReportedSlots(Response);
--- a/libs/mesh/src/TargetNotices.cpp
+++ b/libs/mesh/src/TargetNotices.cpp
@@ -11,31 +11,44 @@
 
 } // namespace
 
-void TargetNotices::onAnswer(const std::string &Daemon,
+bool TargetNotices::onAnswer(const std::string &Daemon,
                              const wire::AnswerT &Answer, absl::Time Now) {
   if (Answer.notice) {
     absl::erase_if(m_ByDaemon, [Now](const auto &Entry) {
       return Now - Entry.second.m_At > Retention;
     });
-    m_ByDaemon[Daemon] = {.m_Instance = Answer.notice->instance,
-                          .m_StartTimeMs = Answer.notice->start_time_ms,
-                          .m_RateLimit = Answer.notice->rate_limit,
-                          .m_At = Now};
-    return;
+    TargetNotice &Known = m_ByDaemon[Daemon];
+    bool WasLeaving =
+        Known.m_IsLeaving && Known.m_Instance == Answer.notice->instance;
+    Known = {.m_Instance = Answer.notice->instance,
+             .m_StartTimeMs = Answer.notice->start_time_ms,
+             .m_RateLimit = Answer.notice->rate_limit,
+             .m_IsLeaving = Answer.notice->is_leaving,
+             .m_At = Now};
+    return Known.m_IsLeaving && !WasLeaving;
   }
   // A refusal by the daemon alone says nothing of its target.
   bool IsFromTarget = Answer.refusal == 0 || Answer.status != 0;
   if (IsFromTarget)
     m_ByDaemon.erase(Daemon);
+  return false;
+}
+
+bool TargetNotices::isLeaving(const PeerTarget &Target) const {
+  const TargetNotice *Known = find(Target);
+  return Known && Known->m_IsLeaving;
 }
 
 const TargetNotice *TargetNotices::find(const PeerTarget &Target) const {
   auto Found = m_ByDaemon.find(Target.m_Member.m_Name);
   if (Found == m_ByDaemon.end())
     return nullptr;
-  bool IsReplaced = !Target.m_Instance.empty() &&
-                    Target.m_Instance != Found->second.m_Instance;
-  return IsReplaced ? nullptr : &Found->second;
+  const TargetNotice &Known = Found->second;
+  bool IsRestarted = Target.m_StartTimeMs != 0 && Known.m_StartTimeMs != 0 &&
+                     Target.m_StartTimeMs != Known.m_StartTimeMs;
+  bool IsReplaced =
+      !Target.m_Instance.empty() && Target.m_Instance != Known.m_Instance;
+  return IsReplaced || IsRestarted ? nullptr : &Known;
 }
 
 std::unique_ptr<wire::TargetNoticeT>
@@ -47,6 +60,7 @@
   Message->instance = Known->m_Instance;
   Message->start_time_ms = Known->m_StartTimeMs;
   Message->rate_limit = Known->m_RateLimit;
+  Message->is_leaving = Known->m_IsLeaving;
   Message->age_us = static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, absl::ToInt64Microseconds(Now - Known->m_At)));
   return Message;
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -179,8 +179,10 @@
   bool IsSuccess = Response.m_Status < FirstFailureStatus;
   bool IsProven =
       http::findHeader(Response.m_Headers, Names.m_OriginProof) != nullptr;
-  if (!IsSuccess || IsProven)
+  if (!IsSuccess || IsProven) {
     applyNamedLimit(Response, Done, Now);
+    applyNamedLeave(Response, Done.m_Instance, Now);
+  }
   if (http::findHeader(Response.m_Headers, Names.m_NotRun)) {
     ++m_Counts.m_TargetShed;
     refuse(Done.m_From, Done.m_Id, RefusalReason::Overloaded, Ran::No,
--- a/libs/mesh/src/TargetRateLimit.cpp
+++ b/libs/mesh/src/TargetWords.cpp
@@ -1,5 +1,5 @@
-// The part of TargetPath that keeps to the rate that the target names in its
-// answers.
+// The part of TargetPath that takes what the target says of itself in its
+// answers: the rate that it takes, and that it leaves.
 #include "mesh/TargetPath.h"
 
 #include "http/MessageText.h"
@@ -61,6 +61,16 @@
   setRateLimit(PerSecond, "target", Now, Now);
 }
 
+void TargetPath::applyNamedLeave(const http::HttpResponse &Response,
+                                 const std::string &Instance, absl::Time Now) {
+  const std::string *Text =
+      http::findHeader(Response.m_Headers, m_Options.m_HeaderNames.m_Leaving);
+  if (!Text || *Text != "1" || Instance != m_State.instance())
+    return;
+  m_State.onLeaving();
+  applyStateChange(Now);
+}
+
 void TargetPath::adoptNotice(const wire::ForwardT &Message, absl::Time Now) {
   const wire::TargetNoticeT *Notice = Message.notice.get();
   if (!Notice || Notice->instance != m_State.instance() ||
@@ -73,6 +83,10 @@
   if (!m_HasAnswered && At > m_RateLimit.m_At &&
       std::isfinite(Notice->rate_limit))
     setRateLimit(std::min(Notice->rate_limit, MaxRateLimit), "peer", At, Now);
+  if (Notice->is_leaving) {
+    m_State.onLeaving();
+    applyStateChange(Now);
+  }
 }
 
 void TargetPath::setRateLimit(double PerSecond, const char *Source,
@@ -99,12 +113,15 @@
 }
 
 std::unique_ptr<wire::TargetNoticeT> TargetPath::notice() const {
-  if (!m_HasAnswered || m_RateLimit.m_PerSecond == 0)
+  bool IsLeaving = m_State.availability() == TargetAvailability::Leaving;
+  bool IsLimited = m_HasAnswered && m_RateLimit.m_PerSecond > 0;
+  if (!IsLeaving && !IsLimited)
     return nullptr;
   auto Message = std::make_unique<wire::TargetNoticeT>();
   Message->instance = m_State.instance();
   Message->start_time_ms = m_State.startTimeMs();
   Message->rate_limit = m_RateLimit.m_PerSecond;
+  Message->is_leaving = IsLeaving;
   return Message;
 }
 
--- a/libs/mesh/tests/NamedLimitTest.cpp
+++ b/libs/mesh/tests/NamedLimitTest.cpp
@@ -126,14 +126,14 @@
 // Guards against a limit that is forgotten with the daemon beside the target.
 TEST_P(NamedLimitTest, Restart_OfTargetsDaemon_LimitHoldsOn) {
   sendMuch(absl::Seconds(2));
-  name("10");
+  name("1");
   sendMuch(absl::Seconds(5));
   for (int Times = 0; Times < 4; ++Times) {
     m_Fleet.restartDaemons({0});
     sendMuch(absl::Seconds(1));
   }
   sendMuch(absl::Seconds(6));
-  expectWithin(10, m_Named + StabilityWindow);
+  expectWithin(1, m_Named + StabilityWindow);
 }
 
 TEST_P(NamedLimitTest, Stop_OfTargetsDaemon_LimitHoldsOn) {
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -389,7 +389,7 @@
 }
 
 std::string TestFleet::instanceOf(std::size_t Index) const {
-  return fmt::format("i-{}-{}", Index, m_Daemons[Index].m_Instance);
+  return fmt::format("i-{}-{}", Index, m_Daemons[Index].m_InstanceId);
 }
 
 void TestFleet::reportTarget(std::size_t Index, TargetCondition Condition) {
@@ -417,6 +417,7 @@
   const Daemon &Beside = m_Daemons[Index];
   PeerTarget Told{.m_Member = Beside.m_Self,
                   .m_Instance = Beside.m_Target->state().instance(),
+                  .m_StartTimeMs = Beside.m_Target->state().startTimeMs(),
                   .m_IsOpen = Beside.m_Target->state().isOpen()};
   for (std::size_t Other = 0; Other < size(); ++Other)
     deliver(Index, Other, [this, Index, Other, Told] {
@@ -533,6 +534,8 @@
               .m_Headers = {{"Proof", "p"}, {"I-Am", instanceOf(Index)}}};
           if (!Here.m_RateLimit.empty())
             Result.m_Response.m_Headers.push_back({"Takes", Here.m_RateLimit});
+          if (Here.m_SaysLeaving)
+            Result.m_Response.m_Headers.push_back({"Leaves", "1"});
           Done.m_OnDone(std::move(Result), m_Now);
         });
   });
@@ -540,7 +543,8 @@
 }
 
 void TestFleet::noteTold(std::size_t Entry, const std::string &Lines) {
-  if (Lines.find("Takes: ") == std::string::npos)
+  if (Lines.find("Takes: ") == std::string::npos &&
+      Lines.find("Leaves: ") == std::string::npos)
     return;
   constexpr std::string_view Field = "I-Am: ";
   std::size_t From = Lines.find(Field) + Field.size();
@@ -562,11 +566,18 @@
   m_Daemons[Index].m_RateLimit = Text;
 }
 
-void TestFleet::replaceTarget(std::size_t Index) {
+void TestFleet::sayLeaving(std::size_t Index) {
+  m_Daemons[Index].m_SaysLeaving = true;
+}
+
+void TestFleet::replaceTarget(std::size_t Index, bool KeepsId) {
   Daemon &Beside = m_Daemons[Index];
   breakCalls(Index);
   Beside.m_RateLimit.clear();
+  Beside.m_SaysLeaving = false;
   ++Beside.m_Instance;
+  if (!KeepsId)
+    Beside.m_InstanceId = Beside.m_Instance;
   Beside.m_Reports = 0;
   reportTarget(Index, TargetCondition::Ready);
 }
@@ -616,7 +627,8 @@
   at(m_Now + m_Settings.m_TargetRestart, [this, Index] {
     Daemon &Restarted = m_Daemons[Index];
     Restarted.m_IsTargetUp = true;
-    ++Restarted.m_Instance;
+    Restarted.m_InstanceId = ++Restarted.m_Instance;
+    Restarted.m_SaysLeaving = false;
     Restarted.m_Reports = 0;
     reportTarget(Index, TargetCondition::Ready);
   });
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -93,8 +93,11 @@
   void setStoreAvailable(bool IsAvailable);
   /// The target names the rate limit \p Text in its answers; empty: none.
   void nameRateLimit(std::size_t Index, const std::string &Text);
-  /// The target ends and another instance takes its place at once.
-  void replaceTarget(std::size_t Index);
+  /// The target says in its answers that it leaves, and reports nothing of it.
+  void sayLeaving(std::size_t Index);
+  /// The target ends and another instance takes its place at once, under the
+  /// same id if \p KeepsId.
+  void replaceTarget(std::size_t Index, bool KeepsId = false);
 
   [[nodiscard]] const std::vector<Arrival> &arrivals(const std::string &Path) {
     return m_Arrivals[Path];
@@ -114,8 +117,8 @@
   /// for the stability window.
   [[nodiscard]] bool isInTouch(std::size_t Index) const;
   /// \returns the most requests that reached a target within \p Span, after
-  /// \p From, by daemons that had told their callers of its rate limit at least
-  /// half a second before.
+  /// \p From, by daemons that had passed on its rate limit, or that it leaves,
+  /// at least half a second before.
   [[nodiscard]] std::size_t mostFromTold(std::size_t Index, absl::Time From,
                                          absl::Duration Span) const;
   /// \returns the number of requests that reached a target after \p From.
@@ -160,9 +163,12 @@
     std::uint64_t m_Instance = 1;
     std::uint64_t m_Reports = 0;
     absl::Time m_DisturbedAt = absl::InfinitePast();
-    std::string m_RateLimit;               ///< That the target names.
+    std::string m_RateLimit; ///< That the target names.
+    bool m_SaysLeaving = false;
+    std::uint64_t m_InstanceId = 1;
     std::vector<TargetArrival> m_Arrivals; ///< At the target.
-    /// Instances whose rate limit this daemon passed on, and since when.
+    /// Instances whose word on themselves this daemon passed on, and since
+    /// when.
     std::map<std::string, absl::Time> m_Told;
     bool m_IsTargetUp = true;
     bool m_IsTargetLeaving = false;
--- a/libs/mesh/tests/TestSite.h
+++ b/libs/mesh/tests/TestSite.h
@@ -21,7 +21,8 @@
                                .m_OriginProof = "Proof",
                                .m_TargetLoad = "Load",
                                .m_ColdRemaining = "Cold-Left",
-                               .m_RateLimit = "Takes"};
+                               .m_RateLimit = "Takes",
+                               .m_Leaving = "Leaves"};
 
 inline CatalogPtr makeCatalog() {
   Catalog Made;
