Order the records of the store by era and offset

When the store comes back from an older copy, daemons passed over what was written again under a lower offset, polled beyond it, and never wrote their own records again. Cause: RecordFollower compared offsets alone.

Positions are pairs of era and offset everywhere now. The stand-in store restores copies and names its era.

--- a/libs/mesh/include/mesh/RequestQuarantine.h
+++ b/libs/mesh/include/mesh/RequestQuarantine.h
@@ -72,6 +72,9 @@
   /// All records have been read. The own record is not written before, as it
   /// may hold reports of an earlier life of this daemon.
   void onRecordsRead() { m_HasReadRecords = true; }
+  /// The store may have lost this daemon's record: it is written again at
+  /// \p When.
+  void onRecordLost(absl::Time When);
 
   /// Releases a request from suspicion and quarantine. \returns false if no
   /// crash counts against it.
--- a/libs/mesh/include/mesh/StorePort.h
+++ b/libs/mesh/include/mesh/StorePort.h
@@ -29,6 +29,9 @@
   StoreOutcome m_Outcome = StoreOutcome::Unknown;
   std::vector<StoredRecord> m_Records;
   std::uint64_t m_End = 0; ///< One past the offset of the topic's last record.
+  /// Rises each time the store comes back from an older copy and gives out
+  /// offsets again.
+  std::uint64_t m_Era = 0;
 };
 
 /// Non-blocking calls to the platform's store. Each callback runs exactly once,
--- a/libs/mesh/include/mesh/StoredRecord.h
+++ b/libs/mesh/include/mesh/StoredRecord.h
@@ -11,7 +11,10 @@
   std::string m_Key;
   std::string m_Value;
   bool m_IsDeleted = false;
+  std::uint64_t m_Era = 0; ///< Of the store that gave the offset.
   std::uint64_t m_Offset = 0;
+  /// Surely written in that era, and not part of the copy that it began with.
+  bool m_IsFresh = false;
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -25,6 +25,10 @@
 constexpr absl::Duration RecordsRequestInterval = absl::Milliseconds(200);
 /// Mean delay before a failed write of the daemon's member record is retried.
 constexpr absl::Duration WriteRetryDelay = absl::Milliseconds(500);
+/// Mean interval between the daemons that write their records again after the
+/// store has lost them: 100 of at least 400 allowed writes a second.
+constexpr absl::Duration RewriteInterval = absl::Milliseconds(10);
+constexpr absl::Duration MinRewriteSpread = absl::Seconds(1);
 /// A daemon that has its configuration is ready this long after its start, even
 /// if it has found no other member.
 constexpr absl::Duration ReadyTimeout = absl::Seconds(2);
@@ -61,7 +65,8 @@
   Own.m_Key = m_Self.m_Name;
   Own.m_Value = toRecordText(m_Self);
   m_Ports.m_Store.m_Write(
-      m_Ports.m_MemberTopic, Own, [this](StoreOutcome Outcome, absl::Time Now) {
+      m_Ports.m_MemberTopic, Own,
+      [this](StoreOutcome Outcome, absl::Time /*Now*/) {
         if (Outcome != StoreOutcome::Done) {
           m_Log.state("Writing the member record failed.",
                       {{"how", StoreOutcomeNames.nameOf(Outcome)}});
@@ -69,13 +74,28 @@
                       WriteRetryDelay *
                           (0.5 + absl::Uniform(m_Random, 0.0, 1.0)));
         }
-        // Members are read only after the write: of two daemons that start at
+        // Members are read only after the write: of two daemons that write at
         // once, at least one then reads the record of the other.
-        if (!m_Members->hasRead())
-          m_Members->start(Now);
+        if (Outcome == StoreOutcome::Done || !m_Members->hasRead())
+          m_Members->restart();
       });
 }
 
+void Node::Impl::onNewEra(std::uint64_t Era, absl::Time Now) {
+  // All daemons together stay far below what the store allows.
+  absl::Duration Spread =
+      std::max(MinRewriteSpread,
+               RewriteInterval * static_cast<double>(m_Peers->daemons()));
+  absl::Duration After = Spread * absl::Uniform(m_Random, 0.0, 1.0);
+  m_Log.state("The store came back from an older copy.",
+              {{"era", Era},
+               {"config", m_Catalog ? m_Catalog->version() : 0},
+               {"rewrite_after", After}});
+  m_Loop.post([this] { writeMember(); }, After);
+  m_Quarantine->onRecordLost(Now + After);
+  m_CrashRecords->restart();
+}
+
 void Node::Impl::onMemberRecord(const StoredRecord &Record, absl::Time Now) {
   if (Record.m_IsDeleted) {
     m_Peers->onMemberRemoved(Record.m_Key);
@@ -115,6 +135,16 @@
   }
 }
 
+bool Node::Impl::isNewerCatalog(const StoredRecord &Known,
+                                const StoredRecord &Read) const {
+  OperatorRecord Former = m_Ports.m_DecodeOperatorRecord(Known);
+  OperatorRecord Next = m_Ports.m_DecodeOperatorRecord(Read);
+  const auto *FormerCatalog = std::get_if<Catalog>(&Former);
+  const auto *NextCatalog = std::get_if<Catalog>(&Next);
+  return FormerCatalog && NextCatalog &&
+         NextCatalog->m_Version > FormerCatalog->m_Version;
+}
+
 void Node::Impl::setCatalog(Catalog Next, absl::Time Now) {
   if (m_Catalog && Next.m_Version <= m_Catalog->version())
     return;
@@ -170,7 +200,7 @@
   } else if (auto *Spent = as<wire::SpentNewsT>(Message)) {
     onSpent(From, *Spent, Now);
   } else if (auto *Request = as<wire::StoredRecordsAskT>(Message)) {
-    sendRecords(From, Request->from);
+    sendRecords(From, *Request);
   } else if (auto *Records = as<wire::StoredRecordsT>(Message)) {
     onRecords(*Records, Now);
   } else if (auto *Suspects = as<wire::SuspectsT>(Message)) {
@@ -186,10 +216,12 @@
     return;
   m_Entry->onLoad(Peer->m_Service, Peer->m_Incarnation, Heartbeat.load, Now);
   // The store may be unavailable to this daemon alone.
-  if (Heartbeat.records_end > m_Operator->endOffset() &&
+  std::pair Own(m_Operator->era(), m_Operator->endOffset());
+  if (std::pair(Heartbeat.records_era, Heartbeat.records_end) > Own &&
       Now >= m_NextRecordsRequest) {
     m_NextRecordsRequest = Now + RecordsRequestInterval;
     wire::StoredRecordsAskT Request;
+    Request.era = m_Operator->era();
     Request.from = m_Operator->endOffset();
     m_Links->send(From, Request);
   }
@@ -197,6 +229,7 @@
 
 void Node::Impl::fillHeartbeat(wire::HeartbeatT &Heartbeat) {
   Heartbeat.load = m_Target->load();
+  Heartbeat.records_era = m_Operator->era();
   Heartbeat.records_end = m_Operator->endOffset();
 }
 
@@ -236,15 +269,20 @@
                              Now);
 }
 
-void Node::Impl::sendRecords(link::PeerHandle To, std::uint64_t From) {
+void Node::Impl::sendRecords(link::PeerHandle To,
+                             const wire::StoredRecordsAskT &Request) {
   wire::StoredRecordsT Message;
+  Message.era = m_Operator->era();
   Message.end = m_Operator->endOffset();
-  for (StoredRecord &Stored : m_Operator->recordsSince(From)) {
+  for (StoredRecord &Stored :
+       m_Operator->recordsSince(Request.era, Request.from)) {
     auto Record = std::make_unique<wire::StoredRecordT>();
     Record->key = std::move(Stored.m_Key);
     Record->value.assign(Stored.m_Value.begin(), Stored.m_Value.end());
     Record->is_deleted = Stored.m_IsDeleted;
     Record->offset = Stored.m_Offset;
+    Record->era = Stored.m_Era;
+    Record->is_fresh = Stored.m_IsFresh;
     Message.records.push_back(std::move(Record));
   }
   m_Links->send(To, std::move(Message));
@@ -257,8 +295,10 @@
     Records.push_back({.m_Key = Record->key,
                        .m_Value = {Record->value.begin(), Record->value.end()},
                        .m_IsDeleted = Record->is_deleted,
-                       .m_Offset = Record->offset});
-  m_Operator->merge(Records, Now);
+                       .m_Era = Record->era,
+                       .m_Offset = Record->offset,
+                       .m_IsFresh = Record->is_fresh});
+  m_Operator->merge(Records, Message.era, Message.end, Now);
 }
 
 bool Node::Impl::forward(const model::Member &To, wire::ForwardT Message) {
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -67,13 +67,18 @@
   void setCatalog(Catalog Next, absl::Time Now);
   void onMemberRecord(const StoredRecord &Record, absl::Time Now);
   void writeMember();
+  /// The store came back from an older copy: own records may be missing.
+  void onNewEra(std::uint64_t Era, absl::Time Now);
+  /// \returns whether \p Read holds a newer configuration than \p Known.
+  [[nodiscard]] bool isNewerCatalog(const StoredRecord &Known,
+                                    const StoredRecord &Read) const;
   [[nodiscard]] wire::SpentNewsT
   spentMessage(const std::vector<policy::ReplicatedRateLimiter::Spent> &Spent,
                absl::Time Now) const;
   void sendSpent(absl::Time Now);
   void onSpent(link::PeerHandle From, const wire::SpentNewsT &Message,
                absl::Time Now);
-  void sendRecords(link::PeerHandle To, std::uint64_t From);
+  void sendRecords(link::PeerHandle To, const wire::StoredRecordsAskT &Request);
   void onRecords(const wire::StoredRecordsT &Message, absl::Time Now);
   void tick();
   void checkStopped(absl::Time Now);
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -83,6 +83,7 @@
   appendQuarantine(Text, m_Quarantine->evidence());
   append(Text, "config_version",
          m_Catalog ? static_cast<double>(m_Catalog->version()) : 0);
+  append(Text, "store_era", static_cast<double>(m_Operator->era()));
   append(Text, "store_reached", m_Operator->isStoreAvailable() ? 1 : 0);
   append(Text, "peers_linked", static_cast<double>(m_Peers->linked()));
   append(Text, "peers_known", static_cast<double>(m_Peers->daemons() - 1));
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -267,6 +267,13 @@
     onOperatorRecord(Record, Now);
   };
   Operator.m_PollTimeout = [this] { return pollTimeout(); };
+  Operator.m_OnNewEra = [this](std::uint64_t Era, absl::Time Now) {
+    onNewEra(Era, Now);
+  };
+  Operator.m_Supersedes = [this](const StoredRecord &Known,
+                                 const StoredRecord &Read) {
+    return isNewerCatalog(Known, Read);
+  };
   Operator.m_OnAvailability = [this](bool IsAvailable, absl::Time) {
     m_Log.state(IsAvailable ? "The store is available."
                             : "The store is unavailable.",
@@ -277,6 +284,8 @@
   RecordFollower::Options Members = followerOptions();
   Members.m_Topic = m_Ports.m_MemberTopic;
   Members.m_ReadAllInterval = MembersReadInterval;
+  // The next read comes later, when all daemons have written theirs again.
+  Members.m_HoldTime = MembersReadInterval / 2;
   Members.m_OnRecord = [this](const StoredRecord &Record, absl::Time Now) {
     onMemberRecord(Record, Now);
   };
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -292,6 +292,13 @@
     m_NeedsWrite = true;
 }
 
+void RequestQuarantine::onRecordLost(absl::Time When) {
+  if (storedCrashes().empty() && m_Evidence.completions().empty())
+    return;
+  m_NeedsWrite = true;
+  m_NextWrite = std::max(m_NextWrite, When);
+}
+
 void RequestQuarantine::tick(absl::Time Now, absl::Time Wall) {
   if (Now >= m_NextExpiry) {
     m_NextExpiry = Now + ExpiryInterval;
--- a/libs/mesh/tests/CrashingRequestTest.cpp
+++ b/libs/mesh/tests/CrashingRequestTest.cpp
@@ -165,6 +165,22 @@
   expectBounded();
 }
 
+// Guards against crashes that are forgotten with a store that lost them.
+TEST_P(CrashingRequestTest, Resend_StoreRestoredThenAllRestarted_StaysBounded) {
+  constexpr std::size_t All = 1'000'000;
+  resendInTurn(10, absl::Seconds(2));
+  m_Fleet.restoreStore(All);
+  m_Fleet.run(absl::Seconds(2));
+  std::vector<std::size_t> Daemons(m_Fleet.size());
+  std::iota(Daemons.begin(), Daemons.end(), 0);
+  m_Fleet.restartDaemons(Daemons);
+  m_Fleet.run(absl::Seconds(1));
+  resend(5);
+  expectBounded();
+  expectNoSoundRequestQuarantined();
+  EXPECT_GT(m_Fleet.answered(Poison, Quarantined), 0U);
+}
+
 TEST_P(CrashingRequestTest, Resend_LinksBetweenZonesCut_ReachesFewTargets) {
   m_Fleet.cutLinks([](std::size_t Left, std::size_t Right) {
     return Left % 3 != Right % 3;
--- a/libs/mesh/tests/RecordFollowerTest.cpp
+++ b/libs/mesh/tests/RecordFollowerTest.cpp
@@ -67,6 +67,25 @@
             .m_Offset = Offset};
   }
 
+  /// The same in another era of the store.
+  static StoreReadResult inEra(std::uint64_t Era, StoreReadResult Read) {
+    Read.m_Era = Era;
+    for (StoredRecord &Record : Read.m_Records)
+      Record.m_Era = Era;
+    return Read;
+  }
+
+  /// Configuration v7 at offset 9, data center x withdrawn at 8; the store then
+  /// comes back in the second era from a copy with \p Copied.
+  void restore(std::vector<StoredRecord> Copied, std::uint64_t End) {
+    answer(inEra(
+        1, done({record("config", "v7", 9), record("x", "away", 8)}, 10)));
+    answer(inEra(2, {.m_Outcome = StoreOutcome::Expired}));
+    ASSERT_TRUE(m_Calls.front().m_IsAll);
+    answer(inEra(2, done(std::move(Copied), End)));
+    m_Seen.clear();
+  }
+
   void runTasks() {
     auto Tasks = std::move(m_Tasks);
     m_Tasks.clear();
@@ -156,7 +175,7 @@
 
 TEST_F(RecordFollowerTest, Merge_StoreUnavailable_TakesRecordsFromPeer) {
   answer({.m_Outcome = StoreOutcome::Unknown});
-  m_Follower.merge({record("config", "v1", 4)}, m_Now);
+  m_Follower.merge({record("config", "v1", 4)}, 0, 5, m_Now);
   EXPECT_EQ(m_Seen, (Seen{"config=v1"}));
   EXPECT_EQ(m_Follower.endOffset(), 5U);
   // The store's own list arrives later and is older.
@@ -168,11 +187,104 @@
 TEST_F(RecordFollowerTest, RecordsSince_ReturnsRecordsFromOffsetOldestFirst) {
   answer(done({record("b", "2", 5), record("a", "1", 9), record("c", "0", 1)},
               10));
-  std::vector<StoredRecord> Newer = m_Follower.recordsSince(5);
+  std::vector<StoredRecord> Newer = m_Follower.recordsSince(0, 5);
   ASSERT_EQ(Newer.size(), 2U);
   EXPECT_EQ(Newer[0].m_Key, "b");
   EXPECT_EQ(Newer[1].m_Key, "a");
 }
 
+// Guards against offsets that are compared without their era.
+TEST_F(RecordFollowerTest, NewEra_WrittenAgainUnderLowerOffset_IsTaken) {
+  restore({record("config", "v3", 4)}, 5);
+  EXPECT_EQ(m_Calls.front().m_From, 5U);
+  answer(inEra(2, done({record("config", "v8", 5)}, 6)));
+  EXPECT_EQ(m_Seen, (Seen{"config=v8"}));
+  EXPECT_EQ(m_Follower.era(), 2U);
+  EXPECT_EQ(m_Follower.endOffset(), 6U);
+}
+
+TEST_F(RecordFollowerTest, NewEra_OlderCopy_TakesNothingBack) {
+  restore({record("config", "v3", 4)}, 5);
+  EXPECT_EQ(m_Follower.records().at("config").m_Value, "v7");
+  EXPECT_FALSE(m_Follower.records().at("x").m_IsDeleted);
+}
+
+TEST_F(RecordFollowerTest, NewEra_HoldEnds_StateIsThatOfTheStore) {
+  restore({record("config", "v3", 4)}, 5);
+  m_Now += absl::Seconds(11);
+  runTasks();
+  m_Calls.pop_front(); // The poll from before.
+  ASSERT_TRUE(m_Calls.front().m_IsAll);
+  answer(inEra(2, done({record("config", "v3", 4)}, 5)));
+  EXPECT_EQ(m_Seen, (Seen{"x=gone", "config=v3"}));
+}
+
+TEST_F(RecordFollowerTest, NewEra_ReadAfterOperatorWrote_TakesNewerValue) {
+  RecordFollower::Options Options = options();
+  Options.m_Supersedes = [](const StoredRecord &Known,
+                            const StoredRecord &Read) {
+    return Read.m_Value > Known.m_Value;
+  };
+  m_Follower = RecordFollower(Options);
+  m_Calls.clear();
+  m_Follower.start(m_Now);
+  restore({record("config", "v8", 5)}, 6);
+  EXPECT_EQ(m_Follower.records().at("config").m_Value, "v8");
+}
+
+TEST_F(RecordFollowerTest, NewEra_PollOfSameOffsets_ReadsAllAnew) {
+  answer(inEra(1, done({record("config", "v7", 9)}, 10)));
+  // The new era has got beyond the next offset already.
+  answer(inEra(2, done({record("other", "o", 10)}, 11)));
+  runTasks();
+  ASSERT_FALSE(m_Calls.empty());
+  EXPECT_TRUE(m_Calls.back().m_IsAll);
+  EXPECT_EQ(m_Seen, (Seen{"config=v7"}));
+}
+
+TEST_F(RecordFollowerTest, NewEraTwice_LateAnswerOfFormerOne_IsNotTaken) {
+  restore({record("config", "v3", 4)}, 5);
+  answer(inEra(3, {.m_Outcome = StoreOutcome::Expired}));
+  answer(inEra(3, done({record("config", "v3", 4)}, 5)));
+  answer(inEra(2, done({record("config", "v6", 5)}, 6)));
+  EXPECT_EQ(m_Follower.records().at("config").m_Value, "v7");
+  EXPECT_EQ(m_Follower.era(), 3U);
+}
+
+TEST_F(RecordFollowerTest, Merge_PeerOfOlderEra_TakesNothingBack) {
+  restore({record("config", "v3", 4)}, 5);
+  answer(inEra(2, done({record("config", "v8", 5)}, 6)));
+  m_Follower.merge(
+      {{.m_Key = "config", .m_Value = "v7", .m_Era = 1, .m_Offset = 9}}, 1, 10,
+      m_Now);
+  EXPECT_EQ(m_Follower.records().at("config").m_Value, "v8");
+}
+
+TEST_F(RecordFollowerTest, Merge_PeerOfNewerEra_TakesWhatWasWrittenInIt) {
+  answer(
+      inEra(1, done({record("config", "v7", 9), record("x", "away", 8)}, 10)));
+  m_Follower.merge(
+      {{.m_Key = "config", .m_Value = "v3", .m_Era = 2, .m_Offset = 4},
+       {.m_Key = "x",
+        .m_Value = "away again",
+        .m_Era = 2,
+        .m_Offset = 5,
+        .m_IsFresh = true}},
+      2, 6, m_Now);
+  EXPECT_EQ(m_Follower.records().at("config").m_Value, "v7");
+  EXPECT_EQ(m_Follower.records().at("x").m_Value, "away again");
+  EXPECT_EQ(m_Follower.endOffset(), 6U);
+  // Its own view of the store is read anew, too.
+  EXPECT_TRUE(m_Calls.back().m_IsAll);
+}
+
+TEST_F(RecordFollowerTest, RecordsSince_AskerOfOlderEra_GetsAllOfTheNewOne) {
+  restore({record("config", "v3", 4)}, 5);
+  answer(inEra(2, done({record("config", "v8", 5)}, 6)));
+  std::vector<StoredRecord> Newer = m_Follower.recordsSince(1, 10);
+  ASSERT_EQ(Newer.size(), 1U);
+  EXPECT_EQ(Newer[0].m_Value, "v8");
+}
+
 } // namespace
 } // namespace knapweedloft::mesh
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -126,6 +126,15 @@
   m_StoreDisturbedAt = m_Now;
 }
 
+void TestFleet::restoreStore(std::size_t Records) {
+  m_Store.resize(m_Store.size() - std::min(Records, m_Store.size()));
+  ++m_StoreEra;
+  m_StoreDisturbedAt = m_Now;
+  // Daemons hear of it by the operator's topic, which is not played here.
+  for (Daemon &One : m_Daemons)
+    One.m_Records->restart();
+}
+
 void TestFleet::deliver(std::size_t From, std::size_t To,
                         std::function<void()> Task) {
   if (!isLinked(From, To))
@@ -236,6 +245,10 @@
   Options.m_OnFirstRead = [this, Index](absl::Time) {
     m_Daemons[Index].m_Quarantine->onRecordsRead();
   };
+  Options.m_OnNewEra = [this, Index](std::uint64_t, absl::Time Now) {
+    absl::Duration After = absl::Seconds(absl::Uniform(m_Random, 0.0, 1.0));
+    m_Daemons[Index].m_Quarantine->onRecordLost(Now + After);
+  };
   Options.m_OnAvailability = [](bool, absl::Time) {};
   m_Daemons[Index].m_Records =
       std::make_unique<RecordFollower>(std::move(Options));
@@ -248,7 +261,10 @@
       [this, Index, IsPoll, From, OnRead = std::move(OnRead)] {
         if (!m_IsStoreAvailable)
           return OnRead({.m_Outcome = StoreOutcome::Refused}, m_Now);
-        if (IsPoll && From >= m_Store.size()) {
+        if (IsPoll && From > m_Store.size())
+          return OnRead(
+              {.m_Outcome = StoreOutcome::Expired, .m_Era = m_StoreEra}, m_Now);
+        if (IsPoll && From == m_Store.size()) {
           m_Polls.push_back([this, Index, From, OnRead, Life = lifeOf(Index)] {
             if (Life == lifeOf(Index))
               readStore(Index, true, From, OnRead);
@@ -256,9 +272,12 @@
           return;
         }
         StoreReadResult Read{.m_Outcome = StoreOutcome::Done,
-                             .m_End = m_Store.size()};
+                             .m_End = m_Store.size(),
+                             .m_Era = m_StoreEra};
         Read.m_Records.assign(
             m_Store.begin() + static_cast<std::ptrdiff_t>(From), m_Store.end());
+        for (StoredRecord &Record : Read.m_Records)
+          Record.m_Era = m_StoreEra;
         OnRead(std::move(Read), m_Now);
       });
 }
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -91,6 +91,8 @@
   void cutLinks(const std::function<bool(std::size_t, std::size_t)> &IsCut);
   void healLinks();
   void setStoreAvailable(bool IsAvailable);
+  /// The store comes back without its last \p Records.
+  void restoreStore(std::size_t Records);
   /// The target names the rate limit \p Text in its answers; empty: none.
   void nameRateLimit(std::size_t Index, const std::string &Text);
   /// The target says in its answers that it leaves, and reports nothing of it.
@@ -224,6 +226,7 @@
   bool m_IsStoreAvailable = true;
   absl::Time m_StoreDisturbedAt = absl::InfinitePast();
   std::vector<StoredRecord> m_Store;
+  std::uint64_t m_StoreEra = 1;
   std::vector<std::function<void()>> m_Polls; ///< That wait for a record.
   std::set<std::string> m_Poisonous;
   std::map<std::string, std::vector<Arrival>> m_Arrivals;
