--- a/tools/soak/include/soak/FaultKind.h
+++ b/tools/soak/include/soak/FaultKind.h
@@ -17,7 +17,9 @@
   KillAllDaemons,
   CrashTarget,
   LeaveTarget,
-  TargetDelay, ///< Between the daemon and its target.
+  TargetLimit,       ///< It names a rate limit in its answers.
+  TargetSaysLeaving, ///< In its answers only.
+  TargetDelay,       ///< Between the daemon and its target.
   TargetOneWay,
   TargetSilent,
   TargetReset,
@@ -30,19 +32,23 @@
   StoreLate,
   StoreAwayForAll,
   Compact,
-  Configure, ///< A new version with another route.
+  StoreRestored, ///< From an older copy; the operator writes again.
+  Configure,     ///< A new version with another route.
   HotCustomer,
 };
 
-inline constexpr std::size_t FaultKindCount = 22;
+inline constexpr std::size_t FaultKindCount = 25;
 
 inline constexpr model::NameTable<FaultKind, FaultKindCount> FaultKindNames{
-    {"kill-daemon",       "stop-daemon",   "freeze-daemon",      "hang-up",
-     "kill-all",          "crash-target",  "leave-target",       "target-delay",
-     "target-one-way",    "target-silent", "target-reset",       "store-delay",
-     "store-reset",       "store-away",    "store-limited",      "store-silent",
-     "store-lost-answer", "store-late",    "store-away-for-all", "compact",
-     "configure",         "hot-customer"}};
+    {"kill-daemon",       "stop-daemon",    "freeze-daemon",
+     "hang-up",           "kill-all",       "crash-target",
+     "leave-target",      "target-limit",   "target-says-leaving",
+     "target-delay",      "target-one-way", "target-silent",
+     "target-reset",      "store-delay",    "store-reset",
+     "store-away",        "store-limited",  "store-silent",
+     "store-lost-answer", "store-late",     "store-away-for-all",
+     "compact",           "store-restored", "configure",
+     "hot-customer"}};
 
 } // namespace knapweedloft::soak
 
--- a/tools/soak/include/soak/Soak.h
+++ b/tools/soak/include/soak/Soak.h
@@ -61,6 +61,10 @@
                 absl::Time Now);
   void probe();
   void configure(absl::Time Now);
+  void writeCatalog();
+  /// Keeps a copy of the store from time to time, for restoreStore().
+  void copyStore();
+  void restoreStore();
 
   // Faults.cpp
   void faultLater();
--- a/tools/soak/include/soak/SoakTarget.h
+++ b/tools/soak/include/soak/SoakTarget.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -37,6 +38,8 @@
     absl::Duration m_MeanRun = absl::Milliseconds(60);
     double m_FailurePart = 0.01; ///< Of its runs.
     std::uint64_t m_Seed = 1;
+    /// \returns whether the daemon beside ran undisturbed between two times.
+    std::function<bool(absl::Time From, absl::Time To)> m_IsDaemonCalm;
   };
 
   SoakTarget(io::EventLoop &Loop, Options Settings, PromiseChecker &Checker);
@@ -48,6 +51,10 @@
   void crash();
   /// Says that it leaves, serves a little longer and ends.
   void leave();
+  /// Says so in its answers only.
+  void sayLeaving();
+  /// Names a rate limit in its answers; 0: none.
+  void nameLimit(double PerSecond);
   [[nodiscard]] bool isUp() const { return m_Server != nullptr; }
 
 private:
@@ -63,6 +70,9 @@
   void refuse(http::ExchangeId Id, int Status);
   void run(const Work &Next);
   void finish(http::ExchangeId Id);
+  /// Holds what arrives against what its answers say.
+  void checkWords(const std::string &CallId, absl::Time Now);
+  void addWords(http::HttpResponse &Answer, absl::Time Now);
   void report(std::uint64_t Life, mesh::TargetCondition Condition);
   void later(std::uint64_t Life, absl::Duration After,
              std::function<void()> Task);
@@ -79,6 +89,12 @@
   std::string m_Instance;
   absl::Time m_LeavesAt = absl::InfiniteFuture(); ///< Nothing comes after.
   bool m_IsLeaving = false;
+  bool m_SaysLeaving = false;
+  double m_RateLimit = 0; ///< That it names; 0: none.
+  /// When the first answer said so.
+  absl::Time m_SaidLeavingAt = absl::InfiniteFuture();
+  absl::Time m_LimitNamedAt = absl::InfiniteFuture();
+  std::deque<absl::Time> m_Limited; ///< Arrivals of the last LimitSpan.
   absl::flat_hash_map<http::ExchangeId, Work> m_Running;
   std::deque<Work> m_Waiting;
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
--- a/tools/soak/src/Faults.cpp
+++ b/tools/soak/src/Faults.cpp
@@ -17,6 +17,8 @@
 /// Until its main function runs a program ends by a hang-up; no code of it can
 /// prevent that.
 constexpr absl::Duration ProgramStart = absl::Milliseconds(300);
+/// A limit holds for some windows of the rule on it.
+constexpr double LimitTimes = 5;
 /// After a freeze its connections and timers catch up.
 constexpr absl::Duration AfterFreeze = absl::Seconds(1);
 
@@ -56,6 +58,8 @@
     return;
   case FaultKind::Compact:
     return m_Store.compact(std::string(adapter::OperatorTopic));
+  case FaultKind::StoreRestored:
+    return restoreStore();
   case FaultKind::Configure:
     return configure(Now);
   case FaultKind::HotCustomer:
@@ -69,6 +73,17 @@
   injectAtStore(Kind, At, For);
 }
 
+void Soak::copyStore() {
+  m_Store.keepCopy();
+  later(drawTime(0.5, 4), [this] { copyStore(); });
+}
+
+void Soak::restoreStore() {
+  m_Store.restoreCopy();
+  // The operator writes again what the copy lacks.
+  later(drawTime(0, 0.5), [this] { writeCatalog(); });
+}
+
 void Soak::injectAtDaemon(FaultKind Kind, SoakVm &At, absl::Duration For,
                           absl::Time Now) {
   if (!At.isRunning())
@@ -96,6 +111,11 @@
     return At.target().crash();
   case FaultKind::LeaveTarget:
     return At.target().leave();
+  case FaultKind::TargetLimit:
+    At.target().nameLimit(draw(1, 20));
+    return later(For * LimitTimes, [&At] { At.target().nameLimit(0); });
+  case FaultKind::TargetSaysLeaving:
+    return At.target().sayLeaving();
   case FaultKind::TargetDelay:
     return Disturb(ProxyMode::Delay);
   case FaultKind::TargetOneWay:
--- a/tools/soak/src/Soak.cpp
+++ b/tools/soak/src/Soak.cpp
@@ -82,6 +82,7 @@
   later(Beginning, [this] { faultLater(); });
   later(Beginning, [this] { probe(); });
   watch();
+  copyStore();
   absl::Duration Calm = Beginning + m_Settings.m_Length;
   later(Calm, [this] { heal(); });
   absl::Duration End = Calm + m_Settings.m_Calm;
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -20,6 +20,15 @@
 /// How long it serves after that.
 constexpr absl::Duration LeaveServes = absl::Seconds(2);
 
+/// The users' rules on the words of a target: a limit binds this long after it
+/// was first named, and what a caller sends this long after the word that the
+/// target leaves does not reach it.
+constexpr absl::Duration LimitWindow = absl::Seconds(3);
+constexpr absl::Duration LimitSpan = absl::Seconds(4);
+constexpr double LimitOver = 1.5;
+constexpr double LimitSlack = 5;
+constexpr absl::Duration WordTime = absl::Seconds(2);
+
 std::string fieldOf(const http::ParsedMessage &Request,
                     const std::string &Name) {
   const std::string *Found = http::findHeader(Request.m_Headers, Name);
@@ -52,6 +61,9 @@
   m_Sequence = 0;
   m_IsLeaving = false;
   m_LeavesAt = absl::InfiniteFuture();
+  m_SaysLeaving = false;
+  m_SaidLeavingAt = absl::InfiniteFuture();
+  nameLimit(0);
   m_Instance = fmt::format("i-{}-{}", m_Settings.m_Name, m_Life);
   http::LoopServer::Options Options;
   Options.m_At = m_Settings.m_At;
@@ -76,6 +88,58 @@
   report(m_Life, mesh::TargetCondition::Draining);
 }
 
+void SoakTarget::sayLeaving() {
+  if (!isUp() || m_SaysLeaving)
+    return;
+  m_SaysLeaving = true;
+  later(m_Life, 2 * WordTime + LeaveServes, [this] { crash(); });
+}
+
+void SoakTarget::nameLimit(double PerSecond) {
+  m_RateLimit = PerSecond;
+  m_LimitNamedAt = absl::InfiniteFuture();
+  m_Limited.clear();
+}
+
+void SoakTarget::checkWords(const std::string &CallId, absl::Time Now) {
+  if (m_SaidLeavingAt != absl::InfiniteFuture() &&
+      Now > m_SaidLeavingAt + WordTime &&
+      m_Settings.m_IsDaemonCalm(m_SaidLeavingAt, Now))
+    m_Checker.breach(fmt::format("id={} reached {} {} after its answers said "
+                                 "that it leaves",
+                                 CallId, m_Instance,
+                                 absl::FormatDuration(WordTime)));
+  if (m_LimitNamedAt == absl::InfiniteFuture() ||
+      Now < m_LimitNamedAt + LimitWindow)
+    return;
+  m_Limited.push_back(Now);
+  while (Now - m_Limited.front() > LimitSpan)
+    m_Limited.pop_front();
+  double Allowed =
+      m_RateLimit * absl::ToDoubleSeconds(LimitSpan) * LimitOver + LimitSlack;
+  if (static_cast<double>(m_Limited.size()) <= Allowed ||
+      !m_Settings.m_IsDaemonCalm(m_LimitNamedAt, Now))
+    return;
+  m_Checker.breach(fmt::format("{} got {} requests in {}, at a limit of {:.1f} "
+                               "a second",
+                               m_Instance, m_Limited.size(),
+                               absl::FormatDuration(LimitSpan), m_RateLimit));
+  m_Limited.clear(); // One line for each excess.
+}
+
+void SoakTarget::addWords(http::HttpResponse &Answer, absl::Time Now) {
+  const mesh::HeaderNames &Names = m_Settings.m_HeaderNames;
+  if (m_SaysLeaving) {
+    Answer.m_Headers.push_back({Names.m_Leaving, "1"});
+    m_SaidLeavingAt = std::min(m_SaidLeavingAt, Now);
+  }
+  if (m_RateLimit > 0) {
+    Answer.m_Headers.push_back(
+        {Names.m_RateLimit, fmt::format("{:.2f}", m_RateLimit)});
+    m_LimitNamedAt = std::min(m_LimitNamedAt, Now);
+  }
+}
+
 mesh::TargetReport SoakTarget::self(mesh::TargetCondition Condition) {
   return {.m_Instance = m_Instance,
           .m_Service = m_Settings.m_Service,
@@ -139,6 +203,7 @@
     m_Checker.breach(fmt::format("id={} reached {} {} after it said to leave",
                                  Next.m_CallId, m_Instance,
                                  absl::FormatDuration(LeaveTime)));
+  checkWords(Next.m_CallId, Now);
   std::int64_t LeftMs = 0;
   if (absl::SimpleAtoi(fieldOf(Request, Names.m_RemainingTime), &LeftMs))
     Next.m_Deadline = Now + absl::Milliseconds(LeftMs);
@@ -187,6 +252,7 @@
                                           {Names.m_OriginProof, m_Instance}}};
   if (!IsFailure)
     Answer.m_Body = harness::checkedAnswer(Done.m_CallId, Bytes);
+  addWords(Answer, io::monotonicNow());
   m_Server->answer(Id, Answer);
   while (!m_Waiting.empty() && m_Running.size() < m_Settings.m_Slots) {
     Work Next = std::move(m_Waiting.front());
--- a/tools/soak/src/SoakVm.cpp
+++ b/tools/soak/src/SoakVm.cpp
@@ -33,6 +33,9 @@
   Target.m_Control = m_Place.m_Control;
   Target.m_HeaderNames = adapter::platformHeaderNames();
   Target.m_Seed = Settings.m_Seed * 1000 + Index;
+  Target.m_IsDaemonCalm = [this](absl::Time From, absl::Time To) {
+    return wasCalm(From, To);
+  };
   m_TargetProxy =
       std::make_unique<LoopProxy>(Loop, m_Place.m_Target, Target.m_At);
   m_Target = std::make_unique<SoakTarget>(Loop, std::move(Target), Checker);
--- a/tools/soak/src/Traffic.cpp
+++ b/tools/soak/src/Traffic.cpp
@@ -45,6 +45,10 @@
   m_Catalog.m_Routes.push_back(Added);
   ++m_Catalog.m_Version;
   m_ConfiguredAt = Now;
+  writeCatalog();
+}
+
+void Soak::writeCatalog() {
   m_Store.put(std::string(adapter::OperatorTopic),
               std::string(adapter::ConfigKey), standins::configText(m_Catalog));
 }
