Keep telling that a target leaves while its daemon stops

The notice that entry sides remember was read from the availability, which a stop of the daemon or the withdrawal of its data center covers: the last answers before the stop told them that nothing is in force, and the next daemon was not reminded. Found on reading; TargetPathTest.OnResult_LeavingWhileStopping_StillSaysSo was red before.

--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -65,6 +65,9 @@
   [[nodiscard]] bool isOpen() const {
     return availability() == TargetAvailability::Open;
   }
+  /// \returns whether the target has said that it leaves, also while it is
+  /// closed for another reason.
+  [[nodiscard]] bool isLeaving() const { return m_IsLeaving; }
   /// \returns whether a health check is needed to learn the target's state.
   [[nodiscard]] bool needsCheck() const;
   [[nodiscard]] const std::string &instance() const { return m_Instance; }
--- a/libs/mesh/src/TargetWords.cpp
+++ b/libs/mesh/src/TargetWords.cpp
@@ -82,7 +82,8 @@
   // What the target said to this process is newer than what peers remember.
   if (!m_HasAnswered && At > m_RateLimit.m_At &&
       std::isfinite(Notice->rate_limit))
-    setRateLimit(std::min(Notice->rate_limit, MaxRateLimit), "peer", At, Now);
+    setRateLimit(std::clamp(Notice->rate_limit, 0.0, MaxRateLimit), "peer", At,
+                 Now);
   if (Notice->is_leaving) {
     m_State.onLeaving();
     applyStateChange(Now);
@@ -113,7 +114,7 @@
 }
 
 std::unique_ptr<wire::TargetNoticeT> TargetPath::notice() const {
-  bool IsLeaving = m_State.availability() == TargetAvailability::Leaving;
+  bool IsLeaving = m_State.isLeaving();
   bool IsLimited = m_HasAnswered && m_RateLimit.m_PerSecond > 0;
   if (!IsLeaving && !IsLimited)
     return nullptr;
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <utility>
@@ -91,8 +92,11 @@
   }
 
   void forward(std::uint64_t Sequence, bool IsIdempotent = true,
-               const std::string &Route = "reads") {
+               const std::string &Route = "reads",
+               const wire::TargetNoticeT *Notice = nullptr) {
     wire::ForwardT Message;
+    if (Notice)
+      Message.notice = std::make_unique<wire::TargetNoticeT>(*Notice);
     Message.id = {1, Sequence};
     Message.to_incarnation = 11;
     Message.method = "GET";
@@ -170,6 +174,53 @@
   EXPECT_EQ(m_Answers.size(), 8U);
 }
 
+// Guards against entry sides that forget that a target leaves when its daemon
+// stops.
+TEST_F(TargetPathTest, OnResult_LeavingWhileStopping_StillSaysSo) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  forward(2);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}, {"Leaves", "1"}}});
+  EXPECT_EQ(m_Path.state().availability(), TargetAvailability::Leaving);
+  m_Path.stop(m_Now);
+  finish(1, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}, {"Leaves", "1"}}});
+  ASSERT_EQ(m_Answers.size(), 2U);
+  ASSERT_TRUE(m_Answers[1].notice);
+  EXPECT_TRUE(m_Answers[1].notice->is_leaving);
+}
+
+TEST_F(TargetPathTest, OnForward_RemindedAfterRestart_LimitAndLeaveHold) {
+  m_Path.onReport(report(1), m_Now);
+  wire::TargetNoticeT Notice;
+  Notice.instance = "i-1";
+  Notice.start_time_ms = 5;
+  Notice.rate_limit = 0.5;
+  forward(1, true, "reads", &Notice);
+  EXPECT_EQ(m_Path.rateLimit(), 0.5);
+  EXPECT_TRUE(m_Calls.empty());
+  Notice.is_leaving = true;
+  Notice.start_time_ms = 4; // Of an earlier start.
+  forward(2, true, "reads", &Notice);
+  EXPECT_TRUE(m_Path.state().isOpen());
+  Notice.start_time_ms = 5;
+  forward(3, true, "reads", &Notice);
+  EXPECT_FALSE(m_Path.state().isOpen());
+}
+
+TEST_F(TargetPathTest, OnHealthCheck_HealthyWhileLeaving_StaysClosed) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"Proof", "p"}, {"Leaves", "1"}}});
+  m_Path.onReport(report(2), m_Now);
+  tick(100);
+  forward(2);
+  EXPECT_EQ(m_Calls.size(), 1U);
+  EXPECT_EQ(m_Path.state().availability(), TargetAvailability::Leaving);
+}
+
 TEST_F(TargetPathTest, OnResult_IncompleteAnswer_UnknownUnlessNotSent) {
   m_Path.onReport(report(1), m_Now);
   forward(1);
