--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace knapweedloft::mesh {
@@ -338,7 +339,11 @@
     else
       ToCancel.push_back(Request.m_Id);
   }
-  std::sort(ToCancel.begin(), ToCancel.end());
+  std::sort(ToCancel.begin(), ToCancel.end(),
+            [](const model::ForwardId &Left, const model::ForwardId &Right) {
+              return std::tie(Left.m_Entry, Left.m_Sequence) <
+                     std::tie(Right.m_Entry, Right.m_Sequence);
+            });
   for (const model::ForwardId &Id : ToCancel)
     onCancel(Id, Now);
 }
