Log the era of stored records beside their offset

Offsets are given out again in each era of the store, so the lines on skipped records and on withdrawals did not tell which record is meant.

--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -104,7 +104,9 @@
   auto Member = memberFromRecord(Record.m_Value);
   if (!Member || Member->m_Name != Record.m_Key) {
     m_Log.state("Skipped an unreadable member record.",
-                {{"key", Record.m_Key}, {"offset", Record.m_Offset}});
+                {{"key", Record.m_Key},
+                 {"era", Record.m_Era},
+                 {"offset", Record.m_Offset}});
     return;
   }
   m_Peers->onMember(*Member, Now);
@@ -124,12 +126,14 @@
     m_Log.state(Withdrawal->m_IsWithdrawn ? "A data center was withdrawn."
                                           : "A data center was restored.",
                 {{"data_center", Withdrawal->m_DataCenter},
+                 {"era", Record.m_Era},
                  {"offset", Record.m_Offset}});
     m_Target->setWithdrawn(m_WithdrawnDataCenters.contains(m_Self.m_DataCenter),
                            Now);
   } else if (auto *Unreadable = std::get_if<UnreadableRecord>(&Parsed)) {
     m_Log.state("Skipped an unreadable operator record.",
                 {{"key", Record.m_Key},
+                 {"era", Record.m_Era},
                  {"offset", Record.m_Offset},
                  {"why", Unreadable->m_Reason}});
   }
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -255,6 +255,7 @@
   } catch (const nlohmann::json::exception &Error) {
     m_Log.state("Skipped an unreadable crash record.",
                 {{"key", Record.m_Key},
+                 {"era", Record.m_Era},
                  {"offset", Record.m_Offset},
                  {"why", Error.what()}});
   }
