Isolate a crashing request that others in flight explain

A request that crashes its targets was sent on without an end where sound requests ran beside it: 76 late arrivals in 4 minutes with two or three targets, three are allowed.

Sound requests that run beside the cause are retried beside it, and so are in flight at two crashes; they never complete, and the next crash has others.

An explanation now only softens. Three crashes, explained or not, isolate a request: one target of the service runs it, one at a time, without retries, and what that turns away is answered 503. From 1 s after the third crash on, when all daemons know of three, crashes count whatever explains them, and the quarantine is as long as all crashes make it. That leaves a cause three further crashes.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -179,8 +179,9 @@
                       absl::Time Now);
   [[nodiscard]] bool isAdmitted(const Pending &Request, absl::Time Now);
   void dispatch(PendingId Id, absl::Time Now);
-  /// Sends a request on probation to the one target that may run it.
-  void dispatchOnProbation(PendingId Id, absl::Time Now);
+  /// Sends a request that is isolated or on probation to the one target that
+  /// may run it.
+  void dispatchToOneTarget(PendingId Id, absl::Time Now);
   [[nodiscard]] policy::RequestJudgement judge(const Pending &Request,
                                                absl::Time Now) const;
   [[nodiscard]] bool forward(PendingId Id, Pending &Request,
--- a/libs/mesh/include/mesh/QuarantinedRequest.h
+++ b/libs/mesh/include/mesh/QuarantinedRequest.h
@@ -14,7 +14,8 @@
 struct QuarantinedRequest {
   model::Fingerprint m_Fingerprint = 0;
   policy::RequestStanding m_Standing = policy::RequestStanding::Clear;
-  unsigned m_Crashes = 0;
+  unsigned m_Crashes = 0;     ///< That count against the request.
+  unsigned m_Explained = 0;   ///< Further ones, that others explain.
   absl::Duration m_Remaining; ///< Until the quarantine ends.
   std::string m_DecidedBy;    ///< Daemon, instance and age of each crash.
 };
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -78,7 +78,7 @@
                          absl::Time Now) {
   bool IsAllowed = DidNotRun || Request.m_Route->m_IsIdempotent;
   RequestStanding Standing = judge(Request, Now).m_Standing;
-  if (Standing == RequestStanding::Probation ||
+  if (policy::isForOneTarget(Standing) ||
       Standing == RequestStanding::Quarantined)
     return false;
   if (!IsAllowed || Request.m_Arrivals >= Request.m_Route->m_MaxTargets ||
@@ -101,10 +101,8 @@
     endQuarantined(Id, Now);
     return;
   }
-  // A request on probation is offered to one target only.
-  bool IsOnProbation =
-      judge(Request, Now).m_Standing == RequestStanding::Probation;
-  if (!HasArrived && !IsOnProbation) {
+  bool IsForOneTarget = policy::isForOneTarget(judge(Request, Now).m_Standing);
+  if (!HasArrived && !IsForOneTarget) {
     ++m_Counts.m_Reroutes;
     if (++Request.m_Refusals < m_Options.m_MaxRefusals &&
         Now < Request.m_CompleteBy) {
@@ -243,6 +241,7 @@
        {"request", fmt::format("{:016x}", Refused.m_Fingerprint)},
        {"standing", policy::RequestStandingNames.nameOf(Found.m_Standing)},
        {"crashes", Found.m_Crashes},
+       {"explained", Found.m_Explained},
        {"for", Found.m_Until - Now},
        {"decided_by",
         m_Options.m_Hooks.m_DescribeCrashes
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -279,7 +279,7 @@
   return m_Options.m_Hooks.m_Judge(Request.m_Fingerprint, Now);
 }
 
-void EntryPath::dispatchOnProbation(PendingId Id, absl::Time Now) {
+void EntryPath::dispatchToOneTarget(PendingId Id, absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
   ServiceState &State = serviceOf(Request.m_Service, Now);
   std::vector<std::string> Names;
@@ -305,8 +305,8 @@
 void EntryPath::dispatch(PendingId Id, absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
   RequestStanding Standing = judge(Request, Now).m_Standing;
-  if (Standing == RequestStanding::Probation)
-    return dispatchOnProbation(Id, Now);
+  if (policy::isForOneTarget(Standing))
+    return dispatchToOneTarget(Id, Now);
   if (Standing == RequestStanding::Quarantined)
     return endQuarantined(Id, Now);
   ServiceState &State = serviceOf(Request.m_Service, Now);
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -25,7 +25,8 @@
                       const policy::CrashEvidence &Evidence) {
   absl::Time Now = io::monotonicNow();
   for (policy::RequestStanding Standing :
-       {policy::RequestStanding::Suspect, policy::RequestStanding::Probation,
+       {policy::RequestStanding::Suspect, policy::RequestStanding::Isolated,
+        policy::RequestStanding::Probation,
         policy::RequestStanding::Quarantined})
     fmt::format_to(std::back_inserter(Text),
                    "knapweedloft_crashing_requests{{standing=\"{}\"}} {}\n",
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -130,6 +130,7 @@
       m_Log.state("A request is quarantined.",
                   {{"request", fmt::format("{:016x}", Request)},
                    {"crashes", Found.m_Crashes},
+                   {"explained", Found.m_Explained},
                    {"for", Found.m_Until - Now},
                    {"decided_by", describeCrashes(Request, Now)}});
   }
@@ -193,13 +194,14 @@
   std::vector<QuarantinedRequest> Listed;
   for (RequestStanding Standing :
        {RequestStanding::Quarantined, RequestStanding::Probation,
-        RequestStanding::Suspect})
+        RequestStanding::Isolated, RequestStanding::Suspect})
     for (Fingerprint Request : m_Evidence.requestsOf(Standing, Now)) {
       policy::RequestJudgement Found = m_Evidence.judge(Request, Now);
       Listed.push_back(
           {.m_Fingerprint = Request,
            .m_Standing = Standing,
            .m_Crashes = Found.m_Crashes,
+           .m_Explained = Found.m_Explained,
            .m_Remaining = std::max(Found.m_Until - Now, absl::ZeroDuration()),
            .m_DecidedBy = describeCrashes(Request, Now)});
     }
--- a/libs/mesh/src/TargetCrashes.cpp
+++ b/libs/mesh/src/TargetCrashes.cpp
@@ -34,6 +34,7 @@
   case RequestStanding::Clear:
     return RefusalReason::None;
   case RequestStanding::Suspect:
+  case RequestStanding::Isolated:
     return m_SuspectJob == 0 ? RefusalReason::None : RefusalReason::Overloaded;
   case RequestStanding::Probation:
     return m_SuspectJob == 0 ? RefusalReason::None : RefusalReason::Quarantined;
@@ -54,7 +55,8 @@
        {"reason", model::RefusalReasonNames.nameOf(Reason)},
        {"request", fmt::format("{:016x}", Message.fingerprint)},
        {"standing", policy::RequestStandingNames.nameOf(Found.m_Standing)},
-       {"crashes", Found.m_Crashes}});
+       {"crashes", Found.m_Crashes},
+       {"explained", Found.m_Explained}});
 }
 
 bool TargetPath::beginSuspect(JobId Id, absl::Time Now) {
--- a/libs/mesh/tests/TestFleet.h
+++ b/libs/mesh/tests/TestFleet.h
@@ -25,8 +25,8 @@
 /// Daemon \c i is in data center \c i modulo 3 and serves service \c i / 3
 /// modulo the number of services: "archive", which has the paths "/reads/",
 /// then "service-1" with the paths "/service-1/" and so on. A target stand-in
-/// crashes as soon as it begins to run a request whose path is poisonous, and
-/// is back some seconds later as a new instance. Links between daemons have a
+/// crashes once it has begun to run a request whose path is poisonous, and is
+/// back some seconds later as a new instance. Links between daemons have a
 /// delay and can be cut; the store can be unavailable. Plays with the same seed
 /// are alike.
 class TestFleet {
@@ -43,8 +43,12 @@
     /// A daemon that was undisturbed for this long is in touch.
     absl::Duration m_StabilityWindow = absl::Seconds(3);
     absl::Duration m_Run = absl::Milliseconds(60);
+    /// From the start of a poisonous request until its target has crashed.
+    absl::Duration m_CrashDelay = absl::ZeroDuration();
     absl::Duration m_TargetRestart = absl::Seconds(4);
     std::uint32_t m_Slots = 20;
+    policy::RetryBudget::Options m_RetryBudget{.m_Ratio = 0.05,
+                                               .m_MaxTokens = 2};
   };
 
   /// An answer that a caller received.
@@ -208,6 +212,8 @@
                                       const http::LoopClient::Call &Call,
                                       http::LoopClient::Done OnDone);
   void breakCalls(std::size_t Index);
+  void crashLater(std::size_t Index, http::LoopClient::CallId Id,
+                  const std::string &Path);
   void noteTold(std::size_t Entry, const std::string &Lines);
   void noteArrival(std::size_t Index, std::size_t Entry,
                    const std::string &Path);
--- a/libs/policy/include/policy/CrashEvidence.h
+++ b/libs/policy/include/policy/CrashEvidence.h
@@ -26,7 +26,9 @@
 /// target completed the same request afterwards or shortly before, or another
 /// request explains it: one that was started later, and was in flight at
 /// several crashes that no completion clears. Three crashes that count
-/// quarantine a request; more of them lengthen the quarantine. All daemons that
+/// quarantine a request; more of them lengthen the quarantine. Company of a
+/// request may explain its crashes by mistake, so explained ones isolate it,
+/// and none is explained once three are known to all daemons. All daemons that
 /// hold the same reports conclude the same, in whatever order the reports
 /// arrive. Not thread-safe.
 ///
@@ -47,6 +49,9 @@
     std::array<absl::Duration, 4> m_QuarantinePeriods{
         absl::Minutes(1), absl::Minutes(30), absl::Hours(24),
         absl::Hours(20 * 24)};
+    /// Crashes later than this after the third count whatever explains them:
+    /// by then every daemon knows of the three and isolates the request.
+    absl::Duration m_ExplanationPeriod = absl::Seconds(1);
     /// How long crashes count against a request that is not quarantined, from
     /// the latest on.
     absl::Duration m_EvidencePeriod = absl::Hours(1);
@@ -96,7 +101,8 @@
   /// \returns the completions of requests that were in flight at several
   /// crashes.
   [[nodiscard]] std::vector<Completion> completions() const;
-  /// \returns the crashes that count against \p Request, oldest first.
+  /// \returns the crashes of \p Request that no completion clears, oldest
+  /// first.
   [[nodiscard]] std::vector<const TargetCrash *>
   crashesOf(model::Fingerprint Request, absl::Time Now) const;
   /// \returns the crashes that \p Daemon reported, oldest first.
@@ -128,8 +134,11 @@
   [[nodiscard]] bool isExplained(const TargetCrash &Crash,
                                  model::Fingerprint Request,
                                  absl::Time Now) const;
-  [[nodiscard]] std::vector<const TargetCrash *>
-  unclearedCrashesOf(model::Fingerprint Request, absl::Time Now) const;
+  /// \returns how many of \p Crashes, those of \p Request, oldest first, are
+  /// explained by other requests.
+  [[nodiscard]] std::size_t
+  explainedOf(const std::vector<const TargetCrash *> &Crashes,
+              model::Fingerprint Request, absl::Time Now) const;
   [[nodiscard]] bool isExpired(const TargetCrash &Crash,
                                model::Fingerprint Request,
                                absl::Time Now) const;
--- a/libs/policy/include/policy/RequestStanding.h
+++ b/libs/policy/include/policy/RequestStanding.h
@@ -13,17 +13,25 @@
 enum class RequestStanding : std::uint8_t {
   Clear,
   Suspect,    ///< A target runs one such request at a time.
+  Isolated,   ///< Others may explain its crashes: as on probation.
   Probation,  ///< Its quarantine is over: one target runs it, one at a time.
   Quarantined ///< No target runs it.
 };
 
-inline constexpr model::NameTable<RequestStanding, 4> RequestStandingNames{
-    {"clear", "suspect", "probation", "quarantined"}};
+inline constexpr model::NameTable<RequestStanding, 5> RequestStandingNames{
+    {"clear", "suspect", "isolated", "probation", "quarantined"}};
+
+/// \returns whether one target of the service may run such a request.
+[[nodiscard]] constexpr bool isForOneTarget(RequestStanding Standing) {
+  return Standing == RequestStanding::Isolated ||
+         Standing == RequestStanding::Probation;
+}
 
 /// The standing of a request and what it follows from.
 struct RequestJudgement {
   RequestStanding m_Standing = RequestStanding::Clear;
-  unsigned m_Crashes = 0; ///< That count against the request.
+  unsigned m_Crashes = 0;   ///< That count against the request.
+  unsigned m_Explained = 0; ///< Further ones, that others explain.
   absl::Time m_Until = absl::InfinitePast(); ///< End of the quarantine.
 };
 
--- a/libs/policy/src/CrashEvidence.cpp
+++ b/libs/policy/src/CrashEvidence.cpp
@@ -63,10 +63,13 @@
                                       absl::Time Now) const {
   RequestJudgement Found;
   std::vector<const TargetCrash *> Crashes = crashesOf(Request, Now);
-  Found.m_Crashes = static_cast<unsigned>(Crashes.size());
-  if (Found.m_Crashes < m_Settings.m_SuspectCrashes)
+  Found.m_Explained = static_cast<unsigned>(explainedOf(Crashes, Request, Now));
+  Found.m_Crashes = static_cast<unsigned>(Crashes.size()) - Found.m_Explained;
+  if (Crashes.size() < m_Settings.m_SuspectCrashes)
     return Found;
-  Found.m_Standing = RequestStanding::Suspect;
+  Found.m_Standing = Crashes.size() < m_Settings.m_QuarantineCrashes
+                         ? RequestStanding::Suspect
+                         : RequestStanding::Isolated;
   if (Found.m_Crashes < m_Settings.m_QuarantineCrashes)
     return Found;
   Found.m_Until = quarantineEnd(Crashes);
@@ -177,7 +180,7 @@
 }
 
 std::vector<const TargetCrash *>
-CrashEvidence::unclearedCrashesOf(Fingerprint Request, absl::Time Now) const {
+CrashEvidence::crashesOf(Fingerprint Request, absl::Time Now) const {
   std::vector<const TargetCrash *> Found;
   auto Known = m_ByRequest.find(Request);
   if (Known == m_ByRequest.end())
@@ -196,21 +199,26 @@
     if (Other == Request)
       return false;
     if (m_ByRequest.at(Other).size() >= Needed &&
-        unclearedCrashesOf(Other, Now).size() >= Needed)
+        crashesOf(Other, Now).size() >= Needed)
       return true;
   }
   return false;
 }
 
-std::vector<const TargetCrash *>
-CrashEvidence::crashesOf(Fingerprint Request, absl::Time Now) const {
-  std::vector<const TargetCrash *> Found = unclearedCrashesOf(Request, Now);
+std::size_t
+CrashEvidence::explainedOf(const std::vector<const TargetCrash *> &Crashes,
+                           Fingerprint Request, absl::Time Now) const {
   // A single crash gives no standing, whatever explains it.
-  if (Found.size() >= m_Settings.m_SuspectCrashes)
-    std::erase_if(Found, [&](const TargetCrash *Crash) {
-      return isExplained(*Crash, Request, Now);
-    });
-  return Found;
+  if (Crashes.size() < m_Settings.m_SuspectCrashes)
+    return 0;
+  absl::Time Last = absl::InfiniteFuture();
+  if (Crashes.size() >= m_Settings.m_QuarantineCrashes)
+    Last = Crashes[m_Settings.m_QuarantineCrashes - 1]->m_At +
+           m_Settings.m_ExplanationPeriod;
+  return static_cast<std::size_t>(std::count_if(
+      Crashes.begin(), Crashes.end(), [&](const TargetCrash *Crash) {
+        return Crash->m_At <= Last && isExplained(*Crash, Request, Now);
+      }));
 }
 
 std::vector<const TargetCrash *>
