Soak: judge what a target gets by when the daemon sent it

The check took the arrival for the sending.

The proxy now tells what it reads from the daemon, and the checks on leaving and on named limits go by that time; a request that is not known to it counts by its arrival, as before.

PromiseCheckerTest.PassedOnAt_HeldRequest_IsWhenItWasSent (it did not compile before).

--- a/tools/soak/include/soak/LoopProxy.h
+++ b/tools/soak/include/soak/LoopProxy.h
@@ -10,8 +10,10 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace knapweedloft::soak {
 
@@ -25,6 +27,9 @@
 /// \endcode
 class LoopProxy {
 public:
+  /// Gets what a client sent, also what is kept.
+  std::function<void(std::string_view Bytes)> m_OnClientBytes;
+
   LoopProxy(io::EventLoop &Loop, const model::Endpoint &At,
             const model::Endpoint &To);
   ~LoopProxy();
--- a/tools/soak/include/soak/SoakTarget.h
+++ b/tools/soak/include/soak/SoakTarget.h
@@ -70,8 +70,8 @@
   void refuse(http::ExchangeId Id, int Status);
   void run(const Work &Next);
   void finish(http::ExchangeId Id);
-  /// Holds what arrives against what its answers say.
-  void checkWords(const std::string &CallId, absl::Time Now);
+  /// Holds what the daemon sent at \p Sent against what its answers say.
+  void checkWords(const std::string &CallId, absl::Time Sent);
   void addWords(http::HttpResponse &Answer, absl::Time Now);
   void report(std::uint64_t Life, mesh::TargetCondition Condition);
   void later(std::uint64_t Life, absl::Duration After,
@@ -94,7 +94,7 @@
   /// When the first answer said so.
   absl::Time m_SaidLeavingAt = absl::InfiniteFuture();
   absl::Time m_LimitNamedAt = absl::InfiniteFuture();
-  std::deque<absl::Time> m_Limited; ///< Arrivals of the last LimitSpan.
+  std::deque<absl::Time> m_Limited; ///< When the last ones were sent; sorted.
   absl::flat_hash_map<http::ExchangeId, Work> m_Running;
   std::deque<Work> m_Waiting;
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
--- a/tools/soak/src/LoopProxy.cpp
+++ b/tools/soak/src/LoopProxy.cpp
@@ -59,7 +59,10 @@
   while (true) {
     ssize_t Count = ::read(In.m_From.get(), Buffer.data(), Buffer.size());
     if (Count > 0) {
-      In.m_Bytes.append(Buffer.data(), static_cast<std::size_t>(Count));
+      std::string_view Bytes(Buffer.data(), static_cast<std::size_t>(Count));
+      In.m_Bytes.append(Bytes);
+      if (Side == 0 && m_OnClientBytes)
+        m_OnClientBytes(Bytes);
       continue;
     }
     if (Count < 0 && errno == EINTR)
--- a/tools/soak/src/PromiseChecker.cpp
+++ b/tools/soak/src/PromiseChecker.cpp
@@ -4,6 +4,7 @@
 
 #include "fmt/format.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace knapweedloft::soak {
@@ -39,6 +40,18 @@
   m_States[CallId].m_Request = std::move(Next);
 }
 
+void PromiseChecker::onPassedOn(const std::string &CallId, absl::Time Now) {
+  if (auto Found = m_States.find(CallId); Found != m_States.end())
+    Found->second.m_PassedOn = Now;
+}
+
+absl::Time PromiseChecker::passedOnAt(const std::string &CallId,
+                                      absl::Time Now) const {
+  auto Found = m_States.find(CallId);
+  return Found == m_States.end() ? Now
+                                 : std::min(Found->second.m_PassedOn, Now);
+}
+
 void PromiseChecker::onRun(const std::string &CallId, const std::string &Target,
                            absl::Time Now) {
   ++m_Runs;
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -35,6 +35,19 @@
   return Found ? *Found : std::string();
 }
 
+/// \returns the most of some sorted times that lie within \p Span.
+std::size_t mostWithin(const std::deque<absl::Time> &Times,
+                       absl::Duration Span) {
+  std::size_t Most = 0;
+  std::size_t First = 0;
+  for (std::size_t Last = 0; Last < Times.size(); ++Last) {
+    while (Times[Last] - Times[First] > Span)
+      ++First;
+    Most = std::max(Most, Last - First + 1);
+  }
+  return Most;
+}
+
 } // namespace
 
 SoakTarget::SoakTarget(io::EventLoop &Loop, Options Settings,
@@ -101,28 +114,30 @@
   m_Limited.clear();
 }
 
-void SoakTarget::checkWords(const std::string &CallId, absl::Time Now) {
+void SoakTarget::checkWords(const std::string &CallId, absl::Time Sent) {
   if (m_SaidLeavingAt != absl::InfiniteFuture() &&
-      Now > m_SaidLeavingAt + WordTime &&
-      m_Settings.m_IsDaemonCalm(m_SaidLeavingAt, Now))
+      Sent > m_SaidLeavingAt + WordTime &&
+      m_Settings.m_IsDaemonCalm(m_SaidLeavingAt, Sent))
     m_Checker.breach(fmt::format("id={} reached {} {} after its answers said "
                                  "that it leaves",
                                  CallId, m_Instance,
                                  absl::FormatDuration(WordTime)));
   if (m_LimitNamedAt == absl::InfiniteFuture() ||
-      Now < m_LimitNamedAt + LimitWindow)
+      Sent < m_LimitNamedAt + LimitWindow)
     return;
-  m_Limited.push_back(Now);
-  while (Now - m_Limited.front() > LimitSpan)
+  m_Limited.insert(std::upper_bound(m_Limited.begin(), m_Limited.end(), Sent),
+                   Sent);
+  while (m_Limited.back() - m_Limited.front() > 2 * LimitSpan)
     m_Limited.pop_front();
   double Allowed =
       m_RateLimit * absl::ToDoubleSeconds(LimitSpan) * LimitOver + LimitSlack;
-  if (static_cast<double>(m_Limited.size()) <= Allowed ||
-      !m_Settings.m_IsDaemonCalm(m_LimitNamedAt, Now))
+  std::size_t Most = mostWithin(m_Limited, LimitSpan);
+  if (static_cast<double>(Most) <= Allowed ||
+      !m_Settings.m_IsDaemonCalm(m_LimitNamedAt, Sent))
     return;
   m_Checker.breach(fmt::format("{} got {} requests in {}, at a limit of {:.1f} "
                                "a second",
-                               m_Instance, m_Limited.size(),
+                               m_Instance, Most,
                                absl::FormatDuration(LimitSpan), m_RateLimit));
   m_Limited.clear(); // One line for each excess.
 }
@@ -199,11 +214,13 @@
   Work Next{.m_Id = Id,
             .m_CallId = fieldOf(Request, Names.m_CallId),
             .m_Deadline = absl::InfiniteFuture()};
-  if (Now > m_LeavesAt)
+  // A proxy may have held it since.
+  absl::Time Sent = m_Checker.passedOnAt(Next.m_CallId, Now);
+  if (Sent > m_LeavesAt)
     m_Checker.breach(fmt::format("id={} reached {} {} after it said to leave",
                                  Next.m_CallId, m_Instance,
                                  absl::FormatDuration(LeaveTime)));
-  checkWords(Next.m_CallId, Now);
+  checkWords(Next.m_CallId, Sent);
   std::int64_t LeftMs = 0;
   if (absl::SimpleAtoi(fieldOf(Request, Names.m_RemainingTime), &LeftMs))
     Next.m_Deadline = Now + absl::Milliseconds(LeftMs);
--- a/tools/soak/tests/PromiseCheckerTest.cpp
+++ b/tools/soak/tests/PromiseCheckerTest.cpp
@@ -39,6 +39,18 @@
   EXPECT_EQ(m_Checker.succeeded(), 1U);
 }
 
+// Guards against a request that a proxy held being taken for one that was sent
+// late.
+TEST_F(PromiseCheckerTest, PassedOnAt_HeldRequest_IsWhenItWasSent) {
+  absl::Time Arrived = m_Now + absl::Seconds(3);
+  send("a", true);
+  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), Arrived);
+  m_Checker.onPassedOn("a", m_Now);
+  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), m_Now);
+  m_Checker.onPassedOn("a", m_Now + absl::Seconds(2));
+  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), m_Now + absl::Seconds(2));
+}
+
 TEST_F(PromiseCheckerTest, OnRun_Twice_IsABreachUnlessItMayRepeat) {
   send("a", true);
   send("b", false);
