Reproduce QUOTA after a restart of all daemons among resends

Cause, from the replay: all daemons start at once; those that begin their second round together have no report of any other yet, take their own usage for all there is and each allow themselves four fifths of the level.

No code of the daemon changed.

--- a/libs/policy/tests/ReplicatedRateLimiterTest.cpp
+++ b/libs/policy/tests/ReplicatedRateLimiterTest.cpp
@@ -318,6 +318,24 @@
                          testing::Values(Hot{12, 14}, Hot{13, 310}, Hot{62, 40},
                                          Hot{77, 12}, Hot{62, 400}));
 
+// Guards against daemons that all start at once and, before any report can have
+// come, each take their own usage for that of the fleet.
+TEST_F(ReplicatedRateLimiterTest,
+       TryTake_AllRestartedAmongResends_StaysWithinTolerance) {
+  constexpr std::size_t Count = 66;
+  constexpr double PerSecond = 417;
+  start(Count, {.m_PerSecond = PerSecond, .m_Burst = PerSecond});
+  double Hot = 12 * PerSecond / Count;
+  Result Before = run(absl::Seconds(6), [&](std::size_t) { return Hot; });
+  m_Now += absl::Milliseconds(500);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    restart(Index);
+  Result After = run(absl::Seconds(6), [&](std::size_t) { return Hot; });
+  std::vector<absl::Time> All = Before.m_Granted;
+  All.insert(All.end(), After.m_Granted.begin(), After.m_Granted.end());
+  EXPECT_LE(static_cast<double>(maxInWindow(All, absl::Seconds(5))), allowed());
+}
+
 TEST_F(ReplicatedRateLimiterTest, SetRate_Lowered_AppliesAtOnce) {
   start(4, {.m_PerSecond = 100, .m_Burst = 100});
   run(absl::Seconds(4), [](std::size_t) { return 20; });
