Test what callers of an isolated request get

One target, one run at a time, and 503 with a time to come back where that one is busy; both tests fail with isolation taken out of the entry path and the target path (the second request goes to another target; it is refused for good beside the target).

--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -256,6 +256,23 @@
   EXPECT_NE(m_Answers[0].m_Lines.find("Retry-After: "), std::string::npos);
 }
 
+// Guards against a sound request, in flight beside a crashing one, that gets a
+// final answer while another of its kind runs.
+TEST_F(EntryPathTest, OnAnswer_IsolatedWhileOneRuns_Is503FromOneTarget) {
+  request("/reads/1");
+  m_Crashing = m_Sent[0].m_Message.fingerprint;
+  m_Judgement.m_Standing = policy::RequestStanding::Isolated;
+  request("/reads/1");
+  request("/reads/1");
+  ASSERT_EQ(m_Sent.size(), 3U);
+  EXPECT_EQ(m_Sent[1].m_To, m_Sent[2].m_To);
+  refuse(2, RefusalReason::Overloaded, Ran::No, false);
+  EXPECT_EQ(m_Sent.size(), 3U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+  EXPECT_NE(m_Answers[0].m_Lines.find("Retry-After: "), std::string::npos);
+}
+
 TEST_F(EntryPathTest, OnRequest_OverTheRate_Is429WithRetryAfter) {
   for (int Index = 0; Index < 3; ++Index)
     request("/reads/1", {{"Authorization", "Key other"}});
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -425,6 +425,19 @@
   EXPECT_EQ(m_Calls.size(), 4U);
 }
 
+TEST_F(TargetPathTest, OnForward_SecondIsolated_IsRefusedAsOverloaded) {
+  reportCrashes();
+  m_Standings[101] = policy::RequestStanding::Isolated;
+  m_Standings[102] = policy::RequestStanding::Isolated;
+  forward(1);
+  forward(2);
+  EXPECT_EQ(m_Calls.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(ranOf(0), Ran::No);
+  EXPECT_EQ(m_Answers[0].refusal,
+            static_cast<std::uint8_t>(model::RefusalReason::Overloaded));
+}
+
 TEST_F(TargetPathTest, OnForward_NonIdempotent_ReusesNoIdleConnection) {
   m_Path.onReport(report(1), m_Now);
   forward(1, false);
