Soak: keep the time at which a request was sent for each target

A request that a proxy holds on the way to one target and that is retried at another counted by the time of the retry. It could so be reported as sent after a target had said to leave, though it was sent before. Found by reading; not seen in a run.

PassedOnAt_RetriedElsewhere_KeepsItsOwnTime fails with one time for all targets.

--- a/tools/soak/include/soak/PromiseChecker.h
+++ b/tools/soak/include/soak/PromiseChecker.h
@@ -46,11 +46,13 @@
   }
 
   void onSent(Request Next, absl::Time Now);
-  /// The daemon beside a target sent it a request.
-  void onPassedOn(const std::string &CallId, absl::Time Now);
-  /// \returns when a request that arrives at a target at \p Now was sent by the
-  /// daemon beside it; \p Now if that is not known.
+  /// The daemon of \p Vm sent a request to its target.
+  void onPassedOn(const std::string &CallId, const std::string &Vm,
+                  absl::Time Now);
+  /// \returns when a request that arrives at the target of \p Vm at \p Now was
+  /// sent by the daemon there; \p Now if that is not known.
   [[nodiscard]] absl::Time passedOnAt(const std::string &CallId,
+                                      const std::string &Vm,
                                       absl::Time Now) const;
   /// A target began to work on a request.
   void onRun(const std::string &CallId, const std::string &Target,
@@ -80,7 +82,8 @@
     Request m_Request;
     unsigned m_Runs = 0;
     int m_Status = 0; ///< Of the answer; 0: none yet.
-    absl::Time m_PassedOn = absl::InfiniteFuture(); ///< For the last time.
+    /// By VM; for the last time.
+    absl::flat_hash_map<std::string, absl::Time> m_PassedOn;
   };
 
   struct Crashes {
--- a/tools/soak/src/PromiseChecker.cpp
+++ b/tools/soak/src/PromiseChecker.cpp
@@ -4,7 +4,6 @@
 
 #include "fmt/format.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace knapweedloft::soak {
@@ -40,16 +39,20 @@
   m_States[CallId].m_Request = std::move(Next);
 }
 
-void PromiseChecker::onPassedOn(const std::string &CallId, absl::Time Now) {
+void PromiseChecker::onPassedOn(const std::string &CallId,
+                                const std::string &Vm, absl::Time Now) {
   if (auto Found = m_States.find(CallId); Found != m_States.end())
-    Found->second.m_PassedOn = Now;
+    Found->second.m_PassedOn[Vm] = Now;
 }
 
 absl::Time PromiseChecker::passedOnAt(const std::string &CallId,
+                                      const std::string &Vm,
                                       absl::Time Now) const {
   auto Found = m_States.find(CallId);
-  return Found == m_States.end() ? Now
-                                 : std::min(Found->second.m_PassedOn, Now);
+  if (Found == m_States.end())
+    return Now;
+  auto Sent = Found->second.m_PassedOn.find(Vm);
+  return Sent == Found->second.m_PassedOn.end() ? Now : Sent->second;
 }
 
 void PromiseChecker::onRun(const std::string &CallId, const std::string &Target,
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -215,7 +215,7 @@
             .m_CallId = fieldOf(Request, Names.m_CallId),
             .m_Deadline = absl::InfiniteFuture()};
   // A proxy may have held it since.
-  absl::Time Sent = m_Checker.passedOnAt(Next.m_CallId, Now);
+  absl::Time Sent = m_Checker.passedOnAt(Next.m_CallId, m_Settings.m_Name, Now);
   if (Sent > m_LeavesAt)
     m_Checker.breach(fmt::format("id={} reached {} {} after it said to leave",
                                  Next.m_CallId, m_Instance,
--- a/tools/soak/src/SoakVm.cpp
+++ b/tools/soak/src/SoakVm.cpp
@@ -40,14 +40,14 @@
   };
   m_TargetProxy =
       std::make_unique<LoopProxy>(Loop, m_Place.m_Target, Target.m_At);
-  m_TargetProxy->m_OnClientBytes = [&Checker,
+  m_TargetProxy->m_OnClientBytes = [&Checker, Vm = m_Place.m_Name,
                                     Field = Target.m_HeaderNames.m_CallId +
                                             ": "](std::string_view Bytes) {
     std::size_t From = Bytes.find(Field);
     if (From == std::string_view::npos)
       return;
     std::string_view Id = Bytes.substr(From + Field.size());
-    Checker.onPassedOn(std::string(Id.substr(0, Id.find('\r'))),
+    Checker.onPassedOn(std::string(Id.substr(0, Id.find('\r'))), Vm,
                        io::monotonicNow());
   };
   m_Target = std::make_unique<SoakTarget>(Loop, std::move(Target), Checker);
--- a/tools/soak/tests/PromiseCheckerTest.cpp
+++ b/tools/soak/tests/PromiseCheckerTest.cpp
@@ -44,11 +44,20 @@
 TEST_F(PromiseCheckerTest, PassedOnAt_HeldRequest_IsWhenItWasSent) {
   absl::Time Arrived = m_Now + absl::Seconds(3);
   send("a", true);
-  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), Arrived);
-  m_Checker.onPassedOn("a", m_Now);
-  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), m_Now);
-  m_Checker.onPassedOn("a", m_Now + absl::Seconds(2));
-  EXPECT_EQ(m_Checker.passedOnAt("a", Arrived), m_Now + absl::Seconds(2));
+  EXPECT_EQ(m_Checker.passedOnAt("a", "vm1", Arrived), Arrived);
+  m_Checker.onPassedOn("a", "vm1", m_Now);
+  EXPECT_EQ(m_Checker.passedOnAt("a", "vm1", Arrived), m_Now);
+  m_Checker.onPassedOn("a", "vm1", m_Now + absl::Seconds(2));
+  EXPECT_EQ(m_Checker.passedOnAt("a", "vm1", Arrived),
+            m_Now + absl::Seconds(2));
+}
+
+// Guards against a held request that counts by its retry at another target.
+TEST_F(PromiseCheckerTest, PassedOnAt_RetriedElsewhere_KeepsItsOwnTime) {
+  send("a", true);
+  m_Checker.onPassedOn("a", "vm1", m_Now);
+  m_Checker.onPassedOn("a", "vm2", m_Now + absl::Seconds(2));
+  EXPECT_EQ(m_Checker.passedOnAt("a", "vm1", m_Now + absl::Seconds(3)), m_Now);
 }
 
 TEST_F(PromiseCheckerTest, OnRun_Twice_IsABreachUnlessItMayRepeat) {
