A daemon's clock goes on while its VM is suspended

Cause: decisions are made by CLOCK_MONOTONIC, which stands still while a VM is suspended. A daemon that goes on after a suspension would take deadlines, withdrawals and limits of time for as fresh as before it.

Change: CLOCK_BOOTTIME, which is the same clock on a VM that was never suspended. Waits in epoll still do not count a suspension; the loop waits for 100 ms at most while a daemon runs.

No machine at hand was suspended.

--- a/libs/app/include/app/Clock.h
+++ b/libs/app/include/app/Clock.h
@@ -5,8 +5,8 @@
 
 namespace knapweedloft::app {
 
-/// \returns the monotonic clock as time since an arbitrary start. Every
-/// decision of a daemon is made by it.
+/// \returns the monotonic clock as time since an arbitrary start; it goes on
+/// while the VM is suspended. Every decision of a daemon is made by it.
 [[nodiscard]] absl::Time monotonicNow();
 
 /// \returns wall time, for expiries and logs that operators read.
--- a/libs/app/src/Clock.cpp
+++ b/libs/app/src/Clock.cpp
@@ -8,7 +8,7 @@
 
 absl::Time monotonicNow() {
   timespec Now{};
-  clock_gettime(CLOCK_MONOTONIC, &Now);
+  clock_gettime(CLOCK_BOOTTIME, &Now);
   return absl::UnixEpoch() + absl::DurationFromTimespec(Now);
 }
 
--- a/libs/io/include/io/MonotonicClock.h
+++ b/libs/io/include/io/MonotonicClock.h
@@ -7,10 +7,11 @@
 
 namespace knapweedloft::io {
 
-/// \returns the monotonic clock as a time since boot.
+/// \returns the monotonic clock as a time since boot. It goes on while the VM is
+/// suspended, so that time limits run out meanwhile.
 inline absl::Time monotonicNow() {
   timespec Clock{};
-  ::clock_gettime(CLOCK_MONOTONIC, &Clock);
+  ::clock_gettime(CLOCK_BOOTTIME, &Clock);
   return absl::TimeFromTimespec(Clock);
 }
 
