Roll-outs: orders, status records and settings of the platform

The adapter decodes the orders (an unreadable one names its fault), encodes and decodes the status with the fields that deciding daemons need, and reads the version that a target reports.

The store client has a conditional write (`at`), with an outcome of its own for a topic that ends elsewhere.

--- a/libs/mesh/include/mesh/NodePorts.h
+++ b/libs/mesh/include/mesh/NodePorts.h
@@ -2,9 +2,11 @@
 #define KNAPWEEDLOFT_MESH_NODEPORTS_H
 
 #include "mesh/OperatorRecord.h"
+#include "mesh/RolloutStatus.h"
 #include "mesh/StorePort.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace knapweedloft::mesh {
@@ -17,6 +19,11 @@
   std::string m_MemberTopic;   ///< Written by the daemons.
   std::string m_CrashTopic;    ///< Written by the daemons.
   std::function<OperatorRecord(const StoredRecord &)> m_DecodeOperatorRecord;
+  std::string m_StatusTopic; ///< Written by the daemons, for the operator.
+  std::function<StoredRecord(const RolloutStatus &)> m_EncodeRolloutStatus;
+  /// \returns nothing if the record is no readable status of a roll-out.
+  std::function<std::optional<RolloutStatus>(const StoredRecord &)>
+      m_DecodeRolloutStatus;
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/NodeSettings.h
+++ b/libs/mesh/include/mesh/NodeSettings.h
@@ -2,12 +2,14 @@
 #define KNAPWEEDLOFT_MESH_NODESETTINGS_H
 
 #include "mesh/HeaderNames.h"
+#include "mesh/RolloutSettings.h"
 #include "model/Endpoint.h"
 
 #include "absl/time/time.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace knapweedloft::mesh {
@@ -33,6 +35,8 @@
   /// Retry budget over the whole fleet: arrivals at a service beyond the first
   /// one of each request, per request for that service.
   double m_RetryRatio = 0.2;
+  /// Absent: operators do not order roll-outs.
+  std::optional<RolloutSettings> m_Rollouts;
 
   friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
--- a/libs/mesh/include/mesh/OperatorRecord.h
+++ b/libs/mesh/include/mesh/OperatorRecord.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_MESH_OPERATORRECORD_H
 
 #include "mesh/Catalog.h"
+#include "mesh/RolloutOrder.h"
 
 #include <string>
 #include <variant>
@@ -17,6 +18,7 @@
 /// A record that cannot be parsed, and why.
 struct UnreadableRecord {
   std::string m_Reason;
+  bool m_IsRolloutOrder = false;
 };
 
 /// A record of a kind that daemons do not use.
@@ -24,7 +26,7 @@
 
 /// One parsed record of the operator's topic.
 using OperatorRecord = std::variant<IgnoredRecord, UnreadableRecord, Catalog,
-                                    DataCenterWithdrawal>;
+                                    DataCenterWithdrawal, RolloutOrder>;
 
 } // namespace knapweedloft::mesh
 
--- a/libs/mesh/include/mesh/StorePort.h
+++ b/libs/mesh/include/mesh/StorePort.h
@@ -18,11 +18,12 @@
   Done,
   Expired, ///< The store no longer holds the requested offset.
   Refused, ///< Not done: busy, over a limit, or not allowed.
-  Unknown  ///< No answer: it may have been done, or still be.
+  Unknown, ///< No answer: it may have been done, or still be.
+  Conflict ///< Not done: the topic does not end at the expected offset.
 };
 
-inline constexpr model::NameTable<StoreOutcome, 4> StoreOutcomeNames{
-    {"done", "expired", "refused", "unknown"}};
+inline constexpr model::NameTable<StoreOutcome, 5> StoreOutcomeNames{
+    {"done", "expired", "refused", "unknown", "conflict"}};
 
 /// Result of a read of a topic.
 struct StoreReadResult {
@@ -49,6 +50,10 @@
       m_ReadFrom;
   std::function<void(const std::string &Topic, const StoredRecord &, OnWritten)>
       m_Write;
+  /// Writes only if the topic ends at the offset \p At then.
+  std::function<void(const std::string &Topic, const StoredRecord &,
+                     std::uint64_t At, OnWritten)>
+      m_WriteAt;
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/TargetReport.h
+++ b/libs/mesh/include/mesh/TargetReport.h
@@ -20,6 +20,7 @@
 struct TargetReport {
   std::string m_Instance; ///< Identifies one start of one target.
   std::string m_Service;
+  std::string m_Version; ///< Of the target's software; empty: not reported.
   model::Endpoint m_At;
   TargetCondition m_Condition = TargetCondition::Ready;
   std::uint32_t m_Slots = 0;
