Roll-outs: messages, deciding daemon, target side and entry choice

Nothing of the daemon knew of versions. Now, with the settings for it:

- Rollouts connects a daemon's orders, messages and metrics.
RolloutDirector claims an order by a conditional write of its status, tells the phase of the policy's plan to the daemons of the service four times a second, and writes one outcome.
The others keep the news, hand it on when a link comes up and claim by rank when it ceases. completed is told once it stands in the store; a roll-back is told first, and taken over whatever its epoch.
- TargetRollout holds the gate beside a target, counts answers by route and gives back what did not reach the target.
A refusal by it is not run.
Targets are closed as held or superseded, and while orders or the version of an instance are not known.
- VersionChoice draws the group of a request by the share that the targets tell; a refused or failed request goes to the former version.
The version on trial does not count for entry admission.
- RolloutNews also has the time left until the deadline, so that a daemon that learnt of the order late keeps it, and whether the outcome is stored, so that the others need not read it.

Peers without a link for 30 s no longer count among those that a decider has to hear from: targets that were replaced leave their daemons' records behind.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -13,12 +13,12 @@
 #include "mesh/HeaderNames.h"
 #include "mesh/PeerTarget.h"
 #include "mesh/TargetNotices.h"
+#include "mesh/VersionChoice.h"
 #include "model/Quarantine.h"
 #include "model/RefusalReason.h"
 #include "policy/ReplicatedRateLimiter.h"
 #include "policy/RequestStanding.h"
 #include "policy/RetryBudget.h"
-#include "policy/TargetChooser.h"
 #include "policy/WeightedRoundRobin.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -153,7 +153,7 @@
   };
 
   struct ServiceState {
-    policy::TargetChooser m_Chooser;
+    VersionChoice m_Chooser;
     policy::RetryBudget m_RetryBudget;
     std::uint64_t m_TargetsVersion = 0;
     absl::flat_hash_map<model::Incarnation, PeerTarget> m_Targets;
--- a/libs/mesh/include/mesh/PeerLinks.h
+++ b/libs/mesh/include/mesh/PeerLinks.h
@@ -4,6 +4,7 @@
 #include "link/LinkNode.h"
 #include "mesh/ComponentLog.h"
 #include "mesh/PeerTarget.h"
+#include "mesh/RolloutPeer.h"
 #include "model/Member.h"
 
 #include "absl/container/btree_map.h"
@@ -42,6 +43,9 @@
     /// How long the daemon whose name sorts last waits for the other to
     /// connect.
     absl::Duration m_AcceptorDelay = absl::Milliseconds(300);
+    /// A daemon without a link for this long is not counted among those that
+    /// a roll-out has to hear from: it may be gone for good.
+    absl::Duration m_AbsentAfter = absl::Seconds(30);
     Hooks m_Hooks;
   };
 
@@ -70,6 +74,8 @@
   /// \returns the targets of a service beside all peers.
   [[nodiscard]] std::vector<PeerTarget>
   targetsOf(const std::string &Service) const;
+  /// \returns all known peers.
+  [[nodiscard]] std::vector<RolloutPeer> rolloutPeers(absl::Time Now) const;
   /// \returns the number of known members, this one included.
   [[nodiscard]] std::size_t daemons() const { return m_Peers.size() + 1; }
   /// \returns the number of peers with a link.
@@ -83,6 +89,7 @@
     std::vector<CallEdge> m_Calls;
     absl::Time m_NextConnect;
     absl::Duration m_RetryDelay;
+    absl::Time m_LastLinked; ///< Or first known; while it has no link.
   };
 
   Peer &peerNamed(const model::Member &Member, absl::Time Now);
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -9,6 +9,7 @@
 #include "mesh/HeaderNames.h"
 #include "mesh/TargetCounts.h"
 #include "mesh/TargetReport.h"
+#include "mesh/TargetRollout.h"
 #include "mesh/TargetState.h"
 #include "model/ForwardId.h"
 #include "model/Quarantine.h"
@@ -92,6 +93,8 @@
     /// The answers of a crash are held for this time after its report, so that
     /// the report reaches the other daemons before a retry does.
     absl::Duration m_CrashReportTime = absl::Milliseconds(20);
+    /// Limits what the target gets while a version is rolled out. Null: none.
+    TargetRollout *m_Rollout = nullptr;
     Hooks m_Hooks;
   };
 
@@ -120,6 +123,8 @@
 
   [[nodiscard]] const TargetState &state() const { return m_State; }
   [[nodiscard]] wire::Load load() const;
+  /// Fills in what a roll-out needs to know of the target.
+  void fillSample(policy::RolloutSample &Sample, absl::Time Now) const;
   [[nodiscard]] bool isCold(absl::Time Now) const {
     return m_Scheduler.isCold(Now);
   }
@@ -250,6 +255,8 @@
   void applyReportedSlots(const http::HttpResponse &Response);
   void beginHealthCheck(absl::Time Now);
   void onHealthCheckDone(const http::HttpResult &Result, absl::Time Now);
+  /// Takes over what the roll-out says.
+  void applyRollout(absl::Time Now);
 
   /// Retry-after for a target that accepts no requests now.
   static constexpr absl::Duration ClosedRetryAfter = absl::Milliseconds(500);
@@ -281,6 +288,7 @@
   /// answered. They were in flight if another instance takes its place.
   std::deque<Run> m_Unanswered;
   RateLimit m_RateLimit;
+  double m_ToldExposure = 1;     ///< Told to peers last.
   std::string m_UnreadableLimit; ///< Logged last.
   /// The present instance has answered this process.
   bool m_HasAnswered = false;
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -17,12 +17,17 @@
   Leaving,   ///< It reported, or said in an answer, that it leaves.
   Down,      ///< It does not accept connections.
   Withdrawn, ///< An operator withdrew its data center.
-  Stopping   ///< The daemon is stopping.
+  Stopping,  ///< The daemon is stopping.
+  Held,      ///< A roll-out does not let its version have requests.
+  Superseded ///< A new version has taken over from its version.
 };
 
-inline constexpr model::NameTable<TargetAvailability, 6>
-    TargetAvailabilityNames{
-        {"open", "unknown", "leaving", "down", "withdrawn", "stopping"}};
+inline constexpr model::NameTable<TargetAvailability, 8>
+    TargetAvailabilityNames{{"open", "unknown", "leaving", "down", "withdrawn",
+                             "stopping", "held", "superseded"}};
+
+/// Why a roll-out closes a target.
+enum class RolloutHold : std::uint8_t { None, Held, Superseded };
 
 /// The state of a daemon's local target, derived from the target's reports and
 /// answers, from health checks and from the operator's records.
@@ -59,12 +64,15 @@
   /// The target refused a connection.
   void onConnectionRefused();
   void setWithdrawn(bool IsWithdrawn);
+  void setRolloutHold(RolloutHold Hold) { m_Hold = Hold; }
   void setStopping() { m_IsStopping = true; }
 
   [[nodiscard]] TargetAvailability availability() const;
   [[nodiscard]] bool isOpen() const {
     return availability() == TargetAvailability::Open;
   }
+  /// \returns whether the target is open, but for what a roll-out says.
+  [[nodiscard]] bool isOpenForRollout() const;
   /// \returns whether the target has said that it leaves, also while it is
   /// closed for another reason.
   [[nodiscard]] bool isLeaving() const { return m_IsLeaving; }
@@ -87,6 +95,7 @@
   bool m_IsWithdrawn = false;
   bool m_IsStopping = false;
   bool m_HasCheckFailed = false;
+  RolloutHold m_Hold = RolloutHold::None;
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/src/EntryAdmission.cpp
+++ b/libs/mesh/src/EntryAdmission.cpp
@@ -38,9 +38,12 @@
   State.m_TargetsVersion = m_TargetsVersion;
   State.m_Targets.clear();
   for (PeerTarget &Candidate : m_Options.m_TargetsOf(Name))
-    State.m_Targets.push_back({.m_Daemon = Candidate.m_Member.m_Incarnation,
-                               .m_IsOpen = Candidate.m_IsOpen,
-                               .m_Calls = std::move(Candidate.m_Calls)});
+    State.m_Targets.push_back(
+        {.m_Daemon = Candidate.m_Member.m_Incarnation,
+         // A version on trial takes what it is let have,
+         // whatever its load.
+         .m_IsOpen = Candidate.m_IsOpen && Candidate.m_Exposure >= 1,
+         .m_Calls = std::move(Candidate.m_Calls)});
   return State;
 }
 
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -207,15 +207,15 @@
                                               absl::Time Now) {
   auto Found = m_Services.find(Name);
   if (Found == m_Services.end()) {
-    ServiceState Added{.m_Chooser = policy::TargetChooser(
-                           {.m_Region = m_Options.m_Self.m_Region,
-                            .m_DataCenter = m_Options.m_Self.m_DataCenter,
-                            .m_Seed = m_Options.m_Self.m_Incarnation,
-                            .m_SpilloverLoadScore = SpilloverLoadScore,
-                            .m_TierPenalty = TierPenalty,
-                            .m_UseRelativeFailures = true}),
-                       .m_RetryBudget =
-                           policy::RetryBudget(m_Options.m_RetryBudget)};
+    ServiceState Added{
+        .m_Chooser =
+            VersionChoice({.m_Region = m_Options.m_Self.m_Region,
+                           .m_DataCenter = m_Options.m_Self.m_DataCenter,
+                           .m_Seed = m_Options.m_Self.m_Incarnation,
+                           .m_SpilloverLoadScore = SpilloverLoadScore,
+                           .m_TierPenalty = TierPenalty,
+                           .m_UseRelativeFailures = true}),
+        .m_RetryBudget = policy::RetryBudget(m_Options.m_RetryBudget)};
     Found = m_Services.emplace(Name, std::move(Added)).first;
   }
   refreshTargets(Name, Found->second, Now);
@@ -236,16 +236,10 @@
     return;
   State.m_TargetsVersion = m_TargetsVersion;
   State.m_Targets.clear();
-  std::vector<policy::TargetInfo> Infos;
-  for (PeerTarget &Target : targetsOf(Name)) {
-    Infos.push_back({.m_Incarnation = Target.m_Member.m_Incarnation,
-                     .m_Name = Target.m_Member.m_Name,
-                     .m_Region = Target.m_Member.m_Region,
-                     .m_DataCenter = Target.m_Member.m_DataCenter,
-                     .m_IsWithdrawn = !Target.m_IsOpen});
+  std::vector<PeerTarget> Targets = targetsOf(Name);
+  State.m_Chooser.setTargets(Targets, Now);
+  for (PeerTarget &Target : Targets)
     State.m_Targets.emplace(Target.m_Member.m_Incarnation, std::move(Target));
-  }
-  State.m_Chooser.setTargets(Infos, Now);
 }
 
 void EntryPath::onLoad(const std::string &Name, model::Incarnation Daemon,
@@ -285,7 +279,7 @@
   std::vector<std::string> Names;
   std::vector<model::Incarnation> Daemons;
   for (const auto &[Daemon, Target] : State.m_Targets) {
-    if (!Target.m_IsOpen)
+    if (!Target.m_IsOpen || Target.m_Exposure < 1)
       continue;
     Names.push_back(Target.m_Member.m_Name);
     Daemons.push_back(Daemon);
@@ -311,8 +305,7 @@
     return endQuarantined(Id, Now);
   ServiceState &State = serviceOf(Request.m_Service, Now);
   while (true) {
-    auto Target = State.m_Chooser.choose({.m_Excluded = Request.m_Excluded},
-                                         m_Random, Now);
+    auto Target = State.m_Chooser.choose(Request.m_Excluded, m_Random, Now);
     if (!Target)
       break;
     if (forward(Id, Request, State, *Target, Now))
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -93,6 +93,8 @@
                {"rewrite_after", After}});
   m_Loop.post([this] { writeMember(); }, After);
   m_Quarantine->onRecordLost(Now + After);
+  if (m_Rollouts)
+    m_Rollouts->onNewEra(Now);
   m_CrashRecords->restart();
 }
 
@@ -130,12 +132,17 @@
                  {"offset", Record.m_Offset}});
     m_Target->setWithdrawn(m_WithdrawnDataCenters.contains(m_Self.m_DataCenter),
                            Now);
+  } else if (auto *Order = std::get_if<RolloutOrder>(&Parsed)) {
+    if (m_Rollouts)
+      m_Rollouts->onOrder(*Order, Record, Now);
   } else if (auto *Unreadable = std::get_if<UnreadableRecord>(&Parsed)) {
     m_Log.state("Skipped an unreadable operator record.",
                 {{"key", Record.m_Key},
                  {"era", Record.m_Era},
                  {"offset", Record.m_Offset},
                  {"why", Unreadable->m_Reason}});
+    if (m_Rollouts && Unreadable->m_IsRolloutOrder)
+      m_Rollouts->onUnreadableOrder();
   }
 }
 
@@ -173,14 +180,19 @@
   m_Links->send(Link, targetStateMessage());
   m_Links->send(Link, spentMessage(m_Entry->rates().all(), io::monotonicNow()));
   m_Quarantine->onLinkUp(Link, Member.m_Name, io::monotonicNow());
+  if (m_Rollouts)
+    m_Rollouts->onLinkUp(Link, Member, io::monotonicNow());
 }
 
 void Node::Impl::onDown(link::PeerHandle Link, link::LinkEnd Reason) {
   absl::Time Now = io::monotonicNow();
   const model::Member *Known = m_Peers->memberOf(Link);
   model::Incarnation Daemon = Known ? Known->m_Incarnation : 0;
-  if (const model::Member *Unreachable = m_Peers->onDown(Link, Reason, Now))
+  if (const model::Member *Unreachable = m_Peers->onDown(Link, Reason, Now)) {
     m_Entry->rates().onReachability(Unreachable->m_Name, false, Now);
+    if (m_Rollouts)
+      m_Rollouts->onDaemonLost(*Unreachable, Now);
+  }
   m_Target->onLinkLost(Link, Now);
   m_Entry->onTargetsChanged();
   // Requests in flight on this link may be lost even if another is up.
@@ -209,9 +221,20 @@
     onRecords(*Records, Now);
   } else if (auto *Suspects = as<wire::SuspectsT>(Message)) {
     m_Quarantine->onMessage(*Suspects, Now);
+  } else if (m_Rollouts) {
+    onRolloutMessage(From, Message, Now);
   }
 }
 
+void Node::Impl::onRolloutMessage(link::PeerHandle From,
+                                  wire::MessageUnion &Message, absl::Time Now) {
+  const model::Member *Peer = m_Peers->memberOf(From);
+  if (auto *News = as<wire::RolloutNewsT>(Message))
+    m_Rollouts->onNews(From, *News, Now);
+  else if (auto *Sample = as<wire::RolloutSampleT>(Message); Sample && Peer)
+    m_Rollouts->onSample(*Peer, *Sample, Now);
+}
+
 void Node::Impl::onHeartbeat(link::PeerHandle From,
                              const wire::HeartbeatT &Heartbeat,
                              absl::Time Now) {
@@ -303,6 +326,8 @@
                        .m_Offset = Record->offset,
                        .m_IsFresh = Record->is_fresh});
   m_Operator->merge(Records, Message.era, Message.end, Now);
+  if (m_Rollouts)
+    m_Rollouts->onRecordsRead();
 }
 
 bool Node::Impl::forward(const model::Member &To, wire::ForwardT Message) {
@@ -347,6 +372,8 @@
                        .m_Instance = m_Target->state().instance(),
                        .m_StartTimeMs = m_Target->state().startTimeMs(),
                        .m_IsOpen = m_Target->state().isOpen(),
+                       .m_Version = ownVersion(),
+                       .m_Exposure = ownExposure(),
                        .m_Calls = m_Entry->calls()});
   for (PeerTarget &Target : Targets)
     if (m_WithdrawnDataCenters.contains(Target.m_Member.m_DataCenter))
@@ -354,6 +381,14 @@
   return Targets;
 }
 
+std::string Node::Impl::ownVersion() const {
+  return m_Rollouts ? m_Rollouts->target().version() : std::string();
+}
+
+double Node::Impl::ownExposure() const {
+  return m_Rollouts ? m_Rollouts->target().exposure(io::monotonicNow()) : 1;
+}
+
 wire::TargetNewsT Node::Impl::targetStateMessage() const {
   wire::TargetNewsT Message;
   Message.sequence = m_TargetStateSequence;
@@ -362,6 +397,8 @@
   Message.start_time_ms = m_Target->state().startTimeMs();
   Message.is_open = m_Target->state().isOpen();
   Message.is_cold = m_Target->isCold(io::monotonicNow());
+  Message.version = ownVersion();
+  Message.exposure = static_cast<float>(ownExposure());
   for (const CallEdge &Edge : m_Entry->calls()) {
     auto Call = std::make_unique<wire::CallEdgeT>();
     Call->from_route = Edge.m_From;
@@ -427,6 +464,8 @@
   absl::Time Now = io::monotonicNow();
   m_Entry->tick(Now);
   m_Target->tick(Now);
+  if (m_Rollouts)
+    m_Rollouts->tick(Now);
   m_Peers->tick(Now);
   sendSpent(Now);
   m_Quarantine->tick(Now, absl::Now());
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -10,6 +10,7 @@
 #include "mesh/PeerLinks.h"
 #include "mesh/RecordFollower.h"
 #include "mesh/RequestQuarantine.h"
+#include "mesh/Rollouts.h"
 #include "mesh/TargetPath.h"
 
 #include "absl/container/btree_set.h"
@@ -41,6 +42,7 @@
 private:
   // NodeSetup.cpp
   void makeQuarantine();
+  void makeRollouts();
   void makeEntry();
   void makeTarget();
   void makeLinks();
@@ -55,6 +57,8 @@
   void onMessage(link::PeerHandle From, link::wire::MessageUnion &Message);
   void onHeartbeat(link::PeerHandle From, const wire::HeartbeatT &Heartbeat,
                    absl::Time Now);
+  void onRolloutMessage(link::PeerHandle From, wire::MessageUnion &Message,
+                        absl::Time Now);
   void fillHeartbeat(wire::HeartbeatT &Heartbeat);
   bool forward(const model::Member &To, wire::ForwardT Message);
   void cancel(const model::Member &To, const wire::CancelT &Message);
@@ -62,6 +66,8 @@
   [[nodiscard]] std::vector<PeerTarget>
   targetsOf(const std::string &Service) const;
   [[nodiscard]] wire::TargetNewsT targetStateMessage() const;
+  [[nodiscard]] std::string ownVersion() const;
+  [[nodiscard]] double ownExposure() const;
   void sendTargetState(absl::Time Now);
   void onOperatorRecord(const StoredRecord &Record, absl::Time Now);
   void setCatalog(Catalog Next, absl::Time Now);
@@ -108,6 +114,7 @@
   std::unique_ptr<link::LinkNode> m_Links;
   std::unique_ptr<PeerLinks> m_Peers;
   std::unique_ptr<RequestQuarantine> m_Quarantine;
+  std::unique_ptr<Rollouts> m_Rollouts; ///< Null: not used.
   std::unique_ptr<TargetPath> m_Target;
   std::unique_ptr<EntryPath> m_Entry;
   std::unique_ptr<RecordFollower> m_Operator;
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -82,6 +82,8 @@
   appendLatency(Text, "target_wait", Target.m_Wait);
   appendLatency(Text, "target_run", Target.m_Run);
   appendQuarantine(Text, m_Quarantine->evidence());
+  if (m_Rollouts)
+    m_Rollouts->appendMetrics(Text, io::monotonicNow());
   append(Text, "config_version",
          m_Catalog ? static_cast<double>(m_Catalog->version()) : 0);
   append(Text, "store_era", static_cast<double>(m_Operator->era()));
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -84,6 +84,7 @@
                     return isOwnAnswer(Response, Field, Tag);
                   }});
   makeQuarantine();
+  makeRollouts();
   makeTarget();
   makeEntry();
   makePeers();
@@ -130,6 +131,33 @@
       std::move(Options), ComponentLog(m_EventLog, "quarantine"));
 }
 
+void Node::Impl::makeRollouts() {
+  if (!m_Settings.m_Rollouts)
+    return;
+  Rollouts::Options Options;
+  Options.m_Self = m_Self;
+  Options.m_HeaderNames = m_Settings.m_HeaderNames;
+  Options.m_Settings = *m_Settings.m_Rollouts;
+  Options.m_Ports = m_Ports;
+  Options.m_Hooks.m_Peers = [this](absl::Time Now) {
+    return m_Peers->rolloutPeers(Now);
+  };
+  Options.m_Hooks.m_SendNews = [this](link::PeerHandle To,
+                                      const wire::RolloutNewsT &News) {
+    m_Links->send(To, News);
+  };
+  Options.m_Hooks.m_SendSample = [this](link::PeerHandle To,
+                                        const wire::RolloutSampleT &Sample) {
+    m_Links->send(To, Sample);
+  };
+  Options.m_Hooks.m_FillSample = [this](policy::RolloutSample &Sample,
+                                        absl::Time Now) {
+    m_Target->fillSample(Sample, Now);
+  };
+  m_Rollouts = std::make_unique<Rollouts>(std::move(Options),
+                                          ComponentLog(m_EventLog, "rollout"));
+}
+
 void Node::Impl::makeEntry() {
   EntryPath::Options Options;
   Options.m_Self = m_Self;
@@ -175,6 +203,7 @@
   Options.m_At = m_Settings.m_Target;
   Options.m_HeaderNames = m_Settings.m_HeaderNames;
   Options.m_IsRestart = m_Settings.m_IsRestart;
+  Options.m_Rollout = m_Rollouts ? &m_Rollouts->target() : nullptr;
   Options.m_Hooks.m_Answer = [this](link::PeerHandle To, wire::AnswerT Answer) {
     answer(To, std::move(Answer));
   };
@@ -276,6 +305,10 @@
                                  const StoredRecord &Read) {
     return isNewerCatalog(Known, Read);
   };
+  Operator.m_OnFirstRead = [this](absl::Time) {
+    if (m_Rollouts)
+      m_Rollouts->onRecordsRead();
+  };
   Operator.m_OnAvailability = [this](bool IsAvailable, absl::Time) {
     m_Log.state(IsAvailable ? "The store is available."
                             : "The store is unavailable.",
--- a/libs/mesh/src/PeerLinks.cpp
+++ b/libs/mesh/src/PeerLinks.cpp
@@ -16,7 +16,8 @@
   bool IsOpener = m_Options.m_Self.m_Name < Member.m_Name;
   Peer Added{.m_Member = Member,
              .m_NextConnect = IsOpener ? Now : Now + m_Options.m_AcceptorDelay,
-             .m_RetryDelay = m_Options.m_MinRetryDelay};
+             .m_RetryDelay = m_Options.m_MinRetryDelay,
+             .m_LastLinked = Now};
   return m_Peers.emplace(Member.m_Name, std::move(Added)).first->second;
 }
 
@@ -67,6 +68,7 @@
                {"links", Remote.m_Links.size()}});
   if (!Remote.m_Links.empty())
     return nullptr;
+  Remote.m_LastLinked = Now;
   Remote.m_NextConnect =
       Now + m_Options.m_Hooks.m_Random() * m_Options.m_MinRetryDelay;
   return &Remote.m_Member;
@@ -87,6 +89,8 @@
     Remote.m_TargetState.start_time_ms = State.start_time_ms;
     Remote.m_TargetState.is_cold = State.is_cold;
     Remote.m_TargetState.slots = State.slots;
+    Remote.m_TargetState.version = State.version;
+    Remote.m_TargetState.exposure = State.exposure;
     Remote.m_Calls.clear();
     for (const auto &Edge : State.calls)
       Remote.m_Calls.push_back({Edge->from_route, Edge->to_route});
@@ -136,10 +140,25 @@
            .m_Instance = Remote.m_TargetState.instance,
            .m_StartTimeMs = Remote.m_TargetState.start_time_ms,
            .m_IsOpen = Remote.m_TargetState.is_open && !Remote.m_Links.empty(),
+           .m_Version = Remote.m_TargetState.version,
+           .m_Exposure = Remote.m_TargetState.exposure,
            .m_Calls = Remote.m_Calls});
   return Targets;
 }
 
+std::vector<RolloutPeer> PeerLinks::rolloutPeers(absl::Time Now) const {
+  std::vector<RolloutPeer> Known;
+  for (const auto &[Name, Remote] : m_Peers) {
+    bool IsLinked = !Remote.m_Links.empty();
+    Known.push_back(
+        {.m_Member = Remote.m_Member,
+         .m_Link = IsLinked ? Remote.m_Links.back() : link::PeerHandle(),
+         .m_IsCounted =
+             IsLinked || Now - Remote.m_LastLinked < m_Options.m_AbsentAfter});
+  }
+  return Known;
+}
+
 std::size_t PeerLinks::linked() const {
   return static_cast<std::size_t>(
       std::count_if(m_Peers.begin(), m_Peers.end(), [](const auto &One) {
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -70,6 +70,8 @@
   TargetState::ReportResult Result = m_State.onReport(Report, Now);
   if (Result != TargetState::ReportResult::Accepted)
     return Result;
+  if (m_Options.m_Rollout && Report.m_Condition != TargetCondition::Gone)
+    m_Options.m_Rollout->onReport(Report, Now);
   if (Report.m_Condition != TargetCondition::Gone) {
     if (Report.m_Slots > 0)
       m_Scheduler.setSlots(Report.m_Slots);
@@ -80,7 +82,33 @@
   return Result;
 }
 
+void TargetPath::applyRollout(absl::Time Now) {
+  if (!m_Options.m_Rollout)
+    return;
+  applyStateChange(Now);
+  double Exposure = m_Options.m_Rollout->exposure(Now);
+  if (Exposure == m_ToldExposure)
+    return;
+  m_ToldExposure = Exposure;
+  m_Options.m_Hooks.m_OnChange(Now);
+}
+
+void TargetPath::fillSample(policy::RolloutSample &Sample,
+                            absl::Time Now) const {
+  policy::SlotScheduler::Load Load = m_Scheduler.load();
+  Sample.m_IsOpen = m_State.isOpenForRollout();
+  Sample.m_IsCold = m_Scheduler.isCold(Now);
+  Sample.m_Slots = Load.m_UsableSlots;
+  Sample.m_Running = Load.m_Running;
+  if (m_Options.m_Rollout)
+    m_Options.m_Rollout->fillSample(Sample, Now);
+}
+
 void TargetPath::applyStateChange(absl::Time Now) {
+  if (m_Options.m_Rollout) {
+    m_Options.m_Rollout->onInstance(m_State.instance());
+    m_State.setRolloutHold(m_Options.m_Rollout->hold(Now));
+  }
   TargetAvailability After = m_State.availability();
   std::int64_t FormerStart =
       std::exchange(m_AppliedStartTimeMs, m_State.startTimeMs());
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -73,6 +73,9 @@
     Reason = quarantineOf(Message, Now);
     logQuarantine(Message, Reason, Now);
   }
+  if (Reason == RefusalReason::None && m_Options.m_Rollout &&
+      !m_Options.m_Rollout->tryAccept(m_LastJob + 1, Now))
+    Reason = RefusalReason::NoTarget;
   if (Reason != RefusalReason::None) {
     refuse(From, Id, Reason, Ran::No, ClosedRetryAfter);
     return;
@@ -133,6 +136,8 @@
   Next.m_IsStarted = true;
   Next.m_Started = Now;
   Next.m_Instance = m_State.instance();
+  if (m_Options.m_Rollout)
+    m_Options.m_Rollout->onStarted(Id, Next.m_Message.route, Now);
   http::LoopClient::Call Call;
   Call.m_To = m_Options.m_At;
   Call.m_Text = requestFor(Next, Now);
@@ -153,6 +158,8 @@
   PendingRequest Done = std::move(Found->second);
   m_Pending.erase(Found);
   m_JobByForward.erase(Done.m_Id);
+  if (m_Options.m_Rollout)
+    m_Options.m_Rollout->onResult(Id, Result, Now);
   bool IsRepresentative = Result.m_Failure == Failure::None &&
                           Result.m_Response.m_Status < FirstFailureStatus;
   m_Scheduler.finish(Id, Now - Done.m_Started, IsRepresentative);
@@ -284,6 +291,8 @@
   PendingRequest Refused = std::move(Found->second);
   m_Pending.erase(Found);
   m_JobByForward.erase(Refused.m_Id);
+  if (m_Options.m_Rollout)
+    m_Options.m_Rollout->putBack(Id);
   m_Log.notable(
       "Request refused before it was run.",
       {{"id", Refused.m_Message.call_id},
@@ -317,6 +326,8 @@
   m_JobByForward.erase(Found);
   if (Job == m_SuspectJob)
     m_SuspectJob = 0;
+  if (m_Options.m_Rollout)
+    m_Options.m_Rollout->onCancelled(Job);
   if (Cancelled.m_IsStarted) {
     onRunUnanswered({Cancelled.m_Message.fingerprint, Cancelled.m_Started});
     m_Options.m_Hooks.m_CancelCall(Cancelled.m_Call);
@@ -369,6 +380,7 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
+  applyRollout(Now);
   m_ShareController.update(m_Scheduler.usableSlots(), Now);
   logAdmittedShare();
   poll(Now);
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -88,7 +88,18 @@
     return TargetAvailability::Leaving;
   if (m_Instance.empty() || m_NeedsCheck)
     return TargetAvailability::Unknown;
-  return m_IsDown ? TargetAvailability::Down : TargetAvailability::Open;
+  if (m_IsDown)
+    return TargetAvailability::Down;
+  if (m_Hold != RolloutHold::None)
+    return m_Hold == RolloutHold::Held ? TargetAvailability::Held
+                                       : TargetAvailability::Superseded;
+  return TargetAvailability::Open;
+}
+
+bool TargetState::isOpenForRollout() const {
+  TargetAvailability Now = availability();
+  return Now == TargetAvailability::Open || Now == TargetAvailability::Held ||
+         Now == TargetAvailability::Superseded;
 }
 
 bool TargetState::needsCheck() const {
