--- a/libs/policy/include/policy/RolloutSample.h
+++ b/libs/policy/include/policy/RolloutSample.h
@@ -22,7 +22,9 @@
   bool m_IsCold = false;
   double m_Slots = 0; ///< Requests that the target may run at once.
   std::uint32_t m_Running = 0;
-  std::uint64_t m_Arrivals = 0; ///< Requests that were given to the target.
+  /// Requests that were given to the target since the order: what its
+  /// RolloutGate accepted.
+  std::uint64_t m_Arrivals = 0;
   /// Requests that have run for several times their route's usual latency.
   std::uint32_t m_Overdue = 0;
   std::vector<RouteCounts> m_Routes;
--- a/libs/policy/src/LatencyComparison.cpp
+++ b/libs/policy/src/LatencyComparison.cpp
@@ -19,7 +19,7 @@
 /// nothing.
 constexpr double PriorPerBucket = 0.25;
 /// Part of the answers that may have any duration for no known reason.
-constexpr double Unexplained = 0.02;
+constexpr double Unexplained = 0.05;
 /// By how many half octaves a good target may be faster or slower by itself.
 constexpr int Fastest = -2;
 constexpr int Slowest = 2;
