A second copy of an answer, late, is nobody's answer

Cause: on a connection in use again LoopClient took an answer that names no call for the answer to the call that waits, so a late copy without the id (of a health check, say) passed for it. Bytes that waited unread when an idle connection was taken again were not looked for.

What a target that names its calls only in some answers would see: its unnamed answers on used connections are not taken.

--- a/libs/http/include/http/LoopClient.h
+++ b/libs/http/include/http/LoopClient.h
@@ -21,7 +21,8 @@
 /// last is taken first. A call is written once. Where a kept connection turns
 /// out closed before a byte was written, another is opened; any later break is
 /// Cut, since the server may have acted. A connection that brings bytes that
-/// nobody waits for is closed. What servers send is bounded in bytes over all
+/// nobody waits for is closed, also if they wait unread when it is to be used
+/// again. What servers send is bounded in bytes over all
 /// calls and, by the timeout of each call, in time. The client belongs to the
 /// thread of the loop.
 ///
@@ -49,6 +50,10 @@
     /// \returns whether a response answers the call named \p Tag. One that does
     /// not is dropped and the next is waited for. Null: all do.
     std::function<bool(const HttpResponse &, const std::string &Tag)> m_IsOwn;
+    /// \returns whether a response names any call. Once an address has named
+    /// one, what names none on a connection that carried a call before is
+    /// dropped too: it may be a second copy. Null: none is dropped for that.
+    std::function<bool(const HttpResponse &)> m_IsNamed;
   };
 
   struct Call {
--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -96,7 +96,8 @@
     Idle.pop_back();
     if (!Held)
       continue;
-    if (Now >= Held->m_IdleUntil) {
+    // The loop may not have come to its end, or to bytes of nobody's, yet.
+    if (Now >= Held->m_IdleUntil || io::hasInput(Held->m_Socket.get())) {
       close(Held->m_Id);
       continue;
     }
@@ -244,6 +245,26 @@
     breakOff(Held);
 }
 
+bool LoopClient::Impl::isOwn(const ClientConnection &Held,
+                             const HttpResponse &Response,
+                             const Call &Waiting) {
+  if (m_Settings.m_IsOwn && !m_Settings.m_IsOwn(Response, Waiting.m_Tag))
+    return false;
+  if (!m_Settings.m_IsNamed || Waiting.m_Tag.empty())
+    return true;
+  if (m_Settings.m_IsNamed(Response)) {
+    m_NamesCalls.insert(addressOf(Held.m_To));
+    return true;
+  }
+  return !Held.m_WasUsed || !m_NamesCalls.contains(addressOf(Held.m_To));
+}
+
+bool LoopClient::Impl::mayBeMistaken(const ClientConnection &Held,
+                                     const Call &Last) const {
+  return m_Settings.m_IsNamed && Last.m_Tag.empty() &&
+         !m_NamesCalls.contains(addressOf(Held.m_To));
+}
+
 void LoopClient::Impl::accept(ClientConnection &Held, ParsedMessage Message) {
   if (Message.m_Status < FirstFinalStatus)
     return skip(Held);
@@ -251,8 +272,7 @@
   HttpResponse Response{.m_Status = Message.m_Status,
                         .m_Headers = std::move(Message.m_Headers),
                         .m_Body = std::move(Message.m_Body)};
-  if (m_Settings.m_IsOwn &&
-      !m_Settings.m_IsOwn(Response, Active.m_Call.m_Tag)) {
+  if (!isOwn(Held, Response, Active.m_Call)) {
     if (!Message.m_KeepsOpen)
       return breakOff(Held);
     return skip(Held);
@@ -260,7 +280,8 @@
   CallId Call = std::exchange(Held.m_Call, 0);
   bool IsReusable = Message.m_KeepsOpen && Held.m_Output.left() == 0 &&
                     Held.m_Parser.state() == ParseState::Good &&
-                    !Held.m_Parser.hasMessage() && !Held.m_Parser.isInside();
+                    !Held.m_Parser.hasMessage() && !Held.m_Parser.isInside() &&
+                    !mayBeMistaken(Held, Active.m_Call);
   if (IsReusable)
     keep(Held, Response, io::monotonicNow());
   else
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -5,6 +5,7 @@
 #include "http/LoopClient.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <memory>
 #include <set>
@@ -43,6 +44,10 @@
   void onEnd(ClientConnection &Held, bool IsOrderly);
   void takeAnswers(std::uint64_t Id);
   void accept(ClientConnection &Held, ParsedMessage Message);
+  [[nodiscard]] bool isOwn(const ClientConnection &Held,
+                           const HttpResponse &Response, const Call &Waiting);
+  [[nodiscard]] bool mayBeMistaken(const ClientConnection &Held,
+                                   const Call &Last) const;
   /// Counts one more answer that the call does not wait for.
   void skip(ClientConnection &Held);
   void countHeld(ClientConnection &Held, std::size_t Bytes);
@@ -68,6 +73,8 @@
       m_Connections;
   /// Idle connections by address, the one used last at the back.
   absl::flat_hash_map<std::string, std::vector<std::uint64_t>> m_Idle;
+  /// Addresses whose answers have named a call.
+  absl::flat_hash_set<std::string> m_NamesCalls;
   std::set<std::pair<absl::Time, CallId>> m_Dues;
   absl::Time m_NextSweep = absl::InfiniteFuture();
   std::shared_ptr<bool> m_IsAlive = std::make_shared<bool>(true);
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -14,25 +14,37 @@
 
 namespace knapweedloft::http {
 
-/// A blocking TCP socket on 127.0.0.1 that sends and reads plain bytes.
+/// A blocking TCP socket on a loopback address that sends and reads plain
+/// bytes.
 class RawSocket {
 public:
   explicit RawSocket(int Socket) : m_Socket(Socket) {}
   RawSocket(RawSocket &&Other) noexcept
       : m_Socket(std::exchange(Other.m_Socket, -1)) {}
+  RawSocket &operator=(RawSocket &&Other) noexcept {
+    closeNow();
+    m_Socket = std::exchange(Other.m_Socket, -1);
+    return *this;
+  }
   ~RawSocket() { closeNow(); }
 
-  static RawSocket connectTo(std::uint16_t Port) {
+  static RawSocket connectTo(std::uint16_t Port,
+                             const std::string &To = "127.0.0.1") {
     RawSocket Result(socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in Address = loopback(Port);
+    sockaddr_in Address = addressOf(Port, To);
     require(connect(Result.m_Socket, reinterpret_cast<sockaddr *>(&Address),
                     sizeof Address));
     return Result;
   }
 
-  static RawSocket listenAnywhere() {
+  static RawSocket listenAnywhere() { return listenAt(0); }
+
+  static RawSocket listenAt(std::uint16_t Port,
+                            const std::string &At = "127.0.0.1") {
     RawSocket Result(socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in Address = loopback(0);
+    int One = 1;
+    setsockopt(Result.m_Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof One);
+    sockaddr_in Address = addressOf(Port, At);
     require(bind(Result.m_Socket, reinterpret_cast<sockaddr *>(&Address),
                  sizeof Address));
     require(listen(Result.m_Socket, 16));
@@ -44,9 +56,12 @@
   }
 
   /// \returns whether a peer waits to be accepted or bytes to be read.
-  [[nodiscard]] bool isReadable() const {
+  [[nodiscard]] bool isReadable() const { return awaitInput(0); }
+
+  /// Waits for that for a while.
+  [[nodiscard]] bool awaitInput(int Milliseconds) const {
     pollfd Poll{.fd = m_Socket, .events = POLLIN, .revents = 0};
-    return poll(&Poll, 1, 0) == 1;
+    return poll(&Poll, 1, Milliseconds) == 1;
   }
 
   [[nodiscard]] std::uint16_t port() const {
@@ -63,6 +78,11 @@
     closeNow();
   }
 
+  /// Wakes a thread that waits in acceptOne() or reads.
+  void shutDown() const { shutdown(m_Socket, SHUT_RDWR); }
+
+  [[nodiscard]] bool isOpen() const { return m_Socket >= 0; }
+
   bool sendAll(std::string_view Bytes) const {
     while (!Bytes.empty()) {
       ssize_t Sent = send(m_Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
@@ -104,11 +124,11 @@
       throw std::system_error(errno, std::generic_category());
   }
 
-  static sockaddr_in loopback(std::uint16_t Port) {
+  static sockaddr_in addressOf(std::uint16_t Port, const std::string &Number) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_port = htons(Port);
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, Number.c_str(), &Address.sin_addr);
     return Address;
   }
 
--- a/libs/io/include/io/Sockets.h
+++ b/libs/io/include/io/Sockets.h
@@ -4,6 +4,8 @@
 #include "io/FileDescriptor.h"
 #include "model/Endpoint.h"
 
+#include "absl/time/time.h"
+
 #include <cstddef>
 #include <optional>
 #include <sys/types.h>
@@ -29,6 +31,20 @@
 /// broken; nothing if there is nothing now.
 std::optional<ssize_t> receive(int Socket, void *To, std::size_t Room);
 
+/// \returns whether bytes, the peer's end or an error wait to be read.
+bool hasInput(int Socket);
+
+/// \returns how long ago the last bytes came, as the kernel counted; zero if it
+/// does not tell.
+absl::Duration sinceLastInput(int Socket);
+
+/// \returns whether the peer has ended the connection, or its writing side;
+/// bytes that it sent before may still wait.
+bool isEndedByPeer(int Socket);
+
+/// Ends the writing side only; the peer sees an orderly end.
+void endWriting(int Socket);
+
 /// Sends small frames at once instead of waiting for more bytes.
 void setNoDelay(int Socket);
 
--- a/libs/io/src/Sockets.cpp
+++ b/libs/io/src/Sockets.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace knapweedloft::io {
@@ -110,6 +111,27 @@
   return Bytes;
 }
 
+bool hasInput(int Socket) {
+  char Byte = 0;
+  ssize_t Bytes = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Bytes >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+absl::Duration sinceLastInput(int Socket) {
+  tcp_info Known{};
+  socklen_t Size = sizeof(Known);
+  if (::getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Known, &Size) != 0)
+    return absl::ZeroDuration();
+  return absl::Milliseconds(Known.tcpi_last_data_recv);
+}
+
+bool isEndedByPeer(int Socket) {
+  pollfd Poll{.fd = Socket, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&Poll, 1, 0) == 1;
+}
+
+void endWriting(int Socket) { ::shutdown(Socket, SHUT_WR); }
+
 void setNoDelay(int Socket) {
   int One = 1;
   ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -59,7 +59,7 @@
   return Self;
 }
 
-/// \returns whether an answer belongs to the call with the id \p Tag. A late
+/// \returns whether an answer may belong to the call with the id \p Tag. A late
 /// answer to an earlier call carries the id of that call.
 bool isOwnAnswer(const http::HttpResponse &Response, const std::string &Field,
                  const std::string &Tag) {
@@ -82,6 +82,11 @@
                                  const http::HttpResponse &Response,
                                  const std::string &Tag) {
                     return isOwnAnswer(Response, Field, Tag);
+                  },
+                  .m_IsNamed = [Field = m_Settings.m_HeaderNames.m_CallId](
+                                   const http::HttpResponse &Response) {
+                    return http::findHeader(Response.m_Headers, Field) !=
+                           nullptr;
                   }});
   makeQuarantine();
   makeTarget();
