--- a/libs/policy/src/LatencyComparison.cpp
+++ b/libs/policy/src/LatencyComparison.cpp
@@ -201,7 +201,7 @@
 
 LatencyComparison::Odds LatencyComparison::oddsOf(const Halves &Answers,
                                                   const Model &Known) const {
-  auto bestOf = [&Answers](const std::vector<Distribution> &Logs) {
+  auto BestOf = [&Answers](const std::vector<Distribution> &Logs) {
     Odds Best{.m_Halves = {-1e18, -1e18}};
     for (const Distribution &Next : Logs) {
       Odds Tried{.m_Halves = {logLikelihood(Answers[0], Next),
@@ -211,8 +211,8 @@
     }
     return Best;
   };
-  Odds Good = bestOf(Known.m_Good);
-  Odds Bad = bestOf(Known.m_Bad);
+  Odds Good = BestOf(Known.m_Good);
+  Odds Bad = BestOf(Known.m_Bad);
   return {.m_Halves = {Bad.m_Halves[0] - Good.m_Halves[0],
                        Bad.m_Halves[1] - Good.m_Halves[1]}};
 }
@@ -264,8 +264,8 @@
   }
   if (!isEnough(Found))
     return std::nullopt;
-  return Finding{.m_All = static_cast<std::uint64_t>(All + 0.5),
-                 .m_Bad = static_cast<std::uint64_t>(Slow + 0.5)};
+  return Finding{.m_All = static_cast<std::uint64_t>(std::llround(All)),
+                 .m_Bad = static_cast<std::uint64_t>(std::llround(Slow))};
 }
 
 std::optional<LatencyComparison::Finding> LatencyComparison::findSlow(
--- a/libs/policy/src/RolloutPlan.cpp
+++ b/libs/policy/src/RolloutPlan.cpp
@@ -179,12 +179,12 @@
 double RolloutPlan::Impl::budgetedShare(double Share, absl::Time Now) const {
   double Rate = m_Allowances.arrivalRate(Now);
   double Free = switchBudget() - m_Allowances.taken();
-  auto ratedFor = [Rate](absl::Duration Time) {
+  auto RequestsIn = [Rate](absl::Duration Time) {
     return Rate * absl::ToDoubleSeconds(Time);
   };
-  if (Share < 1 || Free < FullMargin * ratedFor(m_Deadline - Now)) {
-    double Left = Free - ratedFor(m_Deadline - m_EndAt);
-    double Needed = ratedFor(UpdateTime);
+  if (Share < 1 || Free < FullMargin * RequestsIn(m_Deadline - Now)) {
+    double Left = Free - RequestsIn(m_Deadline - m_EndAt);
+    double Needed = RequestsIn(UpdateTime);
     double Most = Needed > 0 ? Left / Needed : 1;
     Share = std::min({Share, Most, Steps[Steps.size() - 2].m_Share});
   }
--- a/libs/policy/src/VersionComparison.cpp
+++ b/libs/policy/src/VersionComparison.cpp
@@ -24,6 +24,7 @@
                               const std::vector<TargetAnswers> &Judged,
                               std::size_t LeftOut) {
   std::vector<double> Excesses;
+  Excesses.reserve(Judged.size());
   for (const TargetAnswers &Of : Judged)
     Excesses.push_back(Of.excess());
   TargetAnswers Sum;
