Planned stops, pauses of a process and bytes without end

One commit for three matters, since they meet in LoopServer.

Planned stop. Cause: kept connections were closed at the begin of a stop, so requests that crossed it were cut off; connections and bytes that the kernel had accepted were dropped at its end; a connection was closed while bytes of its caller waited, which resets it and loses the end of the last answer; the process could end before the last frames to peers were written. Now kept connections stay open until callers know of the stop, what waits in the sockets is read last, ended connections are read on until the caller closes (2 s, 4 MB) and unsent frames are waited for (PlannedStop).

Cause: after a pause a daemon took what waited in its sockets for new: it ran requests whose callers' time was over, and forwards that the entry side had given up. Now callers' requests are read 100 ms after the other sockets if the process was held up for 500 ms, their age is the kernel's; forwards are aged by heartbeats (MessageAge) and refused as not run where the peer has ended the link meanwhile.

Bytes without end. Cause: requests and frames of peers were bounded each, not together, and header fields were counted without their own size. Now a quarter of the memory each; past it the largest is refused (503) or its link closed. A fuzz target for MessageParser (Answer).

The set of limited customers in EntryPath::setCatalog is looked up by hash, no longer 2,000 times 2,000 names at a change.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -20,8 +20,12 @@
 /// An HTTP/1.1 server on an event loop that is shared with others.
 ///
 /// Requests of one connection are handed over as they come and answered in
-/// their order. Where a peer closes its side, its requests are given up. The
-/// server belongs to the thread of the loop.
+/// their order. Where a peer closes its side, its requests are given up. A
+/// connection that the server ends is read on until the peer has closed, so
+/// that the last answer is not lost by bytes that nobody reads. After a pause
+/// of the process its other sockets are read first. What peers send is bounded
+/// in bytes over all requests and in time. The server belongs to the thread of
+/// the loop.
 ///
 /// \code
 ///   LoopServer Server(Loop, {.m_At = At, .m_Hooks = {.m_OnRequest = handle}});
@@ -46,6 +50,8 @@
         absl::Seconds(10); ///< For a whole request.
     absl::Duration m_IdleTimeout = absl::Seconds(60);
     absl::Duration m_WriteTimeout = absl::Seconds(30); ///< Without progress.
+    /// An ended connection waits so long for its peer to close.
+    absl::Duration m_LingerTimeout = absl::Seconds(2);
   };
 
   struct Options {
@@ -53,6 +59,9 @@
     Limits m_Limits;
     std::size_t m_MaxConnections = 3000;
     std::size_t m_MaxPipelined = 64; ///< Requests unanswered on a connection.
+    /// Of all requests that are not whole yet. Past it the largest is refused
+    /// with 503 and its connection ended.
+    std::size_t m_MaxHeldBytes = 256 << 20;
     Hooks m_Hooks;
   };
 
@@ -70,10 +79,18 @@
   /// For requests and connections from now on.
   void setLimits(const Limits &Changed);
 
-  /// Answers close their connections from now on; idle ones are closed.
+  /// Answers close their connections from now on. Idle ones are left open:
+  /// peers may have requests on their way.
   void beginClosing();
-  /// Refuses new connections by closing the listener.
-  void stopAccepting();
+  /// Hands over what has come, closes the listener and ends idle connections;
+  /// those that have not brought a request yet stay open.
+  void endIdle();
+  /// \returns whether no request is being read or unanswered, and all answers
+  /// are written.
+  [[nodiscard]] bool isIdle() const;
+  /// \returns the connections that are open; those that only wait for their
+  /// peers to close count.
+  [[nodiscard]] std::size_t connections() const;
 
   /// \returns how many requests are not answered yet.
   [[nodiscard]] std::size_t pending() const;
--- a/libs/http/include/http/ParsedMessage.h
+++ b/libs/http/include/http/ParsedMessage.h
@@ -3,6 +3,8 @@
 
 #include "http/HttpMessage.h"
 
+#include "absl/time/time.h"
+
 #include <string>
 
 namespace knapweedloft::http {
@@ -16,6 +18,9 @@
   std::string m_Body;
   /// The connection may carry another message after this one.
   bool m_KeepsOpen = false;
+  /// How long the last bytes of a request waited at least until the process,
+  /// after a pause, read them.
+  absl::Duration m_Waited;
 };
 
 } // namespace knapweedloft::http
--- a/libs/http/src/LoopServer.cpp
+++ b/libs/http/src/LoopServer.cpp
@@ -28,7 +28,11 @@
 
 void LoopServer::beginClosing() { m_Impl->beginClosing(); }
 
-void LoopServer::stopAccepting() { m_Impl->stopAccepting(); }
+void LoopServer::endIdle() { m_Impl->endIdle(); }
+
+bool LoopServer::isIdle() const { return m_Impl->isIdle(); }
+
+std::size_t LoopServer::connections() const { return m_Impl->connections(); }
 
 std::size_t LoopServer::pending() const { return m_Impl->m_Pending; }
 
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -17,6 +17,17 @@
 constexpr std::size_t ReadBytes = 32 << 10;
 /// Time-outs are whole seconds at least; they are looked at this often.
 constexpr absl::Duration SweepInterval = absl::Milliseconds(500);
+/// After a pause as long as this, what other sockets bring may change whether
+/// and how a request is served.
+constexpr absl::Duration LongPause = absl::Milliseconds(500);
+/// Enough to read what waits, and for an answer of another machine.
+constexpr absl::Duration ResumeAfter = absl::Milliseconds(100);
+/// Peers send on while the server waits.
+constexpr absl::Duration MeasuredAfter = absl::Seconds(1);
+constexpr int Unavailable = 503;
+/// More than a peer sends before it has read the last answer, unless it does
+/// not look for it.
+constexpr std::size_t MaxDroppedBytes = std::size_t{4} << 20;
 
 int statusOf(ParseState Reason) {
   constexpr int BadRequest = 400;
@@ -43,7 +54,7 @@
 LoopServer::Impl::~Impl() {
   *m_IsAlive = false;
   m_Settings.m_Hooks = {};
-  stopAccepting();
+  m_Acceptor->stop();
   while (!m_Connections.empty())
     close(m_Connections.begin()->first);
 }
@@ -63,6 +74,7 @@
 }
 
 void LoopServer::Impl::add(io::FileDescriptor Socket, std::string From) {
+  (void)waitsForOthers(); // Its request may have come during a pause.
   std::uint64_t Id = ++m_LastId;
   absl::Time Now = io::monotonicNow();
   auto Held = std::make_unique<ServerConnection>(ServerConnection{
@@ -79,7 +91,7 @@
   Held->m_Watch =
       m_Loop.watch(Held->m_Socket.get(), EPOLLIN,
                    [this, Id](std::uint32_t Events) { onReady(Id, Events); });
-  m_Connections.emplace(Id, std::move(Held));
+  setEvents(*m_Connections.emplace(Id, std::move(Held)).first->second);
 }
 
 ServerConnection *LoopServer::Impl::find(std::uint64_t Id) {
@@ -92,8 +104,34 @@
     if (ServerConnection *Held = find(Id))
       flush(*Held);
   }
-  if (Events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+  if (!(Events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+    return;
+  if (!waitsForOthers())
     read(Id);
+  else if (Events & (EPOLLHUP | EPOLLERR))
+    close(Id); // The peer is gone.
+}
+
+bool LoopServer::Impl::waitsForOthers() {
+  if (m_IsWaiting || m_Loop.heldUp() < LongPause)
+    return m_IsWaiting;
+  m_IsWaiting = true;
+  m_MeasuresUntil = io::monotonicNow() + MeasuredAfter;
+  for (auto &[Id, Held] : m_Connections)
+    setEvents(*Held);
+  m_Loop.post(
+      [this, IsAlive = m_IsAlive] {
+        if (*IsAlive)
+          resume();
+      },
+      ResumeAfter);
+  return true;
+}
+
+void LoopServer::Impl::resume() {
+  m_IsWaiting = false;
+  for (auto &[Id, Held] : m_Connections)
+    setEvents(*Held);
 }
 
 void LoopServer::Impl::read(std::uint64_t Id) {
@@ -106,8 +144,14 @@
     return;
   if (*Bytes <= 0)
     return close(Id);
-  if (Held->m_StopsReading)
-    return; // Dropped: the answer that closes the connection is on its way.
+  if (Held->m_StopsReading) {
+    // Dropped: the answer that closes the connection is on its way.
+    Held->m_DroppedBytes += static_cast<std::size_t>(*Bytes);
+    bool IsWritten = Held->m_LingersSince != absl::InfiniteFuture();
+    if (IsWritten && Held->m_DroppedBytes > MaxDroppedBytes)
+      close(Id);
+    return;
+  }
   if (!Held->m_Parser.isInside())
     Held->m_MessageSince = io::monotonicNow();
   ParseState State = Held->m_Parser.feed(
@@ -122,8 +166,26 @@
     return;
   if (!Held->m_Parser.isInside())
     Held->m_MessageSince = absl::InfiniteFuture();
+  countHeld(*Held, Held->m_Parser.heldBytes());
   if (State != ParseState::Good && !Held->m_StopsReading)
-    refuseRest(*Held, State);
+    refuseRest(*Held, statusOf(State));
+  limitHeld();
+}
+
+void LoopServer::Impl::countHeld(ServerConnection &Held, std::size_t Bytes) {
+  m_HeldBytes = m_HeldBytes - Held.m_HeldBytes + Bytes;
+  Held.m_HeldBytes = Bytes;
+}
+
+void LoopServer::Impl::limitHeld() {
+  while (m_HeldBytes > m_Settings.m_MaxHeldBytes) {
+    auto Largest = std::max_element(m_Connections.begin(), m_Connections.end(),
+                                    [](const auto &Left, const auto &Right) {
+                                      return Left.second->m_HeldBytes <
+                                             Right.second->m_HeldBytes;
+                                    });
+    refuseRest(*Largest->second, Unavailable);
+  }
 }
 
 void LoopServer::Impl::takeMessages(std::uint64_t Id) {
@@ -132,6 +194,8 @@
     if (IsFull || Held->m_StopsReading || !Held->m_Parser.hasMessage())
       return setEvents(*Held);
     ParsedMessage Message = Held->m_Parser.take();
+    if (io::monotonicNow() < m_MeasuresUntil)
+      Message.m_Waited = io::sinceLastInput(Held->m_Socket.get());
     ExchangeId Next{Id, ++Held->m_LastSequence};
     Held->m_Exchanges.push_back({.m_Sequence = Next.m_Sequence,
                                  .m_IsHead = Message.m_Method == "HEAD",
@@ -143,12 +207,14 @@
   }
 }
 
-void LoopServer::Impl::refuseRest(ServerConnection &Held, ParseState Reason) {
+void LoopServer::Impl::refuseRest(ServerConnection &Held, int Status) {
   Held.m_StopsReading = true;
+  countHeld(Held, 0);
+  Held.m_Parser = MessageParser(MessageKind::Request, {});
   std::uint64_t Sequence = ++Held.m_LastSequence;
   Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
   ++m_Pending;
-  answer({Held.m_Id, Sequence}, statusOf(Reason), "", "");
+  answer({Held.m_Id, Sequence}, Status, "", "");
 }
 
 void LoopServer::Impl::answer(ExchangeId Id, int Status, std::string_view Lines,
@@ -202,14 +268,23 @@
     return close(Held.m_Id);
   bool IsDone = Result == WriteBuffer::Result::Empty;
   if (IsDone && Held.m_ClosesAfterWrite && Held.m_Exchanges.empty())
-    return close(Held.m_Id);
+    endWriting(Held);
   setEvents(Held);
 }
 
+void LoopServer::Impl::endWriting(ServerConnection &Held) {
+  if (Held.m_LingersSince != absl::InfiniteFuture())
+    return;
+  Held.m_StopsReading = true;
+  Held.m_LingersSince = io::monotonicNow();
+  countHeld(Held, 0);
+  io::endWriting(Held.m_Socket.get());
+}
+
 void LoopServer::Impl::setEvents(ServerConnection &Held) {
   std::uint32_t Events = Held.m_Output.left() > 0 ? EPOLLOUT : 0U;
   // Reading goes on while requests are under way: it shows that a peer left.
-  if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined)
+  if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined && !m_IsWaiting)
     Events |= EPOLLIN;
   if (Events == Held.m_Events)
     return;
@@ -223,6 +298,7 @@
     return;
   std::unique_ptr<ServerConnection> Held = std::move(Found->second);
   m_Connections.erase(Found);
+  countHeld(*Held, 0);
   m_Loop.unwatch(Held->m_Watch);
   for (const ServerConnection::Exchange &Open : Held->m_Exchanges) {
     if (Open.m_Answer)
@@ -237,12 +313,31 @@
   }
 }
 
-void LoopServer::Impl::beginClosing() {
-  m_IsClosing = true;
-  closeWhere([](const auto &Held) {
-    return Held.m_Exchanges.empty() && Held.m_Output.left() == 0 &&
-           !Held.m_Parser.isInside();
-  });
+void LoopServer::Impl::beginClosing() { m_IsClosing = true; }
+
+void LoopServer::Impl::endIdle() {
+  m_Acceptor->takeRestAndStop();
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, Held] : m_Connections)
+    Ids.push_back(Id);
+  for (std::uint64_t Id : Ids) {
+    read(Id);
+    ServerConnection *Held = find(Id);
+    // A caller that has just connected is about to send.
+    bool IsNew = Held && Held->m_LastSequence == 0;
+    if (Held && !IsNew && isIdle(*Held))
+      endWriting(*Held);
+  }
+}
+
+bool LoopServer::Impl::isIdle(const ServerConnection &Held) {
+  return Held.m_Exchanges.empty() && Held.m_Output.left() == 0 &&
+         !Held.m_Parser.isInside();
+}
+
+bool LoopServer::Impl::isIdle() const {
+  return std::all_of(m_Connections.begin(), m_Connections.end(),
+                     [](const auto &One) { return isIdle(*One.second); });
 }
 
 std::size_t LoopServer::Impl::unsentBytes() const {
@@ -255,6 +350,8 @@
 bool LoopServer::Impl::isOverdue(const ServerConnection &Held,
                                  absl::Time Now) const {
   const Limits &Bounds = m_Settings.m_Limits;
+  if (Now - Held.m_LingersSince > Bounds.m_LingerTimeout)
+    return true;
   if (Held.m_Output.left() > 0)
     return Now - Held.m_LastWritten > Bounds.m_WriteTimeout;
   if (Held.m_Parser.isInside())
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -24,7 +24,9 @@
   void answer(ExchangeId Id, int Status, std::string_view Lines,
               std::string_view Body);
   void beginClosing();
-  void stopAccepting() { m_Acceptor->stop(); }
+  void endIdle();
+  [[nodiscard]] bool isIdle() const;
+  [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
 
   Options m_Settings;
   std::size_t m_Pending = 0;
@@ -38,13 +40,20 @@
   void onReady(std::uint64_t Id, std::uint32_t Events);
   void read(std::uint64_t Id);
   void takeMessages(std::uint64_t Id);
-  void refuseRest(ServerConnection &Held, ParseState Reason);
+  void refuseRest(ServerConnection &Held, int Status);
+  void countHeld(ServerConnection &Held, std::size_t Bytes);
+  void limitHeld();
+  void endWriting(ServerConnection &Held);
+  /// Lets the other sockets of the loop go first after a pause.
+  [[nodiscard]] bool waitsForOthers();
+  void resume();
   void flush(ServerConnection &Held);
   void fillOutput(ServerConnection &Held);
   void setEvents(ServerConnection &Held);
   void close(std::uint64_t Id);
   void closeWhere(const std::function<bool(const ServerConnection &)> &IsDue);
   void sweep();
+  [[nodiscard]] static bool isIdle(const ServerConnection &Held);
   [[nodiscard]] bool isOverdue(const ServerConnection &Held,
                                absl::Time Now) const;
   [[nodiscard]] ServerConnection *find(std::uint64_t Id);
@@ -53,6 +62,10 @@
   std::unique_ptr<io::Acceptor> m_Acceptor;
   std::uint64_t m_LastId = 0;
   bool m_IsClosing = false;
+  bool m_IsWaiting = false; ///< For the other sockets, after a pause.
+  /// Until then requests may have waited unread.
+  absl::Time m_MeasuresUntil = absl::InfinitePast();
+  std::size_t m_HeldBytes = 0; ///< Over all connections.
   std::vector<char> m_ReadBuffer;
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<ServerConnection>>
       m_Connections;
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -9,6 +9,8 @@
 
 /// A length that a peer only claims takes no more memory than this.
 constexpr std::size_t MaxReserve = std::size_t{1} << 20;
+/// Of a header field besides its name and value: colon, space, end of the line.
+constexpr std::size_t FieldBytes = 4;
 
 } // namespace
 
@@ -47,7 +49,9 @@
   }
 
   [[nodiscard]] std::size_t heldBytes() const {
-    return m_IsInside ? m_HeaderBytes + m_Current.m_Body.size() : 0;
+    return m_IsInside ? m_HeaderBytes + m_Current.m_Body.size() +
+                            m_Current.m_Headers.size() * sizeof(HeaderField)
+                      : 0;
   }
 
   std::deque<ParsedMessage> m_Ready;
@@ -120,11 +124,12 @@
   int onName(std::string_view Part) {
     if (m_HasHeaders)
       return countHeader(Part.size()); // A trailer; nobody asks for them.
-    if (!m_IsName)
+    bool IsNew = !m_IsName;
+    if (IsNew)
       m_Current.m_Headers.emplace_back();
     m_IsName = true;
     m_Current.m_Headers.back().m_Name.append(Part);
-    return countHeader(Part.size());
+    return countHeader(Part.size() + (IsNew ? FieldBytes : 0));
   }
 
   int onValue(std::string_view Part) {
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -38,7 +38,11 @@
   absl::Time m_MessageSince = absl::InfiniteFuture(); ///< A request began.
   absl::Time m_LastWritten;
   bool m_ClosesAfterWrite = false;
-  bool m_StopsReading = false; ///< Nothing that follows is looked at.
+  bool m_StopsReading = false;    ///< Nothing that follows is looked at.
+  std::size_t m_HeldBytes = 0;    ///< Of a request that is not whole yet.
+  std::size_t m_DroppedBytes = 0; ///< Read since m_StopsReading.
+  /// All is written; it waits for the peer to close.
+  absl::Time m_LingersSince = absl::InfiniteFuture();
 };
 
 } // namespace knapweedloft::http
--- a/libs/io/include/io/Acceptor.h
+++ b/libs/io/include/io/Acceptor.h
@@ -36,6 +36,8 @@
 
   /// Refuses new connections by closing the listener.
   void stop();
+  /// Hands over the connections that wait, then stops.
+  void takeRestAndStop();
 
   /// \returns the address that it is bound to; it must not have been stopped.
   [[nodiscard]] model::Endpoint endpoint() const;
@@ -43,6 +45,7 @@
 private:
   void accept();
   void rest();
+  [[nodiscard]] bool hasInput() const;
 
   EventLoop &m_Loop;
   Hook m_OnSocket;
--- a/libs/io/include/io/EventLoop.h
+++ b/libs/io/include/io/EventLoop.h
@@ -55,6 +55,11 @@
   void rewatch(WatchId Watch, std::uint32_t Events);
   void unwatch(WatchId Watch);
 
+  /// \returns how long what this round found ready may have waited because the
+  /// process did not run, or was at work, since its sockets were looked at
+  /// before. On the loop's thread.
+  [[nodiscard]] absl::Duration heldUp() const { return m_HeldUp; }
+
   /// Runs \p Run on the thread once \p Delay is over. From any thread.
   void post(Task Run, absl::Duration Delay = absl::ZeroDuration());
 
@@ -78,6 +83,7 @@
   void control(int Operation, int Fd, std::uint32_t Events, WatchId Watch);
   void runReady(int TimeoutMs);
   void readWake();
+  void measureHeldUp(absl::Time Before, int TimeoutMs);
   void runTasks();
   void runTimers();
   int waitMs();
@@ -89,6 +95,8 @@
   std::vector<std::uint32_t> m_Free;
   /// Slots freed in this round; their hooks may still be running.
   std::vector<std::uint32_t> m_Freed;
+  absl::Time m_LookedAt = absl::InfiniteFuture(); ///< When the last wait ended.
+  absl::Duration m_HeldUp;
   std::thread m_Thread;
   absl::Mutex m_Mutex;
   std::vector<Task> m_Tasks ABSL_GUARDED_BY(m_Mutex);
--- a/libs/io/src/Acceptor.cpp
+++ b/libs/io/src/Acceptor.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <utility>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr int MaxAcceptsARound = 64;
+/// More than the kernel queues for a listener.
+constexpr int MaxLastRounds = 32;
 /// How long the listener rests when the process is out of descriptors.
 constexpr absl::Duration AcceptRest = absl::Milliseconds(100);
 
@@ -47,6 +50,21 @@
   FileDescriptor Closed = std::move(m_Listener);
 }
 
+void Acceptor::takeRestAndStop() {
+  std::shared_ptr<bool> IsListening = m_IsListening;
+  // A listener that cannot accept for want of descriptors is closed, too.
+  for (int Count = 0; Count < MaxLastRounds && *IsListening && hasInput();
+       ++Count)
+    accept();
+  if (*IsListening)
+    stop();
+}
+
+bool Acceptor::hasInput() const {
+  pollfd Poll{.fd = m_Listener.get(), .events = POLLIN, .revents = 0};
+  return ::poll(&Poll, 1, 0) == 1;
+}
+
 model::Endpoint Acceptor::endpoint() const {
   return localEndpoint(m_Listener.get());
 }
--- a/libs/io/src/EventLoop.cpp
+++ b/libs/io/src/EventLoop.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <pthread.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -114,6 +115,7 @@
     absl::MutexLock Lock(&m_Mutex);
     m_Running = std::this_thread::get_id();
   }
+  m_LookedAt = absl::InfiniteFuture();
   while (true) {
     runReady(waitMs());
     runTasks();
@@ -138,8 +140,14 @@
 
 void EventLoop::runReady(int TimeoutMs) {
   std::array<epoll_event, MaxEventsARound> Events;
+  absl::Time Before = monotonicNow();
   int Count =
       ::epoll_wait(m_Epoll.get(), Events.data(), MaxEventsARound, TimeoutMs);
+  // A process that is stopped and goes on is interrupted; what came meanwhile
+  // belongs to this round.
+  while (Count < 0 && errno == EINTR)
+    Count = ::epoll_wait(m_Epoll.get(), Events.data(), MaxEventsARound, 0);
+  measureHeldUp(Before, TimeoutMs);
   for (int Index = 0; Index < Count; ++Index) {
     WatchId Watch = Events[Index].data.u64;
     if (Watch == WakeToken)
@@ -154,6 +162,14 @@
   m_Freed.clear();
 }
 
+void EventLoop::measureHeldUp(absl::Time Before, int TimeoutMs) {
+  absl::Time Now = monotonicNow();
+  absl::Duration Worked = std::max(Before - m_LookedAt, absl::ZeroDuration());
+  absl::Duration Over = Now - Before - absl::Milliseconds(TimeoutMs);
+  m_HeldUp = Worked + std::max(Over, absl::ZeroDuration());
+  m_LookedAt = Now;
+}
+
 void EventLoop::readWake() {
   absl::MutexLock Lock(&m_Mutex);
   eventfd_t Ignored = 0;
--- a/libs/link/include/link/LinkNode.h
+++ b/libs/link/include/link/LinkNode.h
@@ -66,6 +66,9 @@
     std::size_t m_MaxFrameBytes = 4 << 20;
     std::size_t m_MaxQueuedBytes = 16 << 20; ///< A link; past it send() fails.
     std::size_t m_MaxLinks = 4096;
+    /// Of all frames that are not whole yet. Past it the link with the largest
+    /// one is closed as Malformed.
+    std::size_t m_MaxHeldBytes = 256 << 20;
     /// The loop that the node runs on; null: one on a thread of its own. A
     /// node on a shared loop belongs to the thread of that loop.
     io::EventLoop *m_Loop = nullptr;
@@ -106,6 +109,16 @@
   /// link counts as silent after twice m_SilentAfter.
   void setPace(PeerHandle Link, LinkPace Pace);
 
+  /// \returns how long the message that m_OnMessage hands over has at least
+  /// been on its way, by the clocks that heartbeats tell; zero if that is
+  /// unknown, infinite if it is delayed and the peer has ended the link
+  /// meanwhile. On the node's thread.
+  [[nodiscard]] absl::Duration ageOfMessage(PeerHandle Link) const;
+
+  /// \returns the bytes that wait to be written on all links. On the node's
+  /// thread.
+  [[nodiscard]] std::size_t unsentBytes() const;
+
   /// Closes \p Link; its m_OnDown runs with LinkEnd::Local.
   void close(PeerHandle Link);
 
--- a/libs/link/src/Connection.h
+++ b/libs/link/src/Connection.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_LINK_CONNECTION_H
 
 #include "FrameBuffer.h"
+#include "MessageAge.h"
 #include "SendQueue.h"
 #include "SilenceMonitor.h"
 #include "io/EventLoop.h"
@@ -45,8 +46,10 @@
   FrameBuffer m_Incoming;
   std::shared_ptr<SendQueue> m_Outgoing;
   SilenceMonitor m_Monitor;
+  MessageAge m_Age;
   absl::Time m_Opened;
   absl::Time m_NextBeat;
+  std::size_t m_HeldBytes = 0;   ///< Of a frame that is not whole yet.
   std::uint64_t m_LastBeat = 0;  ///< Newest sequence that came from the peer.
   std::uint64_t m_BeatCount = 0; ///< Sent on this link.
   LinkPace m_OwnPace = LinkPace::Brisk;
--- a/libs/link/src/FrameBuffer.h
+++ b/libs/link/src/FrameBuffer.h
@@ -44,6 +44,9 @@
   /// address that is a multiple of 8, as the FlatBuffers verifier wants.
   Result next(std::span<const std::uint8_t> &Frame);
 
+  /// \returns the bytes of the frame that is not whole yet.
+  [[nodiscard]] std::size_t heldBytes() const { return m_End - m_Begin; }
+
 private:
   std::size_t m_MaxFrameBytes;
   std::size_t m_ReadBytes = MinReadBytes;
--- a/libs/link/src/LinkNode.cpp
+++ b/libs/link/src/LinkNode.cpp
@@ -23,6 +23,12 @@
   m_Impl->loop().post([this, Link, Pace] { m_Impl->setPace(Link, Pace); });
 }
 
+absl::Duration LinkNode::ageOfMessage(PeerHandle Link) const {
+  return m_Impl->ageOfMessage(Link);
+}
+
+std::size_t LinkNode::unsentBytes() const { return m_Impl->unsentBytes(); }
+
 void LinkNode::close(PeerHandle Link) {
   m_Impl->loop().post([this, Link] { m_Impl->close(Link); });
 }
--- a/libs/link/src/LinkNodeImpl.cpp
+++ b/libs/link/src/LinkNodeImpl.cpp
@@ -7,6 +7,7 @@
 #include "io/Sockets.h"
 #include "link/LinkError.h"
 
+#include <algorithm>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -16,7 +17,7 @@
 /// Heartbeats of a relaxed link come this much later.
 constexpr int RelaxedFactor = 2;
 /// Of a relaxed link's heartbeats, every so many carry more than the bare need.
-constexpr std::uint64_t BeatsAFullOne = 4;
+constexpr int BeatsAFullOne = 4;
 /// Frames of one link are handled for this long at most in a round.
 constexpr int MaxReadsARound = 4;
 
@@ -156,11 +157,53 @@
       onFrame(*Peer, Frame);
     if (Result == FrameBuffer::Result::Oversize)
       return end(Link, LinkEnd::Malformed);
+    if (Peer)
+      countHeld(*Peer);
+    limitHeld();
     if (static_cast<std::size_t>(*Bytes) < Room.size())
       return;
   }
 }
 
+void LinkNode::Impl::countHeld(Connection &Peer) {
+  std::size_t Bytes = Peer.m_Incoming.heldBytes();
+  m_HeldBytes = m_HeldBytes - Peer.m_HeldBytes + Bytes;
+  Peer.m_HeldBytes = Bytes;
+}
+
+void LinkNode::Impl::limitHeld() {
+  while (m_HeldBytes > m_Settings.m_MaxHeldBytes) {
+    auto Largest = std::max_element(m_Connections.begin(), m_Connections.end(),
+                                    [](const auto &Left, const auto &Right) {
+                                      return Left.second->m_HeldBytes <
+                                             Right.second->m_HeldBytes;
+                                    });
+    end(Largest->first, LinkEnd::Malformed);
+  }
+}
+
+absl::Duration LinkNode::Impl::ageOfMessage(PeerHandle Link) const {
+  auto Found = m_Connections.find(Link);
+  if (Found == m_Connections.end())
+    return absl::ZeroDuration();
+  const Connection &Peer = *Found->second;
+  absl::Duration Interval =
+      m_Settings.m_HeartbeatInterval *
+      (Peer.isRelaxed() ? RelaxedFactor * BeatsAFullOne : 1);
+  absl::Duration HeldUp = m_Loop.heldUp();
+  bool IsDelayed = std::max(HeldUp, Peer.m_Age.lastDelay()) >= Interval;
+  if (IsDelayed && io::isEndedByPeer(Peer.m_Socket.get()))
+    return absl::InfiniteDuration();
+  return Peer.m_Age.leastAge(io::monotonicNow(), HeldUp, Interval);
+}
+
+std::size_t LinkNode::Impl::unsentBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Link, Peer] : m_Connections)
+    Sum += Peer->m_Outgoing->bytes();
+  return Sum;
+}
+
 void LinkNode::Impl::onFrame(Connection &Peer,
                              std::span<const std::uint8_t> Frame) {
   m_Traffic.countReceived(Frame.size() + FrameBuffer::PrefixBytes);
@@ -200,6 +243,9 @@
   if (const wire::HeartbeatT *Beat = Message.AsHeartbeat()) {
     Peer.m_Monitor.onAcknowledged(Beat->acknowledged);
     Peer.m_LastBeat = Beat->sequence;
+    Peer.m_Age.onHeartbeat(
+        absl::FromUnixMicros(static_cast<std::int64_t>(Beat->now_us)),
+        io::monotonicNow());
     Peer.m_PeerPace = Beat->is_relaxed ? LinkPace::Relaxed : LinkPace::Brisk;
     applyPace(Peer);
   }
@@ -316,6 +362,7 @@
     return;
   std::unique_ptr<Connection> Peer = std::move(Found->second);
   m_Connections.erase(Found);
+  m_HeldBytes -= Peer->m_HeldBytes;
   m_Loop.unwatch(Peer->m_Watch);
   m_Table.erase(Link);
   Peer->m_Outgoing->close();
--- a/libs/link/src/LinkNodeImpl.h
+++ b/libs/link/src/LinkNodeImpl.h
@@ -38,6 +38,8 @@
   void setPace(PeerHandle Link, LinkPace Pace);
 
   [[nodiscard]] LinkTraffic traffic() const { return m_Traffic.read(); }
+  [[nodiscard]] absl::Duration ageOfMessage(PeerHandle Link) const;
+  [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
   void onReady(PeerHandle Link, std::uint32_t Events);
@@ -48,6 +50,8 @@
 
   void onConnected(Connection &Peer);
   void read(PeerHandle Link);
+  void countHeld(Connection &Peer);
+  void limitHeld();
   void onFrame(Connection &Peer, std::span<const std::uint8_t> Frame);
   void onHello(Connection &Peer, const wire::HelloT &Hello);
   void onMessage(Connection &Peer, wire::MessageUnion &Message);
@@ -71,6 +75,7 @@
   TrafficCounter m_Traffic;
   absl::flat_hash_map<PeerHandle, std::unique_ptr<Connection>> m_Connections;
   std::uint32_t m_NextIndex = 0;
+  std::size_t m_HeldBytes = 0; ///< Over all connections.
 };
 
 } // namespace knapweedloft::link
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -169,7 +169,7 @@
   [[nodiscard]] Refusal identify(Pending &Request, const std::string &From,
                                  absl::Time Now);
   [[nodiscard]] Refusal identifyCustomer(Pending &Request) const;
-  void setTimes(Pending &Request, absl::Time Now) const;
+  void setTimes(Pending &Request) const;
   [[nodiscard]] std::string chooseService(const CatalogRoute &Route);
   ServiceState &serviceOf(const std::string &Name, absl::Time Now);
   /// \returns the known targets of a service; those that leave are closed.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -84,6 +84,9 @@
     /// idle for no longer than this, so that the target will not have closed
     /// it.
     absl::Duration m_MaxReuseIdleTime = absl::Milliseconds(500);
+    /// The entry side has given up a request that has been on its way for so
+    /// long: it ends links that are silent for this time.
+    absl::Duration m_MaxForwardAge = absl::Milliseconds(1500);
     /// Connections that break within this time may have broken by one crash.
     absl::Duration m_BreakWindow = absl::Milliseconds(20);
     /// A crash that no health check confirms within this time is reported when
@@ -105,8 +108,9 @@
   TargetState::ReportResult onReport(const TargetReport &Report,
                                      absl::Time Now);
 
-  void onForward(link::PeerHandle From, wire::ForwardT &Message,
-                 absl::Time Now);
+  /// \param Age how long the message has been on its way at least.
+  void onForward(link::PeerHandle From, wire::ForwardT &Message, absl::Time Now,
+                 absl::Duration Age = absl::ZeroDuration());
   void onCancel(const model::ForwardId &Id, absl::Time Now);
   /// The link to an entry side is down.
   void onLinkLost(link::PeerHandle From, absl::Time Now);
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -5,6 +5,7 @@
 #include "http/MessageText.h"
 #include "policy/OwnerRanking.h"
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/random/distributions.h"
 #include "fmt/format.h"
 
@@ -66,13 +67,13 @@
 }
 
 void EntryPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
+  absl::flat_hash_set<std::string_view> Limited;
+  for (const CatalogCustomer &Customer : Catalog->catalog().m_Customers)
+    if (Customer.m_PerSecond > 0)
+      Limited.insert(Customer.m_Name);
   if (m_Catalog)
     for (const CatalogCustomer &Former : m_Catalog->catalog().m_Customers)
-      if (std::none_of(
-              Catalog->catalog().m_Customers.begin(),
-              Catalog->catalog().m_Customers.end(), [&](const auto &One) {
-                return One.m_Name == Former.m_Name && One.m_PerSecond > 0;
-              }))
+      if (!Limited.contains(Former.m_Name))
         m_Rates.clearRate(Former.m_Name);
   for (const CatalogCustomer &Customer : Catalog->catalog().m_Customers)
     if (Customer.m_PerSecond > 0)
@@ -92,7 +93,7 @@
   Request.m_Exchange = Id;
   Request.m_Message = std::move(Message);
   Request.m_Catalog = m_Catalog;
-  Request.m_Received = Now;
+  Request.m_Received = Now - Request.m_Message.m_Waited;
   Refusal Refused = identify(Request, From, Now);
   if (Refused.m_Reason != RefusalReason::None) {
     refuse(Id, Request, Refused, Now);
@@ -142,7 +143,7 @@
   Request.m_Rank = Request.m_IsCall
                        ? CallRank
                        : rankOf(*Request.m_Route, Request.m_Customer);
-  setTimes(Request, Now);
+  setTimes(Request);
   if (Now >= m_StopsAt && !Request.m_IsCall)
     return {RefusalReason::Stopping};
   if (Request.m_CallId.empty())
@@ -180,12 +181,14 @@
   return {};
 }
 
-void EntryPath::setTimes(Pending &Request, absl::Time Now) const {
+void EntryPath::setTimes(Pending &Request) const {
   absl::Duration Timeout = Request.m_Route->m_Timeout;
   auto Given = wholeNumber(http::findHeader(
       Request.m_Message.m_Headers, m_Options.m_HeaderNames.m_RemainingTime));
-  Request.m_Deadline = Now + (Given ? absl::Milliseconds(*Given) : Timeout);
-  Request.m_CompleteBy = std::min(Request.m_Deadline, Now + Timeout);
+  Request.m_Deadline =
+      Request.m_Received + (Given ? absl::Milliseconds(*Given) : Timeout);
+  Request.m_CompleteBy =
+      std::min(Request.m_Deadline, Request.m_Received + Timeout);
 }
 
 std::string EntryPath::chooseService(const CatalogRoute &Route) {
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -35,13 +35,6 @@
 /// Rates are granted this long after the start even if the member records could
 /// not be read: by then the running members have opened links.
 constexpr absl::Duration MembersReadTimeout = absl::Seconds(1);
-/// Callers poll readiness once a second and stop sending after two negative
-/// answers in a row; until then their requests are accepted.
-constexpr absl::Duration MinStopDuration = absl::Milliseconds(2300);
-
-/// New requests are refused this long after the start of a stop. Those read
-/// before have the rest of the platform's grace period.
-constexpr absl::Duration StopIntakeDuration = absl::Milliseconds(2800);
 
 } // namespace
 
@@ -191,7 +184,7 @@
 void Node::Impl::onMessage(link::PeerHandle From, wire::MessageUnion &Message) {
   absl::Time Now = io::monotonicNow();
   if (auto *Forward = as<wire::ForwardT>(Message)) {
-    m_Target->onForward(From, *Forward, Now);
+    m_Target->onForward(From, *Forward, Now, m_Links->ageOfMessage(From));
   } else if (auto *Answer = as<wire::AnswerT>(Message)) {
     m_Entry->onAnswer(*Answer, Now);
   } else if (auto *Cancel = as<wire::CancelT>(Message)) {
@@ -384,22 +377,22 @@
 }
 
 bool Node::Impl::isReady() const {
-  if (!m_Catalog || m_StopStartedAt != absl::InfiniteFuture())
+  if (!m_Catalog || m_Stop.hasBegun())
     return false;
   return m_HasReadMembers || m_Peers->linked() > 0 ||
          io::monotonicNow() - m_StartedAt > ReadyTimeout;
 }
 
 void Node::Impl::beginStop(std::function<void()> OnStopped) {
-  if (m_StopStartedAt != absl::InfiniteFuture())
+  if (m_Stop.hasBegun())
     return;
   absl::Time Now = io::monotonicNow();
   m_Log.state("Stopping.",
               {{"entry", m_Entry->pending()}, {"target", m_Target->pending()}});
-  m_StopStartedAt = Now;
+  m_Stop.begin(Now);
   m_OnStopped = std::move(OnStopped);
   m_Target->stop(Now);
-  m_Entry->stopAfter(Now + StopIntakeDuration);
+  m_Entry->stopAfter(Now + PlannedStop::IntakeDuration);
   m_Callers->beginClosing();
 }
 
@@ -408,18 +401,18 @@
 }
 
 void Node::Impl::checkStopped(absl::Time Now) {
-  if (m_StopStartedAt == absl::InfiniteFuture() || !m_OnStopped)
+  if (!m_Stop.hasBegun() || !m_OnStopped)
     return;
-  absl::Duration Passed = Now - m_StopStartedAt;
   bool IsIdle = m_Entry->pending() == 0 && m_Target->pending() == 0 &&
-                m_Callers->pending() == 0 && m_Callers->unsentBytes() == 0;
-  if (Passed < MinStopDuration ||
-      (!IsIdle && Passed < m_Settings.m_StopTimeout))
+                m_Callers->isIdle() && m_Links->unsentBytes() == 0;
+  PlannedStop::Step Next = m_Stop.next(IsIdle, m_Callers->connections(), Now);
+  if (Next == PlannedStop::Step::EndIdle)
+    m_Callers->endIdle();
+  if (Next != PlannedStop::Step::End)
     return;
   m_Log.state("Stopped.", {{"entry", m_Entry->pending()},
                            {"target", m_Target->pending()},
-                           {"took", Passed}});
-  m_Callers->stopAccepting();
+                           {"took", Now - m_Stop.began()}});
   std::exchange(m_OnStopped, nullptr)();
 }
 
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_MESH_NODEIMPL_H
 #define KNAPWEEDLOFT_MESH_NODEIMPL_H
 
+#include "PlannedStop.h"
 #include "http/LoopClient.h"
 #include "http/LoopServer.h"
 #include "io/MonotonicClock.h"
@@ -99,7 +100,7 @@
   absl::btree_set<std::string> m_WithdrawnDataCenters;
   absl::Time m_NextRecordsRequest = absl::InfinitePast();
   absl::Time m_NextCallsUpdate = absl::InfinitePast();
-  absl::Time m_StopStartedAt = absl::InfiniteFuture();
+  PlannedStop m_Stop{m_Settings.m_StopTimeout};
   bool m_HasReadMembers = false;
   bool m_LoggedReady = false;
   std::function<void()> m_OnStopped;
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -11,6 +11,8 @@
 
 /// Frames carry complete requests and answers.
 constexpr std::size_t MaxFrameBytes = 80 << 20;
+/// Least bound on messages that are not whole yet.
+constexpr std::size_t MinHeldBytes = std::size_t{1} << 20;
 /// Share of the file descriptors for callers' connections; connections to the
 /// target and links have the rest.
 constexpr double CallerDescriptorShare = 0.6;
@@ -75,19 +77,20 @@
       m_EventLog(Log), m_Log(Log, "node"), m_Self(makeSelf(Settings)),
       m_StartedAt(io::monotonicNow()) {
   m_Client = std::make_unique<http::LoopClient>(
-      m_Loop, http::LoopClient::Options{
-                  .m_MaxHeldBytes = std::max<std::size_t>(
-                      m_Settings.m_MemoryBytes / 8, std::size_t{1} << 20),
-                  .m_IsOwn = [Field = m_Settings.m_HeaderNames.m_CallId](
-                                 const http::HttpResponse &Response,
-                                 const std::string &Tag) {
-                    return isOwnAnswer(Response, Field, Tag);
-                  },
-                  .m_IsNamed = [Field = m_Settings.m_HeaderNames.m_CallId](
-                                   const http::HttpResponse &Response) {
-                    return http::findHeader(Response.m_Headers, Field) !=
-                           nullptr;
-                  }});
+      m_Loop,
+      http::LoopClient::Options{
+          .m_MaxHeldBytes = std::max<std::size_t>(m_Settings.m_MemoryBytes / 8,
+                                                  std::size_t{1} << 20),
+          .m_IsOwn =
+              [Field = m_Settings.m_HeaderNames.m_CallId](
+                  const http::HttpResponse &Response, const std::string &Tag) {
+                return isOwnAnswer(Response, Field, Tag);
+              },
+          .m_IsNamed =
+              [Field = m_Settings.m_HeaderNames.m_CallId](
+                  const http::HttpResponse &Response) {
+                return http::findHeader(Response.m_Headers, Field) != nullptr;
+              }});
   makeQuarantine();
   makeTarget();
   makeEntry();
@@ -98,6 +101,7 @@
   Callers.m_At = m_Settings.m_Callers;
   Callers.m_MaxConnections = static_cast<std::size_t>(
       static_cast<double>(m_Settings.m_MaxDescriptors) * CallerDescriptorShare);
+  Callers.m_MaxHeldBytes = std::max(m_Settings.m_MemoryBytes / 4, MinHeldBytes);
   Callers.m_Hooks.m_OnRequest = [this](http::ExchangeId Id,
                                        http::ParsedMessage Message,
                                        const std::string &From) {
@@ -230,6 +234,7 @@
   Options.m_MaxFrameBytes = MaxFrameBytes;
   Options.m_MaxQueuedBytes =
       std::max<std::size_t>(m_Settings.m_MemoryBytes / 8, 1 << 20);
+  Options.m_MaxHeldBytes = std::max(m_Settings.m_MemoryBytes / 4, MinHeldBytes);
   Options.m_Loop = &m_Loop;
   Options.m_Hooks.m_OnUp = [this](link::PeerHandle Link,
                                   const model::Member &Member) {
--- /dev/null
+++ b/libs/mesh/src/PlannedStop.h
@@ -0,0 +1,72 @@
+#ifndef KNAPWEEDLOFT_MESH_PLANNEDSTOP_H
+#define KNAPWEEDLOFT_MESH_PLANNEDSTOP_H
+
+#include "absl/time/time.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace knapweedloft::mesh {
+
+/// Decides how a planned stop goes on: requests are served for some seconds,
+/// then what is under way ends, then idle connections, then the process.
+///
+/// \code
+///   Stop.begin(Now);
+///   ... // a few times a second
+///   if (Stop.next(IsIdle, Connections, Now) == PlannedStop::Step::End)
+///     end();
+/// \endcode
+class PlannedStop {
+public:
+  enum class Step : std::uint8_t {
+    Wait,
+    EndIdle, ///< Take what waits in the sockets and end idle connections.
+    End
+  };
+
+  /// Callers poll readiness once a second and stop sending after two negative
+  /// answers in a row; until then their requests are accepted.
+  static constexpr absl::Duration MinDuration = absl::Milliseconds(2300);
+  /// New requests are refused this long after the start of a stop. Those read
+  /// before have the rest of the platform's grace period.
+  static constexpr absl::Duration IntakeDuration = absl::Milliseconds(2800);
+  /// Callers have this long to close connections that the daemon has ended.
+  static constexpr absl::Duration CloseTimeout = absl::Milliseconds(300);
+
+  explicit PlannedStop(absl::Duration Timeout)
+      : m_Timeout(std::max(Timeout, MinDuration)) {}
+
+  void begin(absl::Time Now) { m_Began = Now; }
+  [[nodiscard]] bool hasBegun() const {
+    return m_Began != absl::InfiniteFuture();
+  }
+  [[nodiscard]] absl::Time began() const { return m_Began; }
+
+  /// \p IsIdle: no request or answer is under way. \p Connections of callers
+  /// are open.
+  [[nodiscard]] Step next(bool IsIdle, std::size_t Connections,
+                          absl::Time Now) {
+    absl::Duration Passed = Now - m_Began;
+    if (Passed >= m_Timeout)
+      return Step::End;
+    if (Passed < MinDuration || !IsIdle)
+      return Step::Wait;
+    if (m_EndedIdle == absl::InfiniteFuture()) {
+      m_EndedIdle = Now;
+      return Step::EndIdle;
+    }
+    bool IsClosed = Connections == 0 || Now - m_EndedIdle >= CloseTimeout;
+    return IsClosed ? Step::End : Step::Wait;
+  }
+
+private:
+  absl::Duration m_Timeout;
+  absl::Time m_Began = absl::InfiniteFuture();
+  absl::Time m_EndedIdle = absl::InfiniteFuture();
+};
+
+} // namespace knapweedloft::mesh
+
+#endif // KNAPWEEDLOFT_MESH_PLANNEDSTOP_H
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -64,11 +64,16 @@
 }
 
 void TargetPath::onForward(link::PeerHandle From, wire::ForwardT &Message,
-                           absl::Time Now) {
+                           absl::Time Now, absl::Duration Age) {
   ++m_Counts.m_Forwards;
   model::ForwardId Id = app::fromWire(Message.id);
   adoptNotice(Message, Now);
   RefusalReason Reason = validate(Message);
+  absl::Duration Left = absl::Microseconds(Message.remaining_us) - Age;
+  bool IsLate =
+      Left <= absl::ZeroDuration() || Age >= m_Options.m_MaxForwardAge;
+  if (Reason == RefusalReason::None && IsLate)
+    Reason = RefusalReason::DeadlinePassed;
   if (Reason == RefusalReason::None) {
     Reason = quarantineOf(Message, Now);
     logQuarantine(Message, Reason, Now);
@@ -81,9 +86,10 @@
   Next.m_Id = Id;
   Next.m_From = From;
   Next.m_Arrived = Now;
-  Next.m_Deadline = Now + absl::Microseconds(Message.remaining_us);
+  Next.m_Deadline = Now + Left;
   Next.m_Message = std::move(Message);
-  absl::Time ObjectiveEnd = Now + absl::Microseconds(Next.m_Message.aim_us);
+  absl::Time ObjectiveEnd =
+      Now + absl::Microseconds(Next.m_Message.aim_us) - Age;
   bool IsCall = Next.m_Message.rank == 0;
   policy::SlotScheduler::Job Job;
   Job.m_Id = ++m_LastJob;
--- a/tools/fuzz/run.sh
+++ b/tools/fuzz/run.sh
@@ -20,7 +20,7 @@
   shift 2
 done
 
-SUBJECTS=(Frame Record Image Resource Settings Announcement)
+SUBJECTS=(Frame Record Image Resource Settings Announcement Answer)
 FLAGS="-fsanitize=address,undefined,fuzzer-no-link -fno-sanitize-recover=undefined"
 cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ \
   -DKNAPWEEDLOFT_FUZZ=ON -DCMAKE_CXX_FLAGS="$FLAGS -Wno-error" >/dev/null
