--- a/libs/io/include/io/MonotonicClock.h
+++ b/libs/io/include/io/MonotonicClock.h
@@ -7,8 +7,8 @@
 
 namespace knapweedloft::io {
 
-/// \returns the monotonic clock as a time since boot. It goes on while the VM is
-/// suspended, so that time limits run out meanwhile.
+/// \returns the monotonic clock as a time since boot. It goes on while the VM
+/// is suspended, so that time limits run out meanwhile.
 inline absl::Time monotonicNow() {
   timespec Clock{};
   ::clock_gettime(CLOCK_BOOTTIME, &Clock);
