Pace: a first change no longer makes all reports worthless

Cause: the variance was averaged from 0 over 10 s while squared steps counted at once, so that after one change from 100 to 250 the half-life came out at 10 ms: the pace had no effect in a target's first seconds. Found by the tests of the target side (pace told to peers fell from 250 to 140 in 10 ms). Both are now averaged over the same time, from an initial variance. Without it PaceFilterTest.HalfLife_FirstChange has 7 ms by the arithmetic; it was not run on the former code.

--- a/libs/policy/include/policy/PaceChange.h
+++ b/libs/policy/include/policy/PaceChange.h
@@ -27,7 +27,6 @@
   [[nodiscard]] absl::Duration halfLife() const;
   /// \returns the mean over the last seconds; at first the usual pace, 0.
   [[nodiscard]] double mean() const { return m_Mean; }
-  [[nodiscard]] double variance() const { return m_Variance; }
 
 private:
   [[nodiscard]] absl::Duration meanLife() const;
@@ -35,7 +34,8 @@
   absl::Time m_LastAt = absl::InfinitePast();
   double m_Last = 0;
   double m_Mean = 0;
-  double m_Variance = 0;
+  double m_SquaredOff = 0;   ///< Decaying sum, over time.
+  double m_OffSeconds = 0;   ///< Decaying sum.
   double m_SquaredSteps = 0; ///< Decaying sum.
   double m_StepSeconds = 0;  ///< Decaying sum.
 };
--- a/libs/policy/src/PaceChange.cpp
+++ b/libs/policy/src/PaceChange.cpp
@@ -16,8 +16,10 @@
 constexpr double MinLifeSeconds = 0.01;
 /// Values further apart say nothing about the rate of change.
 constexpr double MaxStepSeconds = 1;
-/// Smaller changes of the logarithm make no difference to a choice.
-constexpr double MinVariance = 0.0001;
+/// Until the variance has been measured: that of a factor of one and a half.
+constexpr double InitialVariance = 0.16;
+/// Weight of the initial variance, as seconds of measurement.
+constexpr double InitialVarianceSeconds = 2;
 
 } // namespace
 
@@ -29,9 +31,11 @@
   }
   double Seconds = std::max(0.0, absl::ToDoubleSeconds(Now - m_LastAt));
   double Kept = std::exp(-Seconds / AveragingSeconds);
-  double Off = LogPace - m_Mean;
+  // The former value has held until now.
+  double Off = m_Last - m_Mean;
   m_Mean += (1 - Kept) * Off;
-  m_Variance = Kept * (m_Variance + (1 - Kept) * Off * Off);
+  m_SquaredOff = Kept * m_SquaredOff + Off * Off * Seconds;
+  m_OffSeconds = Kept * m_OffSeconds + Seconds;
   m_SquaredSteps *= Kept;
   m_StepSeconds *= Kept;
   if (Seconds <= MaxStepSeconds) {
@@ -43,7 +47,9 @@
 }
 
 absl::Duration PaceChange::meanLife() const {
-  double Changes = m_SquaredSteps / (2 * std::max(m_Variance, MinVariance));
+  double Variance = (m_SquaredOff + InitialVariance * InitialVarianceSeconds) /
+                    (m_OffSeconds + InitialVarianceSeconds);
+  double Changes = m_SquaredSteps / (2 * Variance);
   Changes += InitialSeconds / InitialLifeSeconds;
   double Seconds = (m_StepSeconds + InitialSeconds) / Changes;
   return absl::Seconds(std::max(Seconds, MinLifeSeconds));
--- a/libs/policy/tests/PaceFilterTest.cpp
+++ b/libs/policy/tests/PaceFilterTest.cpp
@@ -94,6 +94,13 @@
   EXPECT_LT(m_Filter.halfLife(), Period * 1.2);
 }
 
+// Guards against a first change that makes all that follows worthless.
+TEST_F(PaceFilterTest, HalfLife_FirstChange_IsStillMostlyTheInitialOne) {
+  m_Filter.onReport(100, m_Now);
+  m_Filter.onReport(250, m_Now + Step);
+  EXPECT_GT(m_Filter.halfLife(), absl::Milliseconds(50));
+}
+
 TEST_F(PaceFilterTest, Pace_ReportAges_GoesBackToTheMean) {
   run(absl::Seconds(30), Figure::True);
   m_Filter.onReport(250, m_Now);
