Targets' reports: slots and pace are read, judged and told to entry sides

ReportedLoad reads the figures of a target, TargetLoadReports keeps the filtered pace, logs at most once a second and counts what is left out. Slots above 100,000 were taken before. The pace reaches the entry sides with each Answer and Heartbeat. The schema's default becomes 0, none named: with 100 an entry side could not tell a target at its usual pace from one that names none. Latencies are kept as at the usual pace.

The other tests of mesh, and app, link and the programs, were not built or run.

--- a/libs/app/include/app/WireConvert.h
+++ b/libs/app/include/app/WireConvert.h
@@ -6,6 +6,7 @@
 #include "model/ForwardId.h"
 #include "policy/TargetFeedback.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,7 +24,9 @@
 [[nodiscard]] wire::ForwardId toWire(const model::ForwardId &Id);
 [[nodiscard]] model::ForwardId fromWire(const wire::ForwardId &Id);
 
-[[nodiscard]] policy::TargetFeedback fromWire(const wire::Load &Load);
+/// \p PacePercent: of the message that carries the load; 0: none is named.
+[[nodiscard]] policy::TargetFeedback fromWire(const wire::Load &Load,
+                                              std::uint16_t PacePercent = 0);
 
 [[nodiscard]] std::vector<std::uint8_t> toBytes(std::string_view Text);
 [[nodiscard]] std::string toText(const std::vector<std::uint8_t> &Bytes);
--- a/libs/app/src/WireConvert.cpp
+++ b/libs/app/src/WireConvert.cpp
@@ -33,13 +33,15 @@
   return {Id.entry(), Id.sequence()};
 }
 
-policy::TargetFeedback fromWire(const wire::Load &Load) {
+policy::TargetFeedback fromWire(const wire::Load &Load,
+                                std::uint16_t PacePercent) {
   return {.m_Limit = Load.limit(),
           .m_InFlight = Load.in_flight(),
           .m_Queued = Load.queued(),
           .m_ShedLevel = Load.shed_level(),
           .m_Latency = absl::Microseconds(Load.latency_us()),
-          .m_IsRamping = Load.is_ramping()};
+          .m_IsRamping = Load.is_ramping(),
+          .m_Pace = PacePercent / 100.0};
 }
 
 std::vector<std::uint8_t> toBytes(std::string_view Text) {
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -91,9 +91,11 @@
   void setCatalog(CatalogPtr Catalog, absl::Time Now);
   /// Targets were added, removed, opened or closed.
   void onTargetsChanged();
-  /// Load feedback from the target side of a daemon.
+  /// Load feedback from the target side of a daemon. \p PacePercent: of the
+  /// target; 0: it names none.
   void onLoad(const std::string &Service, model::Incarnation Daemon,
-              const wire::Load &Load, absl::Time Now);
+              const wire::Load &Load, absl::Time Now,
+              std::uint16_t PacePercent = 0);
 
   /// A request was received from the IP address \p From.
   void onRequest(http::ExchangeId Id, http::ParsedMessage Message,
--- a/libs/mesh/include/mesh/HeaderNames.h
+++ b/libs/mesh/include/mesh/HeaderNames.h
@@ -19,7 +19,7 @@
   std::string m_ReportedInstance; ///< From a target: its instance.
   std::string m_NotRun;           ///< From a target: request not run.
   std::string m_OriginProof;   ///< From a target: shows the answer is its own.
-  std::string m_TargetLoad;    ///< From a target: running, waiting, slots.
+  std::string m_TargetLoad;    ///< See ReportedLoad.
   std::string m_ColdRemaining; ///< From a target: milliseconds it stays cold.
   std::string m_RateLimit;     ///< From a target: requests a second it takes.
   std::string m_Leaving;       ///< From a target: "1" if it leaves.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -8,6 +8,7 @@
 #include "mesh/ComponentLog.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/TargetCounts.h"
+#include "mesh/TargetLoadReports.h"
 #include "mesh/TargetReport.h"
 #include "mesh/TargetState.h"
 #include "model/ForwardId.h"
@@ -120,6 +121,12 @@
 
   [[nodiscard]] const TargetState &state() const { return m_State; }
   [[nodiscard]] wire::Load load() const;
+  /// \returns how long work takes at the target now, in percent of the usual;
+  /// 0: the target names no pace.
+  [[nodiscard]] std::uint16_t pacePercent() const { return m_PacePercent; }
+  [[nodiscard]] const TargetLoadReports &loadReports() const {
+    return m_Reports;
+  }
   [[nodiscard]] bool isCold(absl::Time Now) const {
     return m_Scheduler.isCold(Now);
   }
@@ -146,6 +153,7 @@
     bool m_IsStarted = false;
     bool m_IsCancelled = false; ///< No entry side waits for the answer.
     absl::Time m_Started;
+    absl::Duration m_StartClock; ///< Of TargetLoadReports.
     http::LoopClient::CallId m_Call = 0;
     std::string m_Instance; ///< To which it was sent.
   };
@@ -247,7 +255,9 @@
   /// Applies a change of availability or instance since the last call.
   void applyStateChange(absl::Time Now);
   void setCold(absl::Duration For, absl::Time Now);
-  void applyReportedSlots(const http::HttpResponse &Response);
+  /// Takes the slots and the pace that the target names.
+  void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
+  void updatePace(absl::Time Now);
   void beginHealthCheck(absl::Time Now);
   void onHealthCheckDone(const http::HttpResult &Result, absl::Time Now);
 
@@ -264,6 +274,8 @@
   std::int64_t m_AppliedStartTimeMs = 0;
   policy::SlotScheduler m_Scheduler;
   policy::AdmittedShareController m_ShareController;
+  TargetLoadReports m_Reports;
+  std::uint16_t m_PacePercent = 0; ///< Told to peers; 0: none.
   JobId m_LastJob = 0;
   absl::flat_hash_map<JobId, PendingRequest> m_Pending;
   absl::flat_hash_map<model::ForwardId, JobId> m_JobByForward;
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -60,8 +60,9 @@
   bool IsFailure = HasArrived && (Reason != RefusalReason::None ||
                                   Answer.status >= FirstServerError);
   ServiceState &State = serviceOf(Request.m_Service, Now);
-  State.m_Chooser.onAnswer(Request.m_Target, app::fromWire(Answer.load),
-                           !IsFailure, Now - Request.m_Sent, Now);
+  State.m_Chooser.onAnswer(Request.m_Target,
+                           app::fromWire(Answer.load, Answer.pace), !IsFailure,
+                           Now - Request.m_Sent, Now);
   m_Admission.onLoad(Request.m_Service, Request.m_To.m_Incarnation,
                      Answer.load.shed_level(), Answer.load.limit(), Now);
   Request.m_Arrivals += HasArrived ? 1 : 0;
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -249,13 +249,15 @@
 }
 
 void EntryPath::onLoad(const std::string &Name, model::Incarnation Daemon,
-                       const wire::Load &Load, absl::Time Now) {
+                       const wire::Load &Load, absl::Time Now,
+                       std::uint16_t PacePercent) {
   m_Admission.onLoad(Name, Daemon, Load.shed_level(), Load.limit(), Now);
   auto Found = m_Services.find(Name);
   if (Found == m_Services.end())
     return;
   if (auto Target = Found->second.m_Chooser.find(Daemon))
-    Found->second.m_Chooser.onLoad(*Target, app::fromWire(Load), Now);
+    Found->second.m_Chooser.onLoad(*Target, app::fromWire(Load, PacePercent),
+                                   Now);
 }
 
 bool EntryPath::isAdmitted(const Pending &Request, absl::Time Now) {
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -218,7 +218,8 @@
   const model::Member *Peer = m_Peers->memberOf(From);
   if (!Peer)
     return;
-  m_Entry->onLoad(Peer->m_Service, Peer->m_Incarnation, Heartbeat.load, Now);
+  m_Entry->onLoad(Peer->m_Service, Peer->m_Incarnation, Heartbeat.load, Now,
+                  Heartbeat.pace);
   // The store may be unavailable to this daemon alone.
   std::pair Own(m_Operator->era(), m_Operator->endOffset());
   if (std::pair(Heartbeat.records_era, Heartbeat.records_end) > Own &&
@@ -233,6 +234,7 @@
 
 void Node::Impl::fillHeartbeat(wire::HeartbeatT &Heartbeat) {
   Heartbeat.load = m_Target->load();
+  Heartbeat.pace = m_Target->pacePercent();
   Heartbeat.records_era = m_Operator->era();
   Heartbeat.records_end = m_Operator->endOffset();
 }
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -3,6 +3,7 @@
 #include "fmt/format.h"
 
 #include <iterator>
+#include <utility>
 
 namespace knapweedloft::mesh {
 namespace {
@@ -35,6 +36,29 @@
   append(Text, "crash_reports_known", static_cast<double>(Evidence.crashes()));
 }
 
+void appendLoadReports(std::string &Text, const TargetLoadReports &Reports) {
+  absl::Time Now = io::monotonicNow();
+  const TargetLoadReports::Counts &Counts = Reports.counts();
+  append(Text, "target_load_reports_total",
+         static_cast<double>(Counts.m_Reports));
+  for (auto [Why, Count] : {std::pair("bad_slots", Counts.m_BadSlots),
+                            std::pair("bad_pace", Counts.m_BadPaces),
+                            std::pair("frozen", Counts.m_Frozen),
+                            std::pair("contradicted", Counts.m_Contradicted)})
+    fmt::format_to(std::back_inserter(Text),
+                   "knapweedloft_target_load_ignored_total{{why=\"{}\"}} {}\n",
+                   Why, Count);
+  if (Reports.pacePercent(Now) == 0)
+    return;
+  const policy::PaceFilter &Filter = Reports.filter();
+  append(Text, "target_pace", Reports.pace(absl::ZeroDuration(), Now));
+  append(Text, "target_pace_age_seconds",
+         absl::ToDoubleSeconds(Filter.age(Now)));
+  append(Text, "target_pace_half_life_seconds",
+         absl::ToDoubleSeconds(Filter.halfLife()));
+  append(Text, "target_pace_confirmed", Filter.confirmedShare());
+}
+
 } // namespace
 
 std::string Node::Impl::metricsText() const {
@@ -78,6 +102,7 @@
   append(Text, "target_rate_limit", m_Target->rateLimit());
   append(Text, "target_rate_limited_starts_total",
          static_cast<double>(Target.m_PacedStarts));
+  appendLoadReports(Text, m_Target->loadReports());
   append(Text, "target_open", m_Target->state().isOpen() ? 1 : 0);
   appendLatency(Text, "target_wait", Target.m_Wait);
   appendLatency(Text, "target_run", Target.m_Run);
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -98,8 +98,10 @@
   std::string Former = std::exchange(m_AppliedInstance, m_State.instance());
   if (IsReplaced && !Former.empty() && Before != TargetAvailability::Leaving)
     onTargetReplaced(Former, Now);
-  if (IsReplaced)
+  if (IsReplaced) {
     forgetRateLimit(Now);
+    m_Reports.forget();
+  }
   m_Log.state("The target's availability or instance changed.",
               {{"from", TargetAvailabilityNames.nameOf(Before)},
                {"to", TargetAvailabilityNames.nameOf(After)},
@@ -131,15 +133,21 @@
   applyStateChange(Now);
 }
 
-void TargetPath::applyReportedSlots(const http::HttpResponse &Response) {
+void TargetPath::applyReportedLoad(const http::HttpResponse &Response,
+                                   absl::Time Now) {
   const std::string *Load = http::findHeader(
       Response.m_Headers, m_Options.m_HeaderNames.m_TargetLoad);
   if (!Load)
     return;
-  constexpr std::size_t SlotsIndex = 2;
-  auto Slots = numberAt(*Load, SlotsIndex);
-  if (Slots && *Slots > 0)
-    m_Scheduler.setSlots(static_cast<std::uint32_t>(*Slots));
+  if (auto Slots = m_Reports.onReport(*Load, m_State.instance(), Now))
+    m_Scheduler.setSlots(*Slots);
+  updatePace(Now);
+}
+
+void TargetPath::updatePace(absl::Time Now) {
+  m_PacePercent = m_Reports.pacePercent(Now);
+  // Work that starts now runs, on the mean, half a run from now.
+  m_Scheduler.setPace(m_Reports.pace(m_Scheduler.load().m_Latency / 2, Now));
 }
 
 void TargetPath::beginHealthCheck(absl::Time Now) {
@@ -182,7 +190,7 @@
     applyNamedLeave(Response, *Instance, Now);
   onCheckOfBrokenRuns(Result.m_Failure, Instance, Now);
   if (IsHealthy) {
-    applyReportedSlots(Response);
+    applyReportedLoad(Response, Now);
     const std::string *ColdRemaining = http::findHeader(
         Response.m_Headers, m_Options.m_HeaderNames.m_ColdRemaining);
     auto RemainingMs =
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -40,7 +40,7 @@
                .m_NeedsCheck = m_Options.m_IsRestart}),
       m_AppliedAvailability(m_State.availability()),
       m_Scheduler(m_Options.m_Scheduler),
-      m_ShareController(m_Options.m_ShareController),
+      m_ShareController(m_Options.m_ShareController), m_Reports(Log),
       m_NextCheck(m_Options.m_IsRestart ? Now
                                         : Now + m_Options.m_FirstCheckDelay) {}
 
@@ -132,6 +132,7 @@
   m_Counts.m_Wait.add(Now - Next.m_Arrived);
   Next.m_IsStarted = true;
   Next.m_Started = Now;
+  Next.m_StartClock = m_Reports.clock(Now);
   Next.m_Instance = m_State.instance();
   http::LoopClient::Call Call;
   Call.m_To = m_Options.m_At;
@@ -155,7 +156,13 @@
   m_JobByForward.erase(Done.m_Id);
   bool IsRepresentative = Result.m_Failure == Failure::None &&
                           Result.m_Response.m_Status < FirstFailureStatus;
-  m_Scheduler.finish(Id, Now - Done.m_Started, IsRepresentative);
+  if (Result.m_Failure == Failure::None)
+    applyReportedLoad(Result.m_Response, Now);
+  absl::Duration Took = Now - Done.m_Started;
+  if (IsRepresentative && Done.m_Instance == m_State.instance())
+    Took = m_Reports.onRun(classOf(Done.m_Message.route), Took,
+                           Done.m_StartClock, Now);
+  m_Scheduler.finish(Id, Took, IsRepresentative);
   if (Id == m_SuspectJob)
     m_SuspectJob = 0;
   if (Result.m_Failure == Failure::None)
@@ -168,7 +175,6 @@
 void TargetPath::onResponse(PendingRequest &Done, http::HttpResponse &Response,
                             absl::Time Now) {
   const HeaderNames &Names = m_Options.m_HeaderNames;
-  applyReportedSlots(Response);
   if (Response.m_Status == MisdirectedStatus) {
     ++m_Counts.m_TargetShed;
     onWrongInstance(Response, Now);
@@ -254,6 +260,7 @@
   if (Done.m_IsCancelled)
     return;
   Answer.load = load();
+  Answer.pace = m_PacePercent;
   Answer.notice = notice();
   m_Options.m_Hooks.m_Answer(Done.m_From, std::move(Answer));
 }
@@ -272,6 +279,7 @@
   Answer.retry_after_us =
       static_cast<std::uint64_t>(absl::ToInt64Microseconds(RetryAfter));
   Answer.load = load();
+  Answer.pace = m_PacePercent;
   Answer.notice = notice();
   m_Options.m_Hooks.m_Answer(To, std::move(Answer));
 }
@@ -369,6 +377,7 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
+  updatePace(Now);
   m_ShareController.update(m_Scheduler.usableSlots(), Now);
   logAdmittedShare();
   poll(Now);
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -121,6 +121,29 @@
     m_Calls[Index].m_OnDone(std::move(Result), m_Now);
   }
 
+  void finishWithLoad(std::size_t Index, const std::string &Load) {
+    finish(Index, http::Failure::None,
+           {.m_Status = 200, .m_Headers = {{"Proof", "p"}, {"Load", Load}}});
+  }
+
+  /// Runs requests one after the other at a target that takes 100 ms in some
+  /// moments and 40 ms in others, the last time. \returns the last sequence.
+  std::uint64_t learnPace() {
+    std::uint64_t Sequence = 0;
+    auto Run = [&](int Count, absl::Duration Took, const char *Load) {
+      for (; Count > 0; --Count) {
+        forward(++Sequence);
+        m_Now += Took;
+        finishWithLoad(m_Calls.size() - 1, Load);
+      }
+    };
+    for (int Round = 0; Round < 20; ++Round) {
+      Run(5, absl::Milliseconds(100), "1,0,10,250");
+      Run(20, absl::Milliseconds(40), "1,0,10,100");
+    }
+    return Sequence;
+  }
+
   [[nodiscard]] Ran ranOf(std::size_t Index) const {
     return static_cast<Ran>(m_Answers[Index].ran);
   }
@@ -174,6 +197,41 @@
   EXPECT_EQ(m_Answers.size(), 8U);
 }
 
+TEST_F(TargetPathTest, OnResult_TargetNamesItsPace_AnswerTellsIt) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  forward(2);
+  forward(3);
+  finishWithLoad(0, "3,0,10");
+  finishWithLoad(1, "2,0,10,100");
+  finishWithLoad(2, "1,0,10,250");
+  ASSERT_EQ(m_Answers.size(), 3U);
+  EXPECT_EQ(m_Answers[0].pace, 0U);
+  EXPECT_EQ(m_Answers[1].pace, 100U);
+  EXPECT_GT(m_Answers[2].pace, 200U);
+}
+
+// Load pattern: a target with a queue turns slow for a moment.
+TEST_F(TargetPathTest, OnResult_TargetTurnsSlow_QueuedRequestsAreHandedBack) {
+  m_Path.onReport(report(1), m_Now);
+  std::uint64_t Last = learnPace();
+  m_Answers.clear();
+  std::size_t Before = m_Calls.size();
+  constexpr std::uint64_t Sent = 139;
+  for (std::uint64_t Index = 1; Index <= Sent; ++Index)
+    forward(Last + Index);
+  ASSERT_EQ(m_Calls.size(), Before + 9);
+  ASSERT_TRUE(m_Answers.empty()) << "the others are queued";
+  m_Now += absl::Milliseconds(40);
+  finishWithLoad(Before, "9,0,10,250");
+  ASSERT_GT(m_Answers.size(), 5U);
+  for (std::size_t Index = 1; Index < m_Answers.size(); ++Index) {
+    EXPECT_EQ(ranOf(Index), Ran::No);
+    EXPECT_EQ(m_Answers[Index].status, 0) << "it is no repeat";
+  }
+  EXPECT_EQ(m_Calls.size(), Before + 10) << "none of them reached the target";
+}
+
 // Guards against entry sides that forget that a target leaves when its daemon
 // stops.
 TEST_F(TargetPathTest, OnResult_LeavingWhileStopping_StillSaysSo) {
