--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -8,6 +8,7 @@
 #include "mesh/ComponentLog.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/TargetCounts.h"
+#include "mesh/TargetLoadReports.h"
 #include "mesh/TargetReport.h"
 #include "mesh/TargetRollout.h"
 #include "mesh/TargetState.h"
@@ -129,6 +130,12 @@
   [[nodiscard]] wire::Load load() const;
   /// Fills in what a roll-out needs to know of the target.
   void fillSample(policy::RolloutSample &Sample, absl::Time Now) const;
+  /// \returns how long work takes at the target now, in percent of the usual;
+  /// 0: the target names no pace.
+  [[nodiscard]] std::uint16_t pacePercent() const { return m_PacePercent; }
+  [[nodiscard]] const TargetLoadReports &loadReports() const {
+    return m_Reports;
+  }
   [[nodiscard]] bool isCold(absl::Time Now) const {
     return m_Scheduler.isCold(Now);
   }
@@ -155,6 +162,7 @@
     bool m_IsStarted = false;
     bool m_IsCancelled = false; ///< No entry side waits for the answer.
     absl::Time m_Started;
+    absl::Duration m_StartClock; ///< Of TargetLoadReports.
     http::LoopClient::CallId m_Call = 0;
     std::string m_Instance; ///< To which it was sent.
   };
@@ -256,7 +264,9 @@
   /// Applies a change of availability or instance since the last call.
   void applyStateChange(absl::Time Now);
   void setCold(absl::Duration For, absl::Time Now);
-  void applyReportedSlots(const http::HttpResponse &Response);
+  /// Takes the slots and the pace that the target names.
+  void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
+  void updatePace(absl::Time Now);
   void beginHealthCheck(absl::Time Now);
   void onHealthCheckDone(const http::HttpResult &Result, absl::Time Now);
   /// Takes over what the roll-out says.
@@ -275,6 +285,8 @@
   std::int64_t m_AppliedStartTimeMs = 0;
   policy::SlotScheduler m_Scheduler;
   policy::AdmittedShareController m_ShareController;
+  TargetLoadReports m_Reports;
+  std::uint16_t m_PacePercent = 0; ///< Told to peers; 0: none.
   JobId m_LastJob = 0;
   absl::flat_hash_map<JobId, PendingRequest> m_Pending;
   absl::flat_hash_map<model::ForwardId, JobId> m_JobByForward;
