Leaving the data center: a share that follows demand and room

Cause: TargetChooser sends a request to another data center when the target drawn at home is full and the other is less loaded by 0.3 of its slots, for every service and for ever. A service that runs 750 ms lets a quarter of a second of waiting build up first; two targets drawn full send a request away though another has room; and all entry sides turn at each report.

Change: DataCenterSpill decides a share of the requests by the gain of leaving: the wait at home less the wait elsewhere, longer runs, added time and the price of the bytes.

Evidence: policy_tests, 280 tests pass.

Ruled out: a gain by the age of each entry side's reports. It drove their integral parts apart in the model: up to 0.93 between two entry sides.

--- a/libs/policy/include/policy/TargetChooser.h
+++ b/libs/policy/include/policy/TargetChooser.h
@@ -2,6 +2,8 @@
 #define KNAPWEEDLOFT_POLICY_TARGETCHOOSER_H
 
 #include "policy/ChoiceContext.h"
+#include "policy/DataCenterRoom.h"
+#include "policy/DataCenterSpill.h"
 #include "policy/TargetFeedback.h"
 #include "policy/TargetHandle.h"
 #include "policy/TargetInfo.h"
@@ -50,6 +52,17 @@
     /// Counts only failures above the mean of all targets: where all targets
     /// fail, the cause lies downstream and no choice helps.
     bool m_UseRelativeFailures = false;
+    /// Decides whether requests leave the own data center, in place of the
+    /// spillover load score and the tier penalty; nothing: these do.
+    std::optional<DataCenterSpill::Options> m_Spill;
+  };
+
+  /// What is known of leaving the own data center, for metrics and logs.
+  struct Leaving {
+    double m_Share = 0;    ///< Of the requests.
+    absl::Duration m_Gain; ///< Of a request that leaves; negative: loss.
+    DataCenterRoom m_Home;
+    std::vector<DataCenterRoom> m_Others;
   };
 
   explicit TargetChooser(Options Settings);
@@ -79,6 +92,13 @@
   void onLoad(TargetHandle Target, const TargetFeedback &Feedback,
               absl::Time Now);
 
+  /// Reports what an answered request cost besides its wait and run at the
+  /// target side. \p Bytes are of the request and its answer.
+  void onTransfer(TargetHandle Target, absl::Duration Way, std::size_t Bytes,
+                  absl::Time Now);
+
+  /// \returns nothing unless Options::m_Spill is set.
+  [[nodiscard]] std::optional<Leaving> leaving() const;
   /// \returns the mean shed level of the targets in use.
   [[nodiscard]] float shedLevel(absl::Time Now) const;
   /// \throws PolicyError if the handle is not valid.
--- a/libs/policy/src/TargetChooser.cpp
+++ b/libs/policy/src/TargetChooser.cpp
@@ -42,6 +42,15 @@
   m_Impl->onLoad(Target, Feedback, Now);
 }
 
+void TargetChooser::onTransfer(TargetHandle Target, absl::Duration Way,
+                               std::size_t Bytes, absl::Time Now) {
+  m_Impl->onTransfer(Target, Way, Bytes, Now);
+}
+
+std::optional<TargetChooser::Leaving> TargetChooser::leaving() const {
+  return m_Impl->leaving();
+}
+
 float TargetChooser::shedLevel(absl::Time Now) const {
   return m_Impl->shedLevel(Now);
 }
--- a/libs/policy/src/TargetChooserImpl.cpp
+++ b/libs/policy/src/TargetChooserImpl.cpp
@@ -103,6 +103,7 @@
          rendezvousHash(m_Settings.m_Seed, Stats.m_Info.m_Incarnation)});
   }
   m_Tiers = chooseSubset(std::move(Candidates), m_Settings.m_SubsetSize);
+  m_SpillUpdatedAt = absl::InfinitePast();
 }
 
 bool TargetChooser::Impl::isUsableFor(std::uint32_t Index,
@@ -135,7 +136,16 @@
 std::optional<TargetChooser::Impl::Draw> TargetChooser::Impl::drawLessLoaded(
     std::size_t Tier, const ChoiceContext &Context, absl::BitGenRef Random,
     absl::Time Now) const {
-  const std::vector<std::uint32_t> &Targets = m_Tiers[Tier];
+  auto Best = drawAmong(m_Tiers[Tier], Context, Random, Now);
+  if (Best)
+    Best->m_LoadScore += m_Settings.m_TierPenalty * static_cast<double>(Tier);
+  return Best;
+}
+
+std::optional<TargetChooser::Impl::Draw>
+TargetChooser::Impl::drawAmong(const std::vector<std::uint32_t> &Targets,
+                               const ChoiceContext &Context,
+                               absl::BitGenRef Random, absl::Time Now) const {
   auto First = drawUsable(Targets, TargetHandle::Invalid, Context, Random, Now);
   if (!First)
     return std::nullopt;
@@ -145,13 +155,15 @@
     if (Score < Best.m_LoadScore)
       Best = {{*Second}, Score};
   }
-  Best.m_LoadScore += m_Settings.m_TierPenalty * static_cast<double>(Tier);
   return Best;
 }
 
 std::optional<TargetHandle>
 TargetChooser::Impl::choose(const ChoiceContext &Context,
-                            absl::BitGenRef Random, absl::Time Now) const {
+                            absl::BitGenRef Random, absl::Time Now) {
+  if (m_Spill)
+    if (auto Chosen = chooseBySpill(Context, Random, Now))
+      return Chosen;
   std::optional<Draw> Best;
   for (std::size_t Tier = 0; Tier < TierCount; ++Tier) {
     auto Next = drawLessLoaded(Tier, Context, Random, Now);
--- a/libs/policy/src/TargetChooserImpl.h
+++ b/libs/policy/src/TargetChooserImpl.h
@@ -3,6 +3,7 @@
 
 #include "TargetHealth.h"
 #include "TargetSubset.h"
+#include "TransferCosts.h"
 #include "policy/TargetChooser.h"
 
 #include <cstdint>
@@ -14,12 +15,14 @@
 /// Holds the statistics of each target and draws from the subset in use.
 class TargetChooser::Impl {
 public:
-  explicit Impl(Options Settings) : m_Settings(std::move(Settings)) {}
+  explicit Impl(Options Settings) : m_Settings(std::move(Settings)) {
+    if (m_Settings.m_Spill)
+      m_Spill.emplace(*m_Settings.m_Spill);
+  }
 
   void setTargets(const std::vector<TargetInfo> &Targets);
-  [[nodiscard]] std::optional<TargetHandle> choose(const ChoiceContext &Context,
-                                                   absl::BitGenRef Random,
-                                                   absl::Time Now) const;
+  [[nodiscard]] std::optional<TargetHandle>
+  choose(const ChoiceContext &Context, absl::BitGenRef Random, absl::Time Now);
   void onSent(TargetHandle Target);
   void onAnswer(TargetHandle Target, const TargetFeedback &Feedback,
                 bool IsSuccess, absl::Time Now);
@@ -27,6 +30,9 @@
   void onLost(TargetHandle Target, absl::Time Now);
   void onLoad(TargetHandle Target, const TargetFeedback &Feedback,
               absl::Time Now);
+  void onTransfer(TargetHandle Target, absl::Duration Way, std::size_t Bytes,
+                  absl::Time Now);
+  [[nodiscard]] std::optional<Leaving> leaving() const;
   [[nodiscard]] float shedLevel(absl::Time Now) const;
   [[nodiscard]] const TargetInfo &info(TargetHandle Target) const;
   [[nodiscard]] std::optional<TargetHandle>
@@ -65,6 +71,10 @@
                                                    const ChoiceContext &Context,
                                                    absl::BitGenRef Random,
                                                    absl::Time Now) const;
+  [[nodiscard]] std::optional<Draw>
+  drawAmong(const std::vector<std::uint32_t> &Targets,
+            const ChoiceContext &Context, absl::BitGenRef Random,
+            absl::Time Now) const;
   [[nodiscard]] double loadScore(const TargetStats &Stats,
                                  absl::Time Now) const;
   [[nodiscard]] double meanFailureShare() const;
@@ -72,9 +82,27 @@
   void recordFailure(TargetHandle Target, absl::Time Now);
   [[nodiscard]] bool isOutlier(TargetHandle Target) const;
 
+  // TargetChooserLeaving.cpp
+  /// \returns the target of a request that leaves the own data center or
+  /// stays there by decision; nothing where only the nearness decides.
+  [[nodiscard]] std::optional<TargetHandle>
+  chooseBySpill(const ChoiceContext &Context, absl::BitGenRef Random,
+                absl::Time Now);
+  void updateSpill(absl::Time Now);
+  [[nodiscard]] DataCenterRoom roomOf(const std::string &Name,
+                                      const std::vector<std::uint32_t> &Targets,
+                                      absl::Time Now) const;
+
   Options m_Settings;
   std::vector<TargetStats> m_Stats;
   TargetTiers m_Tiers;
+  std::optional<DataCenterSpill> m_Spill;
+  TransferCosts m_Transfers;
+  absl::Time m_SpillUpdatedAt = absl::InfinitePast();
+  DataCenterRoom m_Home;
+  std::vector<DataCenterRoom> m_Others;
+  /// Of each of m_Others.
+  std::vector<std::vector<std::uint32_t>> m_OtherTargets;
 };
 
 } // namespace knapweedloft::policy
