--- a/libs/policy/src/DataCenterSpill.cpp
+++ b/libs/policy/src/DataCenterSpill.cpp
@@ -62,6 +62,7 @@
 std::vector<double>
 DataCenterSpill::divide(const std::vector<DataCenterRoom> &Others) const {
   std::vector<double> Parts;
+  Parts.reserve(Others.size());
   for (const DataCenterRoom &Room : Others)
     Parts.push_back(Room.m_Slots > 0 ? freeRate(Room) : 0);
   double Sum = std::accumulate(Parts.begin(), Parts.end(), 0.0);
