--- a/libs/mesh/include/mesh/NodeSettings.h
+++ b/libs/mesh/include/mesh/NodeSettings.h
@@ -4,6 +4,8 @@
 #include "mesh/HeaderNames.h"
 #include "mesh/RolloutSettings.h"
 #include "model/Endpoint.h"
+#include "policy/DataCenterSpill.h"
+#include "policy/LeaveRule.h"
 
 #include "absl/time/time.h"
 
@@ -37,6 +39,8 @@
   double m_RetryRatio = 0.2;
   /// Absent: operators do not order roll-outs.
   std::optional<RolloutSettings> m_Rollouts;
+  policy::LeaveRule m_Leave = policy::LeaveRule::Fixed;
+  policy::DataCenterSpill::Options m_Spill; ///< With LeaveRule::Auto.
 
   friend bool operator==(const NodeSettings &, const NodeSettings &) = default;
 };
--- a/libs/mesh/include/mesh/VersionChoice.h
+++ b/libs/mesh/include/mesh/VersionChoice.h
@@ -31,10 +31,12 @@
       : m_Usual(Settings), m_OnTrial(Settings) {}
 
   void setTargets(const std::vector<PeerTarget> &Targets, absl::Time Now);
-  /// \returns the target for a request, or nothing if none is left.
+  /// \returns the target for a request, or nothing if none is left. The targets
+  /// that \p Of excludes are not looked at.
   [[nodiscard]] std::optional<policy::TargetHandle>
   choose(const std::vector<policy::TargetHandle> &Excluded,
-         absl::BitGenRef Random, absl::Time Now);
+         absl::BitGenRef Random, absl::Time Now,
+         const policy::ChoiceContext &Of = {});
 
   // As in policy::TargetChooser.
   void onSent(policy::TargetHandle Target, absl::Time Now);
@@ -45,6 +47,13 @@
   void onCancelled(policy::TargetHandle Target);
   void onLoad(policy::TargetHandle Target,
               const policy::TargetFeedback &Feedback, absl::Time Now);
+  void onTransfer(policy::TargetHandle Target, absl::Duration Way,
+                  std::size_t Bytes, absl::Time Now);
+  /// \returns what leaves the data center of the requests that the version on
+  /// trial does not get.
+  [[nodiscard]] std::optional<policy::TargetChooser::Leaving> leaving() const {
+    return m_Usual.leaving();
+  }
   [[nodiscard]] const policy::TargetInfo &
   info(policy::TargetHandle Target) const;
   [[nodiscard]] std::optional<policy::TargetHandle>
@@ -73,7 +82,7 @@
   }
   [[nodiscard]] std::optional<policy::TargetHandle>
   chooseFrom(bool IsOnTrial, const std::vector<policy::TargetHandle> &Excluded,
-             absl::BitGenRef Random, absl::Time Now);
+             absl::BitGenRef Random, absl::Time Now, policy::ChoiceContext Of);
 
   policy::TargetChooser m_Usual;
   policy::TargetChooser m_OnTrial;
--- a/libs/mesh/src/VersionChoice.cpp
+++ b/libs/mesh/src/VersionChoice.cpp
@@ -34,16 +34,16 @@
   m_OnTrial.setTargets(OnTrial, Now);
 }
 
-std::optional<TargetHandle>
-VersionChoice::chooseFrom(bool IsOnTrial,
-                          const std::vector<TargetHandle> &Excluded,
-                          absl::BitGenRef Random, absl::Time Now) {
+std::optional<TargetHandle> VersionChoice::chooseFrom(
+    bool IsOnTrial, const std::vector<TargetHandle> &Excluded,
+    absl::BitGenRef Random, absl::Time Now, policy::ChoiceContext Of) {
   std::vector<TargetHandle> OfGroup;
   for (TargetHandle Target : Excluded)
     if (isOnTrial(Target) == IsOnTrial)
       OfGroup.push_back(withoutGroup(Target));
   policy::TargetChooser &Group = IsOnTrial ? m_OnTrial : m_Usual;
-  auto Chosen = Group.choose({.m_Excluded = OfGroup}, Random, Now);
+  Of.m_Excluded = OfGroup;
+  auto Chosen = Group.choose(Of, Random, Now);
   if (Chosen && IsOnTrial)
     Chosen->m_Index |= TrialBit;
   return Chosen;
@@ -51,13 +51,14 @@
 
 std::optional<TargetHandle>
 VersionChoice::choose(const std::vector<TargetHandle> &Excluded,
-                      absl::BitGenRef Random, absl::Time Now) {
+                      absl::BitGenRef Random, absl::Time Now,
+                      const policy::ChoiceContext &Of) {
   bool IsOnTrial = m_TrialShare > 0 && Excluded.empty() &&
                    absl::Uniform(Random, 0.0, 1.0) < m_TrialShare;
-  auto Chosen = chooseFrom(IsOnTrial, Excluded, Random, Now);
+  auto Chosen = chooseFrom(IsOnTrial, Excluded, Random, Now, Of);
   return Chosen || m_TrialShare == 0
              ? Chosen
-             : chooseFrom(!IsOnTrial, Excluded, Random, Now);
+             : chooseFrom(!IsOnTrial, Excluded, Random, Now, Of);
 }
 
 void VersionChoice::onSent(TargetHandle Target, absl::Time Now) {
@@ -86,6 +87,11 @@
   groupOf(Target).onLoad(withoutGroup(Target), Feedback, Now);
 }
 
+void VersionChoice::onTransfer(TargetHandle Target, absl::Duration Way,
+                               std::size_t Bytes, absl::Time Now) {
+  groupOf(Target).onTransfer(withoutGroup(Target), Way, Bytes, Now);
+}
+
 const policy::TargetInfo &VersionChoice::info(TargetHandle Target) const {
   return groupOf(Target).info(withoutGroup(Target));
 }
--- a/libs/policy/src/TargetChooserImpl.cpp
+++ b/libs/policy/src/TargetChooserImpl.cpp
@@ -114,6 +114,7 @@
          rendezvousHash(m_Settings.m_Seed, Stats.m_Info.m_Incarnation)});
   }
   m_Tiers = chooseSubset(std::move(Candidates), m_Settings.m_SubsetSize);
+  m_SpillUpdatedAt = absl::InfinitePast();
 }
 
 bool TargetChooser::Impl::isUsableFor(std::uint32_t Index,
@@ -175,16 +176,19 @@
   }
 }
 
-TargetChooser::Impl::Draw
-TargetChooser::Impl::addTierPenalty(Draw Best, std::size_t Tier) const {
-  Best.m_LoadScore += m_Settings.m_TierPenalty * static_cast<double>(Tier);
-  return Best;
-}
-
 std::optional<TargetChooser::Impl::Draw> TargetChooser::Impl::drawLessLoaded(
     std::size_t Tier, const ChoiceContext &Context, absl::BitGenRef Random,
     absl::Time Now) const {
-  const std::vector<std::uint32_t> &Targets = m_Tiers[Tier];
+  auto Best = drawAmong(m_Tiers[Tier], Context, Random, Now);
+  if (Best)
+    Best->m_LoadScore += m_Settings.m_TierPenalty * static_cast<double>(Tier);
+  return Best;
+}
+
+std::optional<TargetChooser::Impl::Draw>
+TargetChooser::Impl::drawAmong(const std::vector<std::uint32_t> &Targets,
+                               const ChoiceContext &Context,
+                               absl::BitGenRef Random, absl::Time Now) const {
   auto First = drawUsable(Targets, TargetHandle::Invalid, Context, Random, Now);
   if (!First)
     return std::nullopt;
@@ -192,7 +196,7 @@
   bool IsTrial =
       Best.m_Expected && !Best.isFull() && absl::Bernoulli(Random, TrialShare);
   if (IsTrial)
-    return addTierPenalty(Best, Tier);
+    return Best;
   int Draws = Best.m_Expected ? DrawsByCompletion : DrawsByLoad;
   for (int Count = 1; Count < Draws; ++Count) {
     auto Next = drawUsable(Targets, *First, Context, Random, Now);
@@ -204,12 +208,15 @@
   }
   if (Best.isFull())
     seekFreeSlot(Best, Targets, Context, Random, Now);
-  return addTierPenalty(Best, Tier);
+  return Best;
 }
 
 std::optional<TargetHandle>
 TargetChooser::Impl::choose(const ChoiceContext &Context,
-                            absl::BitGenRef Random, absl::Time Now) const {
+                            absl::BitGenRef Random, absl::Time Now) {
+  if (m_Spill)
+    if (auto Chosen = chooseBySpill(Context, Random, Now))
+      return Chosen;
   std::optional<Draw> Best;
   for (std::size_t Tier = 0; Tier < TierCount; ++Tier) {
     auto Next = drawLessLoaded(Tier, Context, Random, Now);
--- a/libs/policy/src/TargetChooserImpl.h
+++ b/libs/policy/src/TargetChooserImpl.h
@@ -4,6 +4,7 @@
 #include "ExpectedCompletion.h"
 #include "TargetHealth.h"
 #include "TargetSubset.h"
+#include "TransferCosts.h"
 #include "policy/PaceChange.h"
 #include "policy/TargetChooser.h"
 
@@ -16,12 +17,14 @@
 /// Holds the statistics of each target and draws from the subset in use.
 class TargetChooser::Impl {
 public:
-  explicit Impl(Options Settings) : m_Settings(std::move(Settings)) {}
+  explicit Impl(Options Settings) : m_Settings(std::move(Settings)) {
+    if (m_Settings.m_Spill)
+      m_Spill.emplace(*m_Settings.m_Spill);
+  }
 
   void setTargets(const std::vector<TargetInfo> &Targets);
-  [[nodiscard]] std::optional<TargetHandle> choose(const ChoiceContext &Context,
-                                                   absl::BitGenRef Random,
-                                                   absl::Time Now) const;
+  [[nodiscard]] std::optional<TargetHandle>
+  choose(const ChoiceContext &Context, absl::BitGenRef Random, absl::Time Now);
   void onSent(TargetHandle Target);
   void onAnswer(TargetHandle Target, const TargetFeedback &Feedback,
                 bool IsSuccess, absl::Time Now);
@@ -29,6 +32,9 @@
   void onLost(TargetHandle Target, absl::Time Now);
   void onLoad(TargetHandle Target, const TargetFeedback &Feedback,
               absl::Time Now);
+  void onTransfer(TargetHandle Target, absl::Duration Way, std::size_t Bytes,
+                  absl::Time Now);
+  [[nodiscard]] std::optional<Leaving> leaving() const;
   [[nodiscard]] float shedLevel(absl::Time Now) const;
   [[nodiscard]] const TargetInfo &info(TargetHandle Target) const;
   [[nodiscard]] std::optional<TargetHandle>
@@ -75,7 +81,6 @@
                                                    const ChoiceContext &Context,
                                                    absl::BitGenRef Random,
                                                    absl::Time Now) const;
-  [[nodiscard]] Draw addTierPenalty(Draw Best, std::size_t Tier) const;
   [[nodiscard]] Draw drawOf(std::uint32_t Index, absl::Time Now) const;
   /// Looks at all targets of a tier for one with a free slot.
   void seekFreeSlot(Draw &Best, const std::vector<std::uint32_t> &Tier,
@@ -85,6 +90,10 @@
   [[nodiscard]] static double requestsAt(const TargetStats &Stats,
                                          absl::Time Now);
   [[nodiscard]] double failurePenalty(const TargetStats &Stats) const;
+  [[nodiscard]] std::optional<Draw>
+  drawAmong(const std::vector<std::uint32_t> &Targets,
+            const ChoiceContext &Context, absl::BitGenRef Random,
+            absl::Time Now) const;
   [[nodiscard]] double loadScore(const TargetStats &Stats,
                                  absl::Time Now) const;
   [[nodiscard]] std::optional<ExpectedCompletion>
@@ -94,9 +103,27 @@
   void recordFailure(TargetHandle Target, absl::Time Now);
   [[nodiscard]] bool isOutlier(TargetHandle Target) const;
 
+  // TargetChooserLeaving.cpp
+  /// \returns the target of a request that leaves the own data center or
+  /// stays there by decision; nothing where only the nearness decides.
+  [[nodiscard]] std::optional<TargetHandle>
+  chooseBySpill(const ChoiceContext &Context, absl::BitGenRef Random,
+                absl::Time Now);
+  void updateSpill(absl::Time Now);
+  [[nodiscard]] DataCenterRoom roomOf(const std::string &Name,
+                                      const std::vector<std::uint32_t> &Targets,
+                                      absl::Time Now) const;
+
   Options m_Settings;
   std::vector<TargetStats> m_Stats;
   TargetTiers m_Tiers;
+  std::optional<DataCenterSpill> m_Spill;
+  TransferCosts m_Transfers;
+  absl::Time m_SpillUpdatedAt = absl::InfinitePast();
+  DataCenterRoom m_Home;
+  std::vector<DataCenterRoom> m_Others;
+  /// Of each of m_Others.
+  std::vector<std::vector<std::uint32_t>> m_OtherTargets;
 };
 
 } // namespace knapweedloft::policy
