--- a/libs/mesh/include/mesh/RolloutDirector.h
+++ b/libs/mesh/include/mesh/RolloutDirector.h
@@ -148,6 +148,11 @@
                         absl::Time Now);
   /// Claims, or writes an outcome that is known, after a read that showed none.
   void takeOver(const StatusRead &Read, absl::Time Now);
+  /// \returns whether another daemon has claimed so lately that its news may
+  /// still come.
+  [[nodiscard]] bool isClaimYoung(const RolloutStatus &Status,
+                                  const std::vector<RolloutPeer> &Peers,
+                                  absl::Time Now);
   [[nodiscard]] RolloutStatus statusOf(RolloutOutcome Outcome,
                                        std::uint64_t Epoch) const;
   [[nodiscard]] bool isOwn(const RolloutStatus &Status) const;
@@ -166,6 +171,8 @@
   std::uint64_t m_End = 0;   ///< Of the topic after the own last write.
   absl::Time m_NextNews = absl::InfinitePast();
   absl::Time m_NextStoreCall = absl::InfinitePast();
+  std::uint64_t m_SeenEpoch = 0; ///< Of a claim in the store, without news.
+  absl::Time m_SeenAt;
   bool m_IsCalling = false;  ///< A call to the store is out.
   bool m_MustVerify = false; ///< Whether the epoch is still in force.
   bool m_MustRead = false;   ///< Before the next write.
--- a/libs/mesh/include/mesh/TargetRollout.h
+++ b/libs/mesh/include/mesh/TargetRollout.h
@@ -107,7 +107,6 @@
   absl::Time m_NewsSent;
   absl::flat_hash_map<JobId, Job> m_Jobs; ///< Accepted since the order.
   absl::btree_map<std::string, RouteTotals> m_Routes;
-  std::uint64_t m_Arrivals = 0;
   std::uint64_t m_Refused = 0;
 };
 
--- a/libs/mesh/src/RolloutClaim.cpp
+++ b/libs/mesh/src/RolloutClaim.cpp
@@ -106,6 +106,9 @@
     return;
   }
   auto Peers = m_Options.m_Hooks.m_Peers(Now);
+  if (!isDeciding() && Peers && Read.m_Status &&
+      isClaimYoung(*Read.m_Status, *Peers, Now))
+    return;
   if (!isDeciding() && (!Peers || !hearsMost(*Peers))) {
     m_NextStoreCall = Now + m_Options.m_RereadInterval;
     return;
@@ -113,6 +116,24 @@
   claim(Read.m_Status, Read.m_End, Now);
 }
 
+bool RolloutDirector::isClaimYoung(const RolloutStatus &Status,
+                                   const std::vector<RolloutPeer> &Peers,
+                                   absl::Time Now) {
+  if (!Status.m_Order.isSameAs(m_Options.m_Id) ||
+      Status.m_Epoch <= m_Known.epoch)
+    return false;
+  if (Status.m_Epoch != m_SeenEpoch) {
+    m_SeenEpoch = Status.m_Epoch;
+    m_SeenAt = Now;
+  }
+  // The answer to a claim may be lost; its daemon then has to read first.
+  absl::Time Until =
+      m_SeenAt + m_Options.m_NewsLifetime +
+      m_Options.m_RankDelay * static_cast<double>(1 + rankAmong(Peers));
+  m_NextStoreCall = std::max(m_NextStoreCall, Until);
+  return Now < Until;
+}
+
 RolloutStatus RolloutDirector::statusOf(RolloutOutcome Outcome,
                                         std::uint64_t Epoch) const {
   return {.m_Service = m_Options.m_Order.m_Service,
--- a/libs/mesh/src/TargetRollout.cpp
+++ b/libs/mesh/src/TargetRollout.cpp
@@ -39,7 +39,6 @@
   m_Gate.setOrder(IsNew);
   m_Jobs.clear();
   m_Routes.clear();
-  m_Arrivals = 0;
   applyNews(Now);
 }
 
@@ -129,7 +128,6 @@
   if (Found == m_Jobs.end())
     return;
   Found->second = {.m_Route = Route, .m_Started = Now};
-  ++m_Arrivals;
 }
 
 TargetRollout::RunVerdict
@@ -158,7 +156,6 @@
     return;
   RunVerdict Verdict = verdictOf(Result);
   if (Verdict == RunVerdict::NotSent) {
-    --m_Arrivals;
     putBack(Id);
     return;
   }
@@ -194,7 +191,7 @@
                                absl::Time Now) const {
   Sample.m_Instance = m_Instance;
   Sample.m_Version = m_Version;
-  Sample.m_Arrivals = m_Arrivals;
+  Sample.m_Arrivals = m_Gate.accepted();
   for (const auto &[Id, Running] : m_Jobs)
     if (isOverdue(Running, Now))
       ++Sample.m_Overdue;
