--- a/libs/io/include/io/Sockets.h
+++ b/libs/io/include/io/Sockets.h
@@ -31,9 +31,6 @@
 /// broken; nothing if there is nothing now.
 std::optional<ssize_t> receive(int Socket, void *To, std::size_t Room);
 
-/// \returns whether bytes, the peer's end or an error wait to be read.
-bool hasInput(int Socket);
-
 /// \returns how long ago the last bytes came, as the kernel counted; zero if it
 /// does not tell.
 absl::Duration sinceLastInput(int Socket);
--- a/libs/io/src/Sockets.cpp
+++ b/libs/io/src/Sockets.cpp
@@ -111,12 +111,6 @@
   return Bytes;
 }
 
-bool hasInput(int Socket) {
-  char Byte = 0;
-  ssize_t Bytes = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Bytes >= 0 || (errno != EAGAIN && errno != EINTR);
-}
-
 absl::Duration sinceLastInput(int Socket) {
   tcp_info Known{};
   socklen_t Size = sizeof(Known);
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -462,6 +462,7 @@
   if (m_Rollouts)
     m_Rollouts->tick(Now);
   m_Peers->tick(Now);
+  m_ConnectionLog.tick(m_Client->counts(), Now);
   sendSpent(Now);
   m_Quarantine->tick(Now, absl::Now());
   if (Now >= m_NextCallsUpdate) {
