--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -60,7 +60,9 @@
 }
 
 void appendLeaving(std::string &Text, const LeaveReports &Leaving) {
-  for (const auto &[Service, Counts] : Leaving.byService()) {
+  for (const auto &Entry : Leaving.byService()) {
+    const std::string &Service = Entry.first;
+    const auto &Counts = Entry.second;
     auto Append = [&](std::string_view Name, double Value) {
       fmt::format_to(std::back_inserter(Text),
                      "knapweedloft_entry_{}{{service=\"{}\"}} {}\n", Name,
--- a/libs/mesh/tests/RolloutFleetTest.cpp
+++ b/libs/mesh/tests/RolloutFleetTest.cpp
@@ -9,14 +9,11 @@
 namespace knapweedloft::mesh::testing {
 namespace {
 
-using policy::RolloutPhase;
 using Fault = RolloutFleet::Fault;
 
 constexpr double ExposureShare = 0.1;
 constexpr double ExposureSlack = 50;
 constexpr absl::Duration RollbackTime = absl::Seconds(5);
-/// What had been accepted when a version was closed still reaches its targets.
-constexpr absl::Duration InFlight = absl::Milliseconds(100);
 
 RolloutFleet::Options optionsFor(std::size_t Daemons, const Fault &Wrong = {}) {
   RolloutFleet::Options Options;
--- a/libs/policy/tests/PlacingModel.h
+++ b/libs/policy/tests/PlacingModel.h
@@ -260,7 +260,7 @@
   }
   Ran.m_Scheduler.finish(Next, Took, true);
   poll(To);
-  at(m_Now + m_Options.m_OneWay, [this, Next, To, Load = feedback(To)] {
+  at(m_Now + m_Options.m_OneWay, [this, Next, Load = feedback(To)] {
     Request &Answered = m_Requests.at(Next);
     m_Entries[Answered.m_Entry].onAnswer(Answered.m_Target, Load, true,
                                          m_Now - Answered.m_Sent, m_Now);
--- a/libs/policy/tests/RolloutPlanTest.cpp
+++ b/libs/policy/tests/RolloutPlanTest.cpp
@@ -17,8 +17,8 @@
   std::size_t m_New;
 };
 
-void PrintTo(const Size &Of, std::ostream *Out) {
-  *Out << Of.m_Former + Of.m_New;
+std::ostream &operator<<(std::ostream &Out, const Size &Of) {
+  return Out << Of.m_Former + Of.m_New;
 }
 
 const std::vector<Size> Sizes = {{2, 1}, {9, 4}, {42, 21}, {200, 100}};
@@ -137,8 +137,8 @@
   BadVersion m_Bad;
 };
 
-void PrintTo(const BadCase &Of, std::ostream *Out) {
-  *Out << Of.m_Size.m_Former + Of.m_Size.m_New << Of.m_Bad.m_Name;
+std::ostream &operator<<(std::ostream &Out, const BadCase &Of) {
+  return Out << Of.m_Size.m_Former + Of.m_Size.m_New << Of.m_Bad.m_Name;
 }
 
 std::vector<BadCase> badCases() {
