Roll-outs: judged with less confidence at the end, outcomes by era of the store

At the end ten to one suffices; half of the exposure is spent on the trial; a tenth of the answers has to be slow before durations count. News of a stored outcome hold for the era in which it was seen.

--- a/libs/mesh/include/mesh/RolloutDirector.h
+++ b/libs/mesh/include/mesh/RolloutDirector.h
@@ -10,6 +10,7 @@
 
 #include "absl/time/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -93,11 +94,14 @@
   void onLinkUp(link::PeerHandle Link, absl::Time Now);
   void onDaemonLost(const std::string &Daemon, absl::Time Now);
   /// The store came back from an older copy: the status may be lost.
-  void onNewEra(absl::Time Now);
+  void onNewEra(std::uint64_t Era, absl::Time Now);
   /// The operator removed the order.
   void onOrderRemoved(absl::Time Now);
   /// The order's record was found again in another era.
-  void setId(const RolloutOrderId &Id) { m_Options.m_Id = Id; }
+  void setId(const RolloutOrderId &Id) {
+    m_Options.m_Id = Id;
+    m_Era = std::max(m_Era, Id.m_Era);
+  }
 
   [[nodiscard]] const RolloutOrderId &id() const { return m_Options.m_Id; }
   [[nodiscard]] bool isDeciding() const { return m_Plan != nullptr; }
@@ -122,6 +126,8 @@
   void adoptRollback(const std::string &Why);
   /// Takes over news that counts whatever its epoch.
   void adopt(const wire::RolloutNewsT &News, absl::Time Sent, absl::Time Now);
+  /// Takes over an outcome that stood in the store in the era of the news.
+  void adoptStored(wire::RolloutNewsT News, absl::Time Sent, absl::Time Now);
   void noteDeadline(const wire::RolloutNewsT &News, absl::Time Now);
   [[nodiscard]] absl::Time deadline() const {
     return m_Options.m_Order.m_Received + m_Options.m_Order.m_Duration;
@@ -159,8 +165,9 @@
 
   Options m_Options;
   ComponentLog m_Log;
-  std::string m_Life; ///< Name and incarnation of this daemon.
-  absl::Time m_Since; ///< Of the order, at this daemon.
+  std::string m_Life;  ///< Name and incarnation of this daemon.
+  std::uint64_t m_Era; ///< Newest of the store that this daemon knows of.
+  absl::Time m_Since;  ///< Of the order, at this daemon.
   absl::Time m_LastTick;
   /// The newest news, own or heard, and when its decider sent it.
   wire::RolloutNewsT m_Known;
--- a/libs/mesh/include/mesh/Rollouts.h
+++ b/libs/mesh/include/mesh/Rollouts.h
@@ -70,7 +70,7 @@
                 absl::Time Now);
   void onDaemonLost(const model::Member &Member, absl::Time Now);
   /// The store came back from an older copy.
-  void onNewEra(absl::Time Now);
+  void onNewEra(std::uint64_t Era, absl::Time Now);
   void tick(absl::Time Now);
 
   /// \returns the roll-out of a service, or null if none was ordered.
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -87,7 +87,7 @@
   m_Loop.post([this] { writeMember(); }, After);
   m_Quarantine->onRecordLost(Now + After);
   if (m_Rollouts)
-    m_Rollouts->onNewEra(Now);
+    m_Rollouts->onNewEra(Era, Now);
   m_CrashRecords->restart();
 }
 
--- a/libs/mesh/src/RolloutClaim.cpp
+++ b/libs/mesh/src/RolloutClaim.cpp
@@ -257,7 +257,8 @@
       send(Peer.m_Link, Now);
 }
 
-void RolloutDirector::onNewEra(absl::Time Now) {
+void RolloutDirector::onNewEra(std::uint64_t Era, absl::Time Now) {
+  m_Era = std::max(m_Era, Era);
   if (isDeciding() && !m_IsCalling)
     return readStatus(Now);
   auto Peers = m_Options.m_Hooks.m_Peers(Now);
--- a/libs/mesh/src/RolloutDirector.cpp
+++ b/libs/mesh/src/RolloutDirector.cpp
@@ -28,7 +28,7 @@
     : m_Options(std::move(Settings)), m_Log(Log),
       m_Life(fmt::format("{}/{:016x}", m_Options.m_Self.m_Name,
                          m_Options.m_Self.m_Incarnation)),
-      m_Since(Now), m_LastTick(Now) {
+      m_Era(m_Options.m_Id.m_Era), m_Since(Now), m_LastTick(Now) {
   m_Known.service = m_Options.m_Order.m_Service;
   m_Known.exposure = 0;
 }
@@ -56,8 +56,11 @@
   if (m_IsCalling || Now < m_NextStoreCall)
     return;
   auto Peers = m_Options.m_Hooks.m_Peers(Now);
-  if (!Peers)
+  if (!Peers) {
+    // Daemons of other services do not hear the outcome.
+    m_NextStoreCall = Now + m_Options.m_RereadInterval;
     return;
+  }
   if (m_MustVerify || Now >= claimTime(*Peers))
     readStatus(Now);
 }
@@ -166,6 +169,16 @@
   m_Options.m_Hooks.m_OnNews(m_Known, Now);
 }
 
+/// The store may have lost what stood there in an older era. The outcome counts
+/// all the same, and is written again unless it is found.
+void RolloutDirector::adoptStored(wire::RolloutNewsT News, absl::Time Sent,
+                                  absl::Time Now) {
+  News.is_stored = News.order_era >= m_Era;
+  adopt(News, Sent, Now);
+  m_Plan.reset();
+  m_IsSettled = News.is_stored;
+}
+
 void RolloutDirector::noteDeadline(const wire::RolloutNewsT &News,
                                    absl::Time Now) {
   absl::Time Deadline =
@@ -190,9 +203,7 @@
     if (!News.is_stored)
       send(From, Now);
   } else if (News.is_stored) {
-    adopt(News, Sent, Now);
-    m_Plan.reset();
-    m_IsSettled = true;
+    adoptStored(News, Sent, Now);
   } else if (IsRollback && isDeciding()) {
     m_IsRollbackHeard = true;
     if (m_Command.m_Phase != RolloutPhase::Completed)
--- a/libs/mesh/src/Rollouts.cpp
+++ b/libs/mesh/src/Rollouts.cpp
@@ -163,9 +163,9 @@
     Found->second->onDaemonLost(Member.m_Name, Now);
 }
 
-void Rollouts::onNewEra(absl::Time Now) {
+void Rollouts::onNewEra(std::uint64_t Era, absl::Time Now) {
   for (auto &[Service, Director] : m_Directors)
-    Director->onNewEra(Now);
+    Director->onNewEra(Era, Now);
 }
 
 void Rollouts::sendSample(RolloutDirector &To, absl::Time Now) {
--- a/libs/policy/include/policy/RolloutPlan.h
+++ b/libs/policy/include/policy/RolloutPlan.h
@@ -39,6 +39,10 @@
     double m_ExposureSlack = 50;
     /// A bad version gets no request later than this after its 50th bad answer.
     absl::Duration m_RollbackTime = absl::Seconds(5);
+    /// Odds, to one, that the version is bad from which it is rolled back at
+    /// the end: a good version that is late does less harm than a bad one that
+    /// is completed.
+    double m_EndConfidence = 10;
     VersionJudge::Options m_Judge;
   };
 
--- a/libs/policy/include/policy/VersionJudge.h
+++ b/libs/policy/include/policy/VersionJudge.h
@@ -27,8 +27,6 @@
 class VersionJudge {
 public:
   struct Options {
-    /// Odds, to one, of chance as the cause, from which a difference counts.
-    double m_Confidence = 10'000;
     /// Only differences of at least this share of the answers count.
     double m_MinFailureShare = 0.05;
     /// Answers that take this many times as long as usual count as slow.
@@ -52,7 +50,13 @@
   VersionJudge &operator=(VersionJudge &&) noexcept;
 
   void onSample(const RolloutSample &Sample, absl::Time Now);
-  [[nodiscard]] Verdict judge(absl::Time Now) const;
+  /// \p Confidence is the odds, to one, against chance as the cause, from which
+  /// a difference counts.
+  [[nodiscard]] Verdict judge(absl::Time Now,
+                              double Confidence = DefaultConfidence) const;
+
+  /// Of a judgement that is repeated several times a second.
+  static constexpr double DefaultConfidence = 10'000;
 
 private:
   class Impl;
--- a/libs/policy/src/LatencyComparison.cpp
+++ b/libs/policy/src/LatencyComparison.cpp
@@ -29,6 +29,9 @@
 /// It slows them down by the factor of the settings or by so much more.
 constexpr std::array<int, 2> MoreHalfOctaves = {0, 2};
 
+/// Durations that differ from few former ones in shape alone do not count:
+/// this share of the answers has to be slow.
+constexpr double MinSlowShare = 0.1;
 /// Fewer answers than this are none: sums of fractions are not exact.
 constexpr double NoAnswers = 1e-3;
 
@@ -262,7 +265,7 @@
         Slow += Half[Bucket];
     }
   }
-  if (!isEnough(Found))
+  if (Slow < MinSlowShare * All || !isEnough(Found))
     return std::nullopt;
   return Finding{.m_All = static_cast<std::uint64_t>(std::llround(All)),
                  .m_Bad = static_cast<std::uint64_t>(std::llround(Slow))};
--- a/libs/policy/src/RolloutPlan.cpp
+++ b/libs/policy/src/RolloutPlan.cpp
@@ -13,7 +13,7 @@
 /// Of all requests, where demand is so low that the slack allows it.
 constexpr double MaxTrialShare = 0.25;
 /// Of the exposure that the settings allow.
-constexpr double TrialPart = 0.3;       ///< Drawn by entry sides.
+constexpr double TrialPart = 0.5;       ///< Drawn by entry sides.
 constexpr double TrialGatePart = 0.6;   ///< Let through by the gates.
 constexpr double SwitchPart = 0.95;     ///< Likewise, while it takes over.
 constexpr double SwitchSlackPart = 0.8; ///< Of the slack, likewise.
@@ -73,6 +73,8 @@
   void keepTrying(absl::Time Now);
   void takeOver(absl::Time Now);
   void finish(absl::Time Now);
+  /// \returns whether the version is bad, and rolled back.
+  bool rollBackIfBad(double Confidence, absl::Time Now);
   void end(RolloutPhase Phase, std::string Reason);
   void rollBackAtDeadline(absl::Time Now);
   void allow(absl::Time Now);
@@ -203,12 +205,8 @@
 
 void RolloutPlan::Impl::decide(absl::Time Now) {
   m_Command.m_Reason.clear();
-  VersionJudge::Verdict Verdict = m_Judge.judge(Now);
-  if (Verdict.m_IsBad)
-    return end(RolloutPhase::RolledBack,
-               Verdict.m_Reason + " route=" + Verdict.m_Route +
-                   " answers=" + std::to_string(Verdict.m_Answers) +
-                   " bad=" + std::to_string(Verdict.m_BadAnswers));
+  if (rollBackIfBad(VersionJudge::DefaultConfidence, Now))
+    return;
   if (Now >= m_EndAt)
     return finish(Now);
   bool MayTakeOver =
@@ -219,6 +217,16 @@
     keepTrying(Now);
 }
 
+bool RolloutPlan::Impl::rollBackIfBad(double Confidence, absl::Time Now) {
+  VersionJudge::Verdict Verdict = m_Judge.judge(Now, Confidence);
+  if (Verdict.m_IsBad)
+    end(RolloutPhase::RolledBack,
+        Verdict.m_Reason + " route=" + Verdict.m_Route +
+            " answers=" + std::to_string(Verdict.m_Answers) +
+            " bad=" + std::to_string(Verdict.m_BadAnswers));
+  return Verdict.m_IsBad;
+}
+
 void RolloutPlan::Impl::keepTrying(absl::Time Now) {
   m_FullSince = absl::InfiniteFuture();
   m_Command.m_Share = m_Room.hasTargets({.m_Now = Now, .m_Since = m_KnownSince})
@@ -237,7 +245,9 @@
   m_FullSince = std::min(m_FullSince, Now);
   RolloutRoom::Question Asked = question(Now);
   Asked.m_Since = std::max(Asked.m_Since, m_FullSince + NewsTime);
-  if (Now >= Asked.m_Since && m_Room.isFormerIdle(Asked))
+  if (Now < Asked.m_Since || !m_Room.isFormerIdle(Asked))
+    return;
+  if (!rollBackIfBad(m_Settings.m_EndConfidence, Now))
     end(RolloutPhase::Completed, "former targets are idle");
 }
 
@@ -246,6 +256,8 @@
     keepTrying(Now);
     return;
   }
+  if (rollBackIfBad(m_Settings.m_EndConfidence, Now))
+    return;
   RolloutRoom::Question Asked = question(Now);
   Asked.m_WithCold = Now >= m_Deadline;
   if (m_Room.isEnough(Asked))
--- a/libs/policy/src/VersionJudge.cpp
+++ b/libs/policy/src/VersionJudge.cpp
@@ -113,7 +113,7 @@
       : m_Settings(Settings), m_NewVersion(std::move(NewVersion)) {}
 
   void onSample(const RolloutSample &Sample, absl::Time Now);
-  [[nodiscard]] Verdict judge(absl::Time Now) const;
+  [[nodiscard]] Verdict judge(absl::Time Now, double Confidence) const;
 
 private:
   using Finding = std::optional<VersionComparison::Finding>;
@@ -133,6 +133,7 @@
     absl::btree_map<std::string, Usual> m_Routes; ///< Taken together.
     Badness m_Kind = Badness::Failed;
     Range m_Compared;
+    double m_Confidence = 0;
   };
 
   [[nodiscard]] Verdict judgeRoutes(Question Asked) const;
@@ -143,7 +144,8 @@
   [[nodiscard]] Finding compare(const Question &Asked) const;
   [[nodiscard]] Finding compareLatencies(const Question &Asked) const;
   [[nodiscard]] std::size_t ownSlowness(const AnswerHistory &Answers) const;
-  [[nodiscard]] Finding compareOverdue(absl::Time Now, bool WithRunning) const;
+  [[nodiscard]] Finding compareOverdue(absl::Time Now, double Confidence,
+                                       bool WithRunning) const;
   [[nodiscard]] static TargetAnswers overdueOf(const SampleDifference &Samples,
                                                absl::Time Now);
   [[nodiscard]] static Verdict verdict(const VersionComparison::Finding &Found,
@@ -226,7 +228,7 @@
   }
   bool IsFailure = Asked.m_Kind == Badness::Failed;
   VersionComparison::Options Settings{
-      .m_Confidence = m_Settings.m_Confidence,
+      .m_Confidence = Asked.m_Confidence,
       .m_MinDifference =
           IsFailure ? m_Settings.m_MinFailureShare : MinSlowDifference,
       .m_MinShare = Asked.m_Kind == Badness::MostlySlow ? MajorityShare : 0};
@@ -255,7 +257,7 @@
     if (!Answers.empty())
       Targets.push_back(&Answers);
   }
-  LatencyComparison Comparison({.m_Confidence = m_Settings.m_Confidence,
+  LatencyComparison Comparison({.m_Confidence = Asked.m_Confidence,
                                 .m_SlowFactor = m_Settings.m_SlowFactor},
                                m_FormerAnswers.cellsOf(Route),
                                Asked.m_Compared.m_First,
@@ -272,7 +274,8 @@
 /// more and more, too few have ended; where its targets are slow by themselves,
 /// long ones are many of those that run.
 VersionJudge::Impl::Finding
-VersionJudge::Impl::compareOverdue(absl::Time Now, bool WithRunning) const {
+VersionJudge::Impl::compareOverdue(absl::Time Now, double Confidence,
+                                   bool WithRunning) const {
   std::int64_t First = AnswerHistory::cellOf(Now) - OverdueCells + 1;
   TargetAnswers Former;
   for (const auto &[Daemon, Samples] : m_Former) {
@@ -296,7 +299,7 @@
     if (Counts.m_All > 0)
       Targets.push_back(Counts);
   }
-  VersionComparison::Options Settings{.m_Confidence = m_Settings.m_Confidence,
+  VersionComparison::Options Settings{.m_Confidence = Confidence,
                                       .m_MinDifference =
                                           WithRunning ? MinSlowDifference
                                                       : MinOverdueDifference};
@@ -330,10 +333,12 @@
   }
   return {};
 }
-VersionJudge::Verdict VersionJudge::Impl::judge(absl::Time Now) const {
-  Question All{.m_Compared = {
-                   .m_First = AnswerHistory::cellOf(Now - m_Settings.m_Window),
-                   .m_Last = AnswerHistory::cellOf(Now) - OpenCells}};
+VersionJudge::Verdict VersionJudge::Impl::judge(absl::Time Now,
+                                                double Confidence) const {
+  Question All{.m_Compared = {.m_First = AnswerHistory::cellOf(
+                                  Now - m_Settings.m_Window),
+                              .m_Last = AnswerHistory::cellOf(Now) - OpenCells},
+               .m_Confidence = Confidence};
   Verdict Good;
   for (const auto &[Daemon, Target] : m_New) {
     Good.m_Answers += static_cast<std::uint64_t>(
@@ -342,7 +347,8 @@
       All.m_Routes.try_emplace(Route, usualOf(Route));
   }
   for (const auto &[Route, Known] : All.m_Routes) {
-    Question One{.m_Routes = {{Route, Known}}, .m_Compared = All.m_Compared};
+    Question One = All;
+    One.m_Routes = {{Route, Known}};
     if (Verdict Next = judgeRoutes(One); Next.m_IsBad)
       return Next;
   }
@@ -350,8 +356,8 @@
     if (Verdict Next = judgeRoutes(All); Next.m_IsBad)
       return Next;
   }
-  Finding Overdue = compareOverdue(Now, true);
-  if (Overdue && compareOverdue(Now, false))
+  Finding Overdue = compareOverdue(Now, Confidence, true);
+  if (Overdue && compareOverdue(Now, Confidence, false))
     return verdict(*Overdue, "", "more requests that run for too long");
   return Good;
 }
@@ -367,8 +373,9 @@
   m_Impl->onSample(Sample, Now);
 }
 
-VersionJudge::Verdict VersionJudge::judge(absl::Time Now) const {
-  return m_Impl->judge(Now);
+VersionJudge::Verdict VersionJudge::judge(absl::Time Now,
+                                          double Confidence) const {
+  return m_Impl->judge(Now, Confidence);
 }
 
 } // namespace knapweedloft::policy
