Calls run in the order of their requests' deadlines

A request that makes several calls, one after the other, waits behind all calls that arrived before each of them. Where the service below can run only a part (after a restart of all its targets are cold, or one is lost), each request gets some of its calls answered and hardly one gets all: the work above is done and lost.

The call carries the time left of its request; among calls the one whose request has least time left runs first. It is the oldest, so what was begun is ended.

--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -396,10 +396,12 @@
   Message.is_idempotent = Request.m_Route->m_IsIdempotent;
   Message.remaining_us = static_cast<std::uint64_t>(std::max<std::int64_t>(
       0, absl::ToInt64Microseconds(Request.m_CompleteBy - Now)));
-  absl::Duration RemainingObjective =
-      Request.m_Received + Request.m_Route->m_LatencyObjective - Now;
+  absl::Time Objective =
+      Request.m_IsCall
+          ? Request.m_Deadline
+          : Request.m_Received + Request.m_Route->m_LatencyObjective;
   Message.aim_us = static_cast<std::uint64_t>(
-      std::max<std::int64_t>(0, absl::ToInt64Microseconds(RemainingObjective)));
+      std::max<std::int64_t>(0, absl::ToInt64Microseconds(Objective - Now)));
   Message.call_id = Request.m_CallId;
   Message.rank = Request.m_Rank;
   Message.instance = To.m_Instance;
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -103,6 +103,10 @@
   Job.m_CompleteBy = IsCall || ObjectiveEnd <= Now
                          ? Next.m_Deadline
                          : std::min(ObjectiveEnd, Next.m_Deadline);
+  // Of the calls, those whose request began first: what was done for it is lost
+  // unless all of its calls are answered.
+  if (IsCall)
+    Job.m_RunBefore = ObjectiveEnd;
   m_JobByForward.emplace(Id, Job.m_Id);
   m_Pending.emplace(Job.m_Id, std::move(Next));
   switch (m_Scheduler.offer(Job, Now)) {
--- a/libs/policy/include/policy/SlotScheduler.h
+++ b/libs/policy/include/policy/SlotScheduler.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -19,11 +20,12 @@
 /// slots: decides which run, which are queued and which are refused.
 ///
 /// A target that is given more requests than it has slots answers slowly or not
-/// at all, so it is never given more. Excess requests are queued here, by rank
-/// and within a rank by arrival, and only while they can still complete in
-/// time: a request whose turn would come too late is refused as soon as that is
-/// known, not when its time is over. This serves bursts, and targets that have
-/// become slow: as latencies grow, so do the expected waits. Not thread-safe.
+/// at all, so it is never given more. Excess requests are queued here, by rank,
+/// within a rank by the time that they name or else by arrival, and only while
+/// they can still complete in time: a request whose turn would come too late is
+/// refused as soon as that is known, not when its time is over. This serves
+/// bursts, and targets that have become slow: as latencies grow, so do the
+/// expected waits. Not thread-safe.
 ///
 /// \code
 ///   Scheduler.setSlots(40);
@@ -61,6 +63,8 @@
     std::uint32_t m_Rank = 0; ///< Lower ranks run first.
     /// The request is not worth running if its answer comes after this time.
     absl::Time m_CompleteBy;
+    /// Jobs of a rank run in the order of this time, and then by arrival.
+    absl::Time m_RunBefore = absl::InfiniteFuture();
   };
 
   /// A job that is refused after it was queued; it has not run.
@@ -120,11 +124,24 @@
   [[nodiscard]] absl::Duration expectedLatency(JobClass Class) const;
 
 private:
-  using QueueKey =
-      std::pair<std::uint32_t, std::uint64_t>; ///< Rank, arrival number.
+  struct QueueKey {
+    std::uint32_t m_Rank = 0;
+    absl::Time m_RunBefore;
+    std::uint64_t m_Arrival = 0;
+
+    bool operator<(const QueueKey &Other) const {
+      return std::tie(m_Rank, m_RunBefore, m_Arrival) <
+             std::tie(Other.m_Rank, Other.m_RunBefore, Other.m_Arrival);
+    }
+  };
 
   [[nodiscard]] bool hasSlot() const { return m_Running.size() < limit(); }
   [[nodiscard]] absl::Duration meanLatency() const;
+  /// \returns the expected wait behind \p Ahead queued jobs.
+  [[nodiscard]] absl::Duration waitBehind(std::size_t Ahead,
+                                          absl::Time Now) const;
+  /// \returns the queued jobs that would run before \p Next.
+  [[nodiscard]] std::size_t aheadOf(const Job &Next) const;
   [[nodiscard]] double startsPerSecond(absl::Time Now) const;
   /// Records a start if the cold start and the rate limit allow it. \returns
   /// whether they do.
--- a/libs/policy/src/SlotScheduler.cpp
+++ b/libs/policy/src/SlotScheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace knapweedloft::policy {
 namespace {
@@ -76,6 +77,26 @@
   for (const auto &[Other, Count] : m_QueuedByRank)
     if (Other <= Rank)
       Ahead += Count;
+  return waitBehind(Ahead, Now);
+}
+
+std::size_t SlotScheduler::aheadOf(const Job &Next) const {
+  std::size_t Ahead = 0;
+  for (const auto &[Rank, Count] : m_QueuedByRank)
+    if (Rank < Next.m_Rank)
+      Ahead += Count;
+  auto Of = m_QueuedByRank.find(Next.m_Rank);
+  if (Of == m_QueuedByRank.end())
+    return Ahead;
+  if (Next.m_RunBefore == absl::InfiniteFuture())
+    return Ahead + Of->second;
+  auto First = m_Queue.lower_bound({Next.m_Rank, absl::InfinitePast(), 0});
+  auto Last = m_Queue.lower_bound({Next.m_Rank, Next.m_RunBefore, 0});
+  return Ahead + static_cast<std::size_t>(std::distance(First, Last));
+}
+
+absl::Duration SlotScheduler::waitBehind(std::size_t Ahead,
+                                         absl::Time Now) const {
   bool CanStart = hasSlot() && m_ColdPacer.nextStart(Now) <= Now &&
                   m_RatePacer.nextStart(Now) <= Now;
   if (Ahead == 0 && CanStart)
@@ -93,11 +114,11 @@
     return Verdict::Run;
   }
   absl::Time CompletesAt =
-      Now + expectedWait(Next.m_Rank, Now) + expectedLatency(Next.m_Class);
+      Now + waitBehind(aheadOf(Next), Now) + expectedLatency(Next.m_Class);
   if (CompletesAt > Next.m_CompleteBy ||
       m_Queue.size() >= m_Settings.m_MaxQueued)
     return Verdict::Refused;
-  QueueKey Key{Next.m_Rank, ++m_Arrivals};
+  QueueKey Key{Next.m_Rank, Next.m_RunBefore, ++m_Arrivals};
   m_Queue.emplace(Key, Next);
   m_QueueKeys.emplace(Next.m_Id, Key);
   ++m_QueuedByRank[Next.m_Rank];
@@ -125,7 +146,7 @@
   auto Found = m_QueueKeys.find(Id);
   if (Found == m_QueueKeys.end())
     return false;
-  auto Counted = m_QueuedByRank.find(Found->second.first);
+  auto Counted = m_QueuedByRank.find(Found->second.m_Rank);
   if (--Counted->second == 0)
     m_QueuedByRank.erase(Counted);
   m_Queue.erase(Found->second);
--- a/libs/policy/tests/SlotSchedulerTest.cpp
+++ b/libs/policy/tests/SlotSchedulerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "gtest/gtest.h"
 
+#include <utility>
 #include <vector>
 
 namespace knapweedloft::policy {
@@ -95,6 +96,50 @@
   EXPECT_GT(m_Refused[0].m_RetryAfter, absl::ZeroDuration());
 }
 
+/// Requests that each make several calls, one after the other, while the target
+/// can start a fifth of them. Calls that run by arrival all wait for as long,
+/// so that hardly a request gets all of its calls answered.
+TEST_F(SlotSchedulerTest, Poll_RequestsWithSeveralCalls_OldestGetAllOfTheirs) {
+  constexpr int CallsEach = 4;
+  constexpr int Requests = 300;
+  constexpr absl::Duration Deadline = absl::Milliseconds(2500);
+  m_Scheduler.setSlots(1000);
+  m_Scheduler.setCold(m_Now + absl::Minutes(1), 100);
+  absl::Time Begin = m_Now;
+  auto BeganAt = [&](int Request) {
+    return Begin + absl::Milliseconds(20 * Request);
+  };
+  std::vector<int> Answered(Requests);
+  std::vector<bool> IsLost(Requests);
+  auto Call = [&](int Request) {
+    SlotScheduler::Job Next{.m_Id = static_cast<std::uint64_t>(
+                                Request * CallsEach + Answered[Request] + 1),
+                            .m_CompleteBy = BeganAt(Request) + Deadline,
+                            };
+    auto Verdict = m_Scheduler.offer(Next, m_Now);
+    if (Verdict == SlotScheduler::Verdict::Run)
+      m_Run.push_back(Next.m_Id);
+    IsLost[Request] = Verdict == SlotScheduler::Verdict::Refused;
+  };
+  int Complete = 0;
+  for (int Step = 0; Step < 1'000; ++Step, m_Now += absl::Milliseconds(10)) {
+    if (Step % 2 == 0 && Step / 2 < Requests)
+      Call(Step / 2);
+    m_Scheduler.poll(m_Now, m_Run, m_Refused);
+    std::vector<SlotScheduler::JobId> Running = std::exchange(m_Run, {});
+    for (SlotScheduler::JobId Id : Running) {
+      m_Scheduler.finish(Id, absl::Milliseconds(10), true);
+      int Request = static_cast<int>((Id - 1) / CallsEach);
+      if (++Answered[Request] == CallsEach)
+        ++Complete;
+      else
+        Call(Request);
+    }
+  }
+  // 90 starts a second, over the 6 s of arrivals and a deadline.
+  EXPECT_GE(Complete, 150);
+}
+
 TEST_F(SlotSchedulerTest, Poll_ColdTarget_StaysWithinItsStartsInAnySecond) {
   m_Scheduler.setSlots(1000);
   m_Scheduler.setCold(m_Now + absl::Seconds(3), 50);
