losses: what became of requests by time, route and reason, from logs

Operators had explain for one request and nothing for many. The command counts from the daemons' logs what was answered in time and late, refused, failed and tried again; the log line of an answer says whether it was late.

--- a/apps/knapweedloft/Main.cpp
+++ b/apps/knapweedloft/Main.cpp
@@ -4,6 +4,7 @@
 #include "ExitCode.h"
 #include "ExplainCommand.h"
 #include "GetCommand.h"
+#include "LossesCommand.h"
 #include "NodeCommand.h"
 #include "ReportCommand.h"
 #include "RunCommand.h"
@@ -46,6 +47,7 @@
   addRunCommand(App);
   addNodeCommand(App);
   addExplainCommand(App);
+  addLossesCommand(App);
   addCheckCommand(App);
   addReportCommand(App);
   addApplyCommand(App);
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -169,11 +169,13 @@
                    {"arrivals", Request.m_Arrivals},
                    {"took", Took}});
   } else {
-    m_Log.routine("Request answered.", {{"id", Request.m_CallId},
-                                        {"status", Status},
-                                        {"route", Request.m_Route->m_Name},
-                                        {"target", Request.m_To.m_Name},
-                                        {"took", Took}});
+    m_Log.routine("Request answered.",
+                  {{"id", Request.m_CallId},
+                   {"status", Status},
+                   {"route", Request.m_Route->m_Name},
+                   {"target", Request.m_To.m_Name},
+                   {"took", Took},
+                   {"late", Took > Request.m_Route->m_LatencyObjective}});
   }
   m_Options.m_Hooks.m_Answer(Request.m_Exchange, Status, Answer.lines,
                              app::viewOf(Answer.body));
