--- a/libs/policy/tests/SlotSchedulerTest.cpp
+++ b/libs/policy/tests/SlotSchedulerTest.cpp
@@ -112,10 +112,11 @@
   std::vector<int> Answered(Requests);
   std::vector<bool> IsLost(Requests);
   auto Call = [&](int Request) {
-    SlotScheduler::Job Next{.m_Id = static_cast<std::uint64_t>(
-                                Request * CallsEach + Answered[Request] + 1),
-                            .m_CompleteBy = BeganAt(Request) + Deadline,
-                            };
+    SlotScheduler::Job Next{
+        .m_Id = static_cast<std::uint64_t>(Request * CallsEach +
+                                           Answered[Request] + 1),
+        .m_CompleteBy = BeganAt(Request) + Deadline,
+    };
     auto Verdict = m_Scheduler.offer(Next, m_Now);
     if (Verdict == SlotScheduler::Verdict::Run)
       m_Run.push_back(Next.m_Id);
