--- a/libs/telemetry/include/telemetry/LossTable.h
+++ b/libs/telemetry/include/telemetry/LossTable.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_TELEMETRY_LOSSTABLE_H
 
 #include "telemetry/LogLine.h"
+#include "telemetry/LossOutcome.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/time/time.h"
@@ -43,18 +44,6 @@
         m_OnProgress;
   };
 
-  /// Why a request was lost, or that it was not.
-  struct Outcome {
-    std::string m_Kind;   ///< served, late, refused, failed or retried.
-    std::string m_Reason; ///< Of a refusal, a failure or a retry.
-
-    friend bool operator==(const Outcome &, const Outcome &) = default;
-    friend bool operator<(const Outcome &Left, const Outcome &Right) {
-      return std::tie(Left.m_Kind, Left.m_Reason) <
-             std::tie(Right.m_Kind, Right.m_Reason);
-    }
-  };
-
   struct Count {
     std::uint64_t m_Requests = 0;
     absl::Duration m_Held; ///< Sum over the requests; zero where not known.
@@ -76,7 +65,7 @@
   void read(const std::string &Source, std::istream &From);
 
   /// \returns the sum over all times and routes of an outcome.
-  [[nodiscard]] Count total(const Outcome &Of) const;
+  [[nodiscard]] Count total(const LossOutcome &Of) const;
   [[nodiscard]] absl::Duration interval() const { return m_Interval; }
   [[nodiscard]] const std::vector<Unreadable> &unreadable() const {
     return m_Unreadable;
@@ -93,7 +82,7 @@
   struct Cell {
     std::int64_t m_Interval = 0; ///< Since the epoch, in m_Interval.
     std::string m_Route;
-    Outcome m_Outcome;
+    LossOutcome m_Outcome;
 
     friend bool operator<(const Cell &Left, const Cell &Right) {
       return std::tie(Left.m_Interval, Left.m_Route, Left.m_Outcome) <
@@ -103,7 +92,7 @@
 
   [[nodiscard]] bool take(std::string_view Text);
   [[nodiscard]] bool count(const LogLine &Line);
-  void add(const LogLine &Line, absl::Time At, Outcome Of);
+  void add(const LogLine &Line, absl::Time At, LossOutcome Of);
   void joinIntervals();
   [[nodiscard]] std::string textByTime() const;
   [[nodiscard]] std::string textByRoute() const;
--- a/libs/telemetry/src/LossTable.cpp
+++ b/libs/telemetry/src/LossTable.cpp
@@ -63,8 +63,10 @@
   return Taken;
 }
 
-bool isLoss(const LossTable::Outcome &Of) {
-  return Of.m_Kind != "served" && Of.m_Kind != "retried";
+using Kind = LossKind;
+
+bool isLoss(const LossOutcome &Of) {
+  return Of.m_Kind != Kind::Served && Of.m_Kind != Kind::Retried;
 }
 
 double meanMsOf(const LossTable::Count &Of) {
@@ -73,16 +75,16 @@
                                   static_cast<double>(Of.m_Requests);
 }
 
-constexpr std::array<const char *, 5> Kinds = {"served", "late", "refused",
-                                               "failed", "retried"};
+constexpr std::array<Kind, 5> Kinds = {Kind::Served, Kind::Late, Kind::Refused,
+                                       Kind::Failed, Kind::Retried};
 
 /// Requests by kind of outcome.
-using KindCounts = std::map<std::string, std::uint64_t>;
+using KindCounts = std::map<Kind, std::uint64_t>;
 
 std::string row(const std::string &First, const KindCounts &Counts) {
   std::string Text = fmt::format("{:<32}", First);
-  for (const char *Kind : Kinds) {
-    auto Found = Counts.find(Kind);
+  for (Kind Of : Kinds) {
+    auto Found = Counts.find(Of);
     fmt::format_to(std::back_inserter(Text), " {:>9}",
                    Found == Counts.end() ? 0 : Found->second);
   }
@@ -91,8 +93,9 @@
 
 std::string heading(const std::string &First) {
   std::string Text = fmt::format("{:<32}", First);
-  for (const char *Kind : Kinds)
-    fmt::format_to(std::back_inserter(Text), " {:>9}", Kind);
+  for (Kind Of : Kinds)
+    fmt::format_to(std::back_inserter(Text), " {:>9}",
+                   LossKindNames.nameOf(Of));
   return Text + "\n";
 }
 
@@ -134,29 +137,30 @@
   auto Says = [&Line](std::string_view Sentence) {
     return Line.says(EntrySide, Sentence);
   };
-  Outcome Of;
+  LossOutcome Of;
   if (Says("Request answered."))
-    Of = {Line.field("late") == "true" ? "late" : "served", ""};
+    Of = {Line.field("late") == "true" ? Kind::Late : Kind::Served, ""};
   else if (Says("Request answered with the target's error."))
-    Of = {"failed", "status " + std::string(Line.field("status").value_or(""))};
+    Of = {Kind::Failed,
+          "status " + std::string(Line.field("status").value_or(""))};
   else if (Says("Request refused."))
-    Of = {Line.field("ran") == "no" ? "refused" : "failed",
+    Of = {Line.field("ran") == "no" ? Kind::Refused : Kind::Failed,
           std::string(Line.field("reason").value_or(""))};
   else if (Says("Request retried at another target."))
-    Of = {"retried", std::string(Line.field("why").value_or(""))};
+    Of = {Kind::Retried, std::string(Line.field("why").value_or(""))};
   else
     return true;
   auto At = timeOf(Line);
-  bool HasRoute = Of.m_Kind == "retried" || Line.field("route");
-  bool HasReason =
-      Of.m_Kind == "served" || Of.m_Kind == "late" || !Of.m_Reason.empty();
+  bool HasRoute = Of.m_Kind == Kind::Retried || Line.field("route");
+  bool IsAnswered = Of.m_Kind == Kind::Served || Of.m_Kind == Kind::Late;
+  bool HasReason = IsAnswered || !Of.m_Reason.empty();
   if (!At || !HasRoute || !HasReason)
     return false;
   add(Line, *At, std::move(Of));
   return true;
 }
 
-void LossTable::add(const LogLine &Line, absl::Time At, Outcome Of) {
+void LossTable::add(const LogLine &Line, absl::Time At, LossOutcome Of) {
   Cell Key{.m_Interval = (At - absl::UnixEpoch()) / m_Interval,
            .m_Route = std::string(Line.field("route").value_or("")),
            .m_Outcome = std::move(Of)};
@@ -180,7 +184,7 @@
   m_Interval *= 2;
 }
 
-LossTable::Count LossTable::total(const Outcome &Of) const {
+LossTable::Count LossTable::total(const LossOutcome &Of) const {
   Count Sum;
   for (const auto &[Key, Counted] : m_Cells)
     if (Key.m_Outcome == Of)
@@ -204,7 +208,7 @@
 std::string LossTable::textByRoute() const {
   std::map<std::string, KindCounts> Routes;
   for (const auto &[Key, Counted] : m_Cells)
-    if (Key.m_Outcome.m_Kind != "retried")
+    if (Key.m_Outcome.m_Kind != Kind::Retried)
       Routes[Key.m_Route][Key.m_Outcome.m_Kind] += Counted.m_Requests;
   std::string Text = heading("route");
   for (const auto &[Route, Counts] : Routes)
@@ -213,11 +217,11 @@
 }
 
 std::string LossTable::textByOutcome() const {
-  std::map<std::pair<std::string, Outcome>, Count> Losses;
+  std::map<std::pair<std::string, LossOutcome>, Count> Losses;
   for (const auto &[Key, Counted] : m_Cells)
     if (isLoss(Key.m_Outcome))
       Losses[{Key.m_Route, Key.m_Outcome}].add(Counted);
-  std::vector<std::pair<std::pair<std::string, Outcome>, Count>> Sorted(
+  std::vector<std::pair<std::pair<std::string, LossOutcome>, Count>> Sorted(
       Losses.begin(), Losses.end());
   std::stable_sort(Sorted.begin(), Sorted.end(),
                    [](const auto &Left, const auto &Right) {
@@ -228,8 +232,9 @@
   for (const auto &[Key, Counted] : Sorted)
     fmt::format_to(std::back_inserter(Text),
                    "{:<32} {:<9} {:<24} {:>9} {:>10.1f}\n",
-                   Key.first.empty() ? "(none)" : Key.first, Key.second.m_Kind,
-                   Key.second.m_Reason, Counted.m_Requests, meanMsOf(Counted));
+                   Key.first.empty() ? "(none)" : Key.first,
+                   LossKindNames.nameOf(Key.second.m_Kind), Key.second.m_Reason,
+                   Counted.m_Requests, meanMsOf(Counted));
   return Text;
 }
 
@@ -260,7 +265,7 @@
     Rows.push_back(
         {{"from", absl::ToDoubleSeconds(Key.m_Interval * m_Interval)},
          {"route", Key.m_Route},
-         {"outcome", Key.m_Outcome.m_Kind},
+         {"outcome", LossKindNames.nameOf(Key.m_Outcome.m_Kind)},
          {"reason", Key.m_Outcome.m_Reason},
          {"requests", Counted.m_Requests},
          {"mean_ms", meanMsOf(Counted)}});
--- a/libs/telemetry/tests/LossTableTest.cpp
+++ b/libs/telemetry/tests/LossTableTest.cpp
@@ -48,13 +48,13 @@
   LossTable Table({});
   read(Table, line(1, m_Served) + line(1, m_Served) + line(1, m_Late) +
                   line(2, m_Refused) + line(2, m_Unknown) + line(3, m_Failed));
-  EXPECT_EQ(Table.total({"served", ""}).m_Requests, 2U);
-  EXPECT_EQ(Table.total({"late", ""}).m_Requests, 1U);
-  EXPECT_EQ(Table.total({"refused", "overloaded"}).m_Requests, 1U);
-  EXPECT_EQ(Table.total({"refused", "overloaded"}).m_Held,
+  EXPECT_EQ(Table.total({LossKind::Served, ""}).m_Requests, 2U);
+  EXPECT_EQ(Table.total({LossKind::Late, ""}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Refused, "overloaded"}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Refused, "overloaded"}).m_Held,
             absl::Milliseconds(4));
-  EXPECT_EQ(Table.total({"failed", "outcome-unknown"}).m_Requests, 1U);
-  EXPECT_EQ(Table.total({"failed", "status 500"}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Failed, "outcome-unknown"}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Failed, "status 500"}).m_Requests, 1U);
   EXPECT_TRUE(Table.unreadable().empty());
 }
 
@@ -62,8 +62,8 @@
   LossTable Table({});
   read(Table,
        "daemon-7 " + line(1, m_Served) + "daemon-8 " + line(1, m_Refused));
-  EXPECT_EQ(Table.total({"served", ""}).m_Requests, 1U);
-  EXPECT_EQ(Table.total({"refused", "overloaded"}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Served, ""}).m_Requests, 1U);
+  EXPECT_EQ(Table.total({LossKind::Refused, "overloaded"}).m_Requests, 1U);
 }
 
 TEST_F(LossTableTest, Read_MalformedLines_AreCountedAndNamed) {
@@ -75,7 +75,7 @@
   ASSERT_EQ(Table.unreadable().size(), 1U);
   EXPECT_EQ(Table.unreadable()[0].m_Lines, 3U);
   EXPECT_EQ(Table.unreadable()[0].m_First, 2U);
-  EXPECT_EQ(Table.total({"served", ""}).m_Requests, 2U);
+  EXPECT_EQ(Table.total({LossKind::Served, ""}).m_Requests, 2U);
   EXPECT_THAT(Table.text(), HasSubstr("daemon-1.log: 3 lines"));
 }
 
@@ -85,7 +85,7 @@
   for (int Second = 0; Second < 600; ++Second)
     Text += line(Second, m_Served);
   read(Table, Text);
-  EXPECT_EQ(Table.total({"served", ""}).m_Requests, 600U);
+  EXPECT_EQ(Table.total({LossKind::Served, ""}).m_Requests, 600U);
   EXPECT_GT(Table.interval(), absl::Minutes(1));
   EXPECT_THAT(Table.text(), HasSubstr("Intervals were joined"));
 }
@@ -94,7 +94,7 @@
   LossTable Table({.m_MaxLineBytes = 512});
   read(Table, line(1, m_Served + " x=" + std::string(1 << 20, 'x')) +
                   line(2, m_Served));
-  EXPECT_EQ(Table.total({"served", ""}).m_Requests, 2U);
+  EXPECT_EQ(Table.total({LossKind::Served, ""}).m_Requests, 2U);
 }
 
 TEST_F(LossTableTest, Read_DroppedLines_AreTold) {
