--- a/libs/policy/tests/SlotSchedulerTest.cpp
+++ b/libs/policy/tests/SlotSchedulerTest.cpp
@@ -110,17 +110,15 @@
     return Begin + absl::Milliseconds(20 * Request);
   };
   std::vector<int> Answered(Requests);
-  std::vector<bool> IsLost(Requests);
   auto Call = [&](int Request) {
     SlotScheduler::Job Next{
         .m_Id = static_cast<std::uint64_t>(Request * CallsEach +
                                            Answered[Request] + 1),
         .m_CompleteBy = BeganAt(Request) + Deadline,
+        .m_RunBefore = BeganAt(Request) + Deadline,
     };
-    auto Verdict = m_Scheduler.offer(Next, m_Now);
-    if (Verdict == SlotScheduler::Verdict::Run)
+    if (m_Scheduler.offer(Next, m_Now) == SlotScheduler::Verdict::Run)
       m_Run.push_back(Next.m_Id);
-    IsLost[Request] = Verdict == SlotScheduler::Verdict::Refused;
   };
   int Complete = 0;
   for (int Step = 0; Step < 1'000; ++Step, m_Now += absl::Milliseconds(10)) {
