Review, case 2: a late heartbeat opens an upstream that has left

After a restart the daemon knows its upstream by a health check, without a start time; a report that brings one passes for a new instance and takes back that the upstream leaves.

--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,85 +1,86 @@
-// Clients that offer another protocol on their first request, as HTTP/1.1
-// allows, and go on with HTTP/1.1 as the daemon doesn't take up the offer.
+// A daemon is stopped and started again beside its upstream, which then leaves;
+// a beat that the upstream sent before it left arrives afterwards.
 #include "../standins/Standins.h"
 
-#include <poll.h>
+#include <csignal>
 
 namespace review {
 namespace {
 
-constexpr int Clients = 10;
+constexpr int Clients = 6;
 constexpr int DeadlineMs = 3000;
-constexpr const char *Offer =
-    "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
-    "HTTP2-Settings: AAMAAABkAAQBAAAAAAIAAAAA\r\n";
-/// Of the rule DENIED, without its share of all requests.
-constexpr int AllowedDenials = 5;
+constexpr Millis Pause{100};
+constexpr double DrainS = 2;
+constexpr Millis BeatLate{4000};
+constexpr Millis ServesOn{8000};
+constexpr const char *Path = "/orders/order-5";
 
-struct Outcome {
-  bool m_IsRun = false;   ///< The first request was served.
-  bool m_IsMixed = false; ///< An answer came while no request waited.
-  bool m_IsDenied = false;
-};
+void sendOn(Site &Machines, Record &Log, int Client,
+            const std::atomic<bool> &IsOver) {
+  // Clients of the two machines that are in touch all the while.
+  const Place &At =
+      Machines.daemon(1 + static_cast<std::size_t>(Client) % 2).place();
+  for (int Sent = 0; !IsOver; ++Sent) {
+    Socket Caller = Socket::connectTo(At.m_Address, Place::Callers);
+    std::string Id =
+        "order" + std::to_string(Client) + "." + std::to_string(Sent);
+    bool IsSent =
+        Caller.sendAll(requestText("POST", Path, Id, DeadlineMs, {}, "paid"));
+    auto Answer = Caller.readMessage(Millis(DeadlineMs));
+    Log.line("client on " + At.m_Name +
+             (IsSent ? " sent " : " couldn't send ") + Id + ", got " +
+             (Answer ? std::to_string(Answer->status()) : "no answer"));
+    sleepFor(Pause);
+  }
+}
 
-Outcome callTwice(Site &Machines, Record &Log, int Client) {
-  std::string Name = "client" + std::to_string(Client);
-  Socket Caller =
-      Socket::connectTo(Machines.daemon(0).place().m_Address, Place::Callers);
-  auto Call = [&](const std::string &Text, const std::string &Id) {
-    auto Answer = Caller.sendAll(Text) ? Caller.readMessage(Millis(DeadlineMs))
-                                       : std::nullopt;
-    Log.line(Name + " sent " + Id + ", got " +
-             (Answer ? Answer->m_Start + ", Attempt-Id \"" +
-                           Answer->header("Attempt-Id") + "\", Connection \"" +
-                           Answer->header("Connection") + "\""
-                     : "no answer"));
-    return Answer;
-  };
-  Outcome Seen;
-  std::string First = Name + ".read";
-  auto Answer = Call(requestText("GET", "/reads/page-100", First, DeadlineMs,
-                                 isTroubled() ? Offer : ""),
-                     First);
-  Seen.m_IsRun = Answer && Answer->status() == 200 &&
-                 Answer->header("Attempt-Id") == First &&
-                 Answer->header("Connection").empty();
-  // No request waits on this connection now.
-  pollfd Poll{.fd = Caller.fd(), .events = POLLIN, .revents = 0};
-  constexpr int WaitMs = 200;
-  bool HasMore = ::poll(&Poll, 1, WaitMs) > 0;
-  if (HasMore)
-    Log.line(Name + ": bytes have come, though no request waits");
-  std::string Second = Name + ".order";
-  Answer = Call(
-      requestText("POST", "/orders/order-100", Second, DeadlineMs, {}, "paid"),
-      Second);
-  Seen.m_IsMixed = HasMore && Answer.has_value();
-  Seen.m_IsDenied = Answer && Answer->status() == 400;
-  Log.line(Name + ": the order was " +
-           (Machines.runsOf(Second).empty() ? "not run" : "run"));
-  return Seen;
+/// Stops the daemon of sidecar-1 as the platform does, and starts it again.
+bool restart(Daemon &Stopped, Record &Log) {
+  Log.line("SIGTERM to the daemon of sidecar-1; its upstream runs on");
+  Stopped.signal(SIGTERM);
+  auto Grace = Clock::now() + Millis(6000);
+  while (!Stopped.ended()) {
+    if (Clock::now() > Grace)
+      Stopped.signal(SIGKILL);
+    sleepFor(Millis(5));
+  }
+  Log.line("the daemon of sidecar-1 has ended; it is started again");
+  Stopped.start();
+  return Stopped.awaitReady(Millis(5000));
 }
 
 int runCase(const std::string &Program, Record &Log) {
-  Site Machines(Program,
-                {{"reads", "idempotent", "archive"},
-                 {"orders", "non_idempotent", "archive"}},
-                {"archive", "archive", "archive"}, 5, Log);
+  Site Machines(Program, {{"orders", "non_idempotent", "orders"}},
+                {"orders", "orders", "orders"}, 5, Log);
   if (!Machines.awaitServing())
     return NotRunStatus;
-  int Mixed = 0;
-  int Denied = 0;
-  for (int Client = 0; Client < Clients; ++Client) {
-    Outcome Seen = callTwice(Machines, Log, Client);
-    if (!Seen.m_IsRun)
-      return NotRunStatus;
-    Mixed += Seen.m_IsMixed ? 1 : 0;
-    Denied += Seen.m_IsDenied ? 1 : 0;
+  Upstream &Leaving = Machines.upstream(0);
+  std::atomic<bool> IsOver{false};
+  std::vector<std::thread> Callers;
+  Callers.reserve(Clients);
+  for (int Client = 0; Client < Clients; ++Client)
+    Callers.emplace_back(
+        [&, Client] { sendOn(Machines, Log, Client, IsOver); });
+  sleepFor(Millis(500));
+  bool IsReady = true;
+  if (isTroubled()) {
+    IsReady = restart(Machines.daemon(0), Log);
+    Leaving.delayNextBeat(BeatLate);
   }
-  Log.line(std::to_string(Mixed) + " answers came while no request waited; " +
-           std::to_string(Denied) + " proper requests were answered 400 (" +
-           std::to_string(AllowedDenials) + " are allowed)");
-  return Mixed > 0 || Denied > AllowedDenials ? BrokenStatus : HeldStatus;
+  sleepFor(Millis(1600)); // A beat has been sent since.
+  double Acknowledged = Leaving.leave();
+  sleepFor(ServesOn);
+  IsOver = true;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  if (!IsReady || Acknowledged == 0)
+    return NotRunStatus;
+  int Late = 0;
+  for (const Upstream::Run &Run : Leaving.runs())
+    Late += Run.m_Began > Acknowledged + DrainS ? 1 : 0;
+  Log.line(std::to_string(Late) + " orders reached the upstream more than " +
+           std::to_string(DrainS) + " s after its leaving was acknowledged");
+  return Late > 0 ? BrokenStatus : HeldStatus;
 }
 
 } // namespace
--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -418,6 +418,8 @@
 Upstream::~Upstream() {
   m_IsStopping = true;
   m_Beats.join();
+  if (m_LateBeat.joinable())
+    m_LateBeat.join();
 }
 
 std::vector<Upstream::Run> Upstream::runs() {
@@ -425,41 +427,77 @@
   return m_Runs;
 }
 
+bool Upstream::report(std::uint64_t Sequence) {
+  std::ostringstream Body;
+  Body << R"({"address":)" << quoted(m_Place.m_Address, Place::Target)
+       << R"(,"born":)" << m_Born << R"(,"info":{"service":")"
+       << m_Place.m_Service << R"(","version":"v1","zone":")" << m_Place.m_Zone
+       << R"(","slots":)" << Slots
+       << R"(},"status":{"state":"ready","sequence":)" << Sequence
+       << R"(,"coldRemainingS":0}})";
+  return tellControl("PUT", Body.str());
+}
+
+bool Upstream::tellControl(const std::string &Method, const std::string &Body) {
+  Socket Control = Socket::connectTo(m_Place.m_Address, Place::Control);
+  if (!Control.isOpen() ||
+      !Control.sendAll(join({Method, " /v1/instances/", m_Id,
+                             " HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                             "application/json\r\nConnection: close\r\n"
+                             "Content-Length: ",
+                             std::to_string(Body.size()), "\r\n\r\n", Body})))
+    return false;
+  auto Answer = Control.readMessage(Millis(1000));
+  return Answer && Answer->status() / 100 == 2;
+}
+
 void Upstream::beat() {
-  std::uint64_t Sequence = 0;
-  bool IsAcknowledged = false;
+  auto Next = Clock::now();
   while (!m_IsStopping) {
-    std::ostringstream Body;
-    Body << R"({"address":)" << quoted(m_Place.m_Address, Place::Target)
-         << R"(,"born":)" << m_Born << R"(,"info":{"service":")"
-         << m_Place.m_Service << R"(","version":"v1","zone":")"
-         << m_Place.m_Zone << R"(","slots":)" << Slots
-         << R"(},"status":{"state":"ready","sequence":)" << ++Sequence
-         << R"(,"coldRemainingS":0}})";
-    std::string Text = Body.str();
-    Socket Control = Socket::connectTo(m_Place.m_Address, Place::Control);
-    IsAcknowledged =
-        Control.isOpen() &&
-        Control.sendAll("PUT /v1/instances/" + m_Id +
-                        " HTTP/1.1\r\nHost: control\r\nContent-Type: "
-                        "application/json\r\nConnection: close\r\n"
-                        "Content-Length: " +
-                        std::to_string(Text.size()) + "\r\n\r\n" + Text) &&
-        Control.readMessage(Millis(1000)).has_value();
-    auto Until = Clock::now() + (IsAcknowledged ? BeatInterval : Millis(100));
-    while (!m_IsStopping && Clock::now() < Until)
-      sleepFor(Millis(20));
+    if (m_IsLeaving || Clock::now() < Next) {
+      sleepFor(Millis(10));
+      continue;
+    }
+    std::uint64_t Sequence = ++m_Sequence;
+    Next = Clock::now() + BeatInterval;
+    Millis Late(m_NextBeatLateMs.exchange(0));
+    if (Late.count() == 0) {
+      if (!report(Sequence))
+        Next = Clock::now() + Millis(100);
+      continue;
+    }
+    m_Record.line(join({"upstream ", m_Id, " sends beat ",
+                        std::to_string(Sequence), ", which comes late"}));
+    m_LateBeat = std::thread([this, Sequence, Late] {
+      sleepFor(Late);
+      bool IsTaken = !m_IsStopping && report(Sequence);
+      m_Record.line(
+          join({"beat ", std::to_string(Sequence), " of ", m_Id,
+                " arrives, ready; acknowledged: ", IsTaken ? "yes" : "no"}));
+    });
   }
 }
 
+double Upstream::leave() {
+  m_IsLeaving = true;
+  m_Record.line(join({"upstream ", m_Id, " leaves: DELETE"}));
+  if (!tellControl("DELETE", ""))
+    return 0;
+  double Acknowledged = now();
+  m_Record.line(join({"the leaving of ", m_Id, " is acknowledged"}));
+  return Acknowledged;
+}
+
 void Upstream::talk(Socket &Peer) {
   while (auto Request = Peer.readMessage()) {
     std::string Expected = Request->header("Expected-Instance");
     std::string Instance = join({"Instance-Id: ", m_Id, "\r\n"});
     bool IsOther = !Expected.empty() && Expected != m_Id;
     bool GoesOn = false;
+    int HealthStatus = m_IsLeaving ? 503 : 200;
     if (IsOther || Request->word(1) == "/health")
-      GoesOn = Peer.sendAll(responseText(IsOther ? 421 : 200, Instance, ""));
+      GoesOn = Peer.sendAll(
+          responseText(IsOther ? 421 : HealthStatus, Instance, ""));
     else
       GoesOn = work(Peer, *Request);
     if (!GoesOn)
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -183,6 +183,13 @@
   ~Upstream();
   Upstream(const Upstream &) = delete;
   Upstream &operator=(const Upstream &) = delete;
+  /// The next beat is sent in time and arrives so much later.
+  void delayNextBeat(Millis Late) {
+    m_NextBeatLateMs = static_cast<int>(Late.count());
+  }
+  /// Sends no more beats, says that it is gone, and serves on. \returns when
+  /// that was acknowledged; 0: it was not.
+  double leave();
   /// \returns what it has begun to work on.
   [[nodiscard]] std::vector<Run> runs();
 
@@ -191,6 +198,9 @@
   /// Runs and answers a request. \returns whether the connection goes on.
   bool work(const Socket &Peer, const Message &Request);
   void beat();
+  [[nodiscard]] bool report(std::uint64_t Sequence);
+  [[nodiscard]] bool tellControl(const std::string &Method,
+                                 const std::string &Body);
 
   Place m_Place;
   Record &m_Record;
@@ -199,6 +209,10 @@
   std::mutex m_Mutex;
   std::vector<Run> m_Runs;
   std::atomic<bool> m_IsStopping{false};
+  std::atomic<bool> m_IsLeaving{false};
+  std::atomic<int> m_NextBeatLateMs{0};
+  std::uint64_t m_Sequence = 0;
+  std::thread m_LateBeat;
   Server m_Server;
   std::thread m_Beats;
 };
@@ -269,6 +283,9 @@
   [[nodiscard]] std::size_t machines() const { return m_Daemons.size(); }
   /// \returns what upstreams began of one attempt.
   [[nodiscard]] std::vector<Upstream::Run> runsOf(const std::string &AttemptId);
+  [[nodiscard]] Upstream &upstream(std::size_t Index) {
+    return *m_Upstreams[Index];
+  }
   /// The upstream of a machine crashes.
   void endUpstream(std::size_t Index);
   Upstream &startUpstream(std::size_t Index, const std::string &Service,
