--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -439,13 +439,14 @@
 }
 
 bool Upstream::tellControl(const std::string &Method, const std::string &Body) {
+  std::ostringstream Text;
+  Text << Method << " /v1/instances/" << m_Id
+       << " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
+          "Connection: close\r\nContent-Length: "
+       << Body.size() << "\r\n\r\n"
+       << Body;
   Socket Control = Socket::connectTo(m_Place.m_Address, Place::Control);
-  if (!Control.isOpen() ||
-      !Control.sendAll(join({Method, " /v1/instances/", m_Id,
-                             " HTTP/1.1\r\nHost: control\r\nContent-Type: "
-                             "application/json\r\nConnection: close\r\n"
-                             "Content-Length: ",
-                             std::to_string(Body.size()), "\r\n\r\n", Body})))
+  if (!Control.isOpen() || !Control.sendAll(Text.str()))
     return false;
   auto Answer = Control.readMessage(Millis(1000));
   return Answer && Answer->status() / 100 == 2;
