Review: stand-ins pass the repository's linter

The linter's script ends without a word on a file that includes no header of the project; the stand-ins use the project's type of an address.

--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -21,7 +21,7 @@
   const Place &At = Machines.daemon(Machine).place();
   int Sent = 0;
   while (!IsOver) {
-    Socket Caller = Socket::connectTo(At.m_Address, Place::Callers);
+    Socket Caller = Socket::connectTo(At.at(Place::Callers));
     std::string Id =
         "order" + std::to_string(Client) + "." + std::to_string(++Sent);
     bool IsSent = Caller.sendAll(
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -21,7 +21,7 @@
   const Place &At =
       Machines.daemon(1 + static_cast<std::size_t>(Client) % 2).place();
   for (int Sent = 0; !IsOver; ++Sent) {
-    Socket Caller = Socket::connectTo(At.m_Address, Place::Callers);
+    Socket Caller = Socket::connectTo(At.at(Place::Callers));
     std::string Id =
         "order" + std::to_string(Client) + "." + std::to_string(Sent);
     bool IsSent =
--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -20,8 +20,8 @@
 /// the connection closes, and closes it then, as clients do.
 Outcome callPipelined(Site &Machines, Record &Log, int Client) {
   std::string Name = "client" + std::to_string(Client);
-  std::string At = Machines.daemon(0).place().m_Address;
-  Socket Caller = Socket::connectTo(At, Place::Callers);
+  Socket Caller =
+      Socket::connectTo(Machines.daemon(0).place().at(Place::Callers));
   auto Send = [&](const std::string &Id, const std::string &Path) {
     Log.line(Name + " sends " + Id + " GET " + Path);
     return Caller.sendAll(
--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -31,12 +31,12 @@
 constexpr int Slots = 36;
 const Clock::time_point Began = Clock::now();
 
-sockaddr_in addressOf(const std::string &Address, int Port) {
+sockaddr_in addressOf(const Endpoint &Of) {
   sockaddr_in At{};
   At.sin_family = AF_INET;
-  At.sin_port = htons(static_cast<std::uint16_t>(Port));
-  if (::inet_pton(AF_INET, Address.c_str(), &At.sin_addr) != 1)
-    throw std::runtime_error("not an address: " + Address);
+  At.sin_port = htons(Of.m_Port);
+  if (::inet_pton(AF_INET, Of.m_Address.c_str(), &At.sin_addr) != 1)
+    throw std::runtime_error("not an address: " + Of.m_Address);
   return At;
 }
 
@@ -97,8 +97,8 @@
   return Text;
 }
 
-std::string quoted(const std::string &Address, int Port) {
-  return "\"" + Address + ":" + std::to_string(Port) + "\"";
+std::string quoted(const Endpoint &Of) {
+  return "\"" + Of.m_Address + ":" + std::to_string(Of.m_Port) + "\"";
 }
 
 } // namespace
@@ -155,24 +155,24 @@
 
 Socket::~Socket() { close(); }
 
-Socket Socket::connectTo(const std::string &Address, int Port) {
+Socket Socket::connectTo(const Endpoint &To) {
   Socket Made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  sockaddr_in At = addressOf(Address, Port);
+  sockaddr_in At = addressOf(To);
   if (::connect(Made.fd(), reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0)
     return {};
   setNoDelay(Made.fd());
   return Made;
 }
 
-Socket Socket::listenAt(const std::string &Address, int Port) {
+Socket Socket::listenAt(const Endpoint &Own) {
   constexpr int Backlog = 512;
   Socket Made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   int One = 1;
   ::setsockopt(Made.fd(), SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
-  sockaddr_in At = addressOf(Address, Port);
+  sockaddr_in At = addressOf(Own);
   if (::bind(Made.fd(), reinterpret_cast<sockaddr *>(&At), sizeof(At)) != 0 ||
       ::listen(Made.fd(), Backlog) != 0)
-    throw std::runtime_error("cannot listen on " + Address);
+    throw std::runtime_error("cannot listen on " + Own.m_Address);
   return Made;
 }
 
@@ -255,8 +255,8 @@
     ::close(std::exchange(m_Fd, -1));
 }
 
-Server::Server(const std::string &Address, int Port, Talk OnConnection)
-    : m_Listener(Socket::listenAt(Address, Port)),
+Server::Server(const Endpoint &Own, Talk OnConnection)
+    : m_Listener(Socket::listenAt(Own)),
       m_OnConnection(std::move(OnConnection)), m_Acceptor([this] {
         while (true) {
           auto Peer = std::make_shared<Socket>(m_Listener.acceptOne());
@@ -291,8 +291,8 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-Store::Store(const std::string &Address, int Port)
-    : m_Server(Address, Port, [this](Socket &Peer) { talk(Peer); }) {}
+Store::Store(const Endpoint &Own)
+    : m_Server(Own, [this](Socket &Peer) { talk(Peer); }) {}
 
 Store::~Store() {
   std::lock_guard Lock(m_Mutex);
@@ -376,13 +376,12 @@
   Text << "[daemon]\nname = \"" << m_Name << "\"\ndata_center = \"" << m_Zone
        << "\"\nregion = \"region-a\"\nfirst_start = "
        << (m_IsFirstStart ? "true" : "false") << "\n\n[target]\nservice = \""
-       << m_Service << "\"\naddress = " << quoted(m_Address, Target)
-       << "\n\n[listen]\ncallers = " << quoted(m_Address, Callers)
-       << "\nlinks = " << quoted(m_Address, Links)
-       << "\nready = " << quoted(m_Address, Ready)
-       << "\ncontrol = " << quoted(m_Address, Control)
-       << "\nmetrics = " << quoted(m_Address, Metrics)
-       << "\n\n[store]\naddress = " << quoted(m_StoreAddress, StorePort)
+       << m_Service << "\"\naddress = " << quoted(at(Target))
+       << "\n\n[listen]\ncallers = " << quoted(at(Callers))
+       << "\nlinks = " << quoted(at(Links)) << "\nready = " << quoted(at(Ready))
+       << "\ncontrol = " << quoted(at(Control))
+       << "\nmetrics = " << quoted(at(Metrics))
+       << "\n\n[store]\naddress = " << quoted({m_StoreAddress, StorePort})
        << "\n\n[limits]\nmemory_mb = " << m_MemoryMb
        << "\ndescriptors = 4100\n\n[stop]\ngrace_s = " << m_GraceS
        << "\n\n[repeats]\nratio = 0.2\n\n[placement]\nleave = \"fixed\"\n"
@@ -411,8 +410,7 @@
       m_Born(std::chrono::duration_cast<Millis>(
                  std::chrono::system_clock::now().time_since_epoch())
                  .count()),
-      m_Server(m_Place.m_Address, Place::Target,
-               [this](Socket &Peer) { talk(Peer); }),
+      m_Server(m_Place.at(Place::Target), [this](Socket &Peer) { talk(Peer); }),
       m_Beats([this] { beat(); }) {}
 
 Upstream::~Upstream() {
@@ -429,11 +427,10 @@
 
 bool Upstream::report(std::uint64_t Sequence) {
   std::ostringstream Body;
-  Body << R"({"address":)" << quoted(m_Place.m_Address, Place::Target)
-       << R"(,"born":)" << m_Born << R"(,"info":{"service":")"
-       << m_Place.m_Service << R"(","version":"v1","zone":")" << m_Place.m_Zone
-       << R"(","slots":)" << Slots
-       << R"(},"status":{"state":"ready","sequence":)" << Sequence
+  Body << R"({"address":)" << quoted(m_Place.at(Place::Target)) << R"(,"born":)"
+       << m_Born << R"(,"info":{"service":")" << m_Place.m_Service
+       << R"(","version":"v1","zone":")" << m_Place.m_Zone << R"(","slots":)"
+       << Slots << R"(},"status":{"state":"ready","sequence":)" << Sequence
        << R"(,"coldRemainingS":0}})";
   return tellControl("PUT", Body.str());
 }
@@ -445,7 +442,7 @@
           "Connection: close\r\nContent-Length: "
        << Body.size() << "\r\n\r\n"
        << Body;
-  Socket Control = Socket::connectTo(m_Place.m_Address, Place::Control);
+  Socket Control = Socket::connectTo(m_Place.at(Place::Control));
   if (!Control.isOpen() || !Control.sendAll(Text.str()))
     return false;
   auto Answer = Control.readMessage(Millis(1000));
@@ -602,7 +599,7 @@
 bool Daemon::awaitReady(Millis Longest) const {
   auto Until = Clock::now() + Longest;
   while (Clock::now() < Until) {
-    Socket Probe = Socket::connectTo(m_Place.m_Address, Place::Ready);
+    Socket Probe = Socket::connectTo(m_Place.at(Place::Ready));
     if (Probe.isOpen() &&
         Probe.sendAll("GET /v1/readiness HTTP/1.1\r\nHost: ready\r\n"
                       "Connection: close\r\n\r\n")) {
@@ -672,7 +669,7 @@
            const std::vector<std::string> &Services, double TimeoutS,
            Record &Log)
     : m_Routes(Routes),
-      m_Store(placeOf(1, "").m_StoreAddress, Place::StorePort) {
+      m_Store({placeOf(1, "").m_StoreAddress, Place::StorePort}) {
   m_Store.put("keyed.op", "config", configText(Routes, TimeoutS));
   int Index = 0;
   for (const std::string &Service : Services) {
@@ -693,8 +690,8 @@
     std::size_t Served = 0;
     std::size_t Wanted = 4 * m_Routes.size();
     while (Served < Wanted && Clock::now() < Until) {
-      Socket Caller = Socket::connectTo(m_Daemons[Index]->place().m_Address,
-                                        Place::Callers);
+      Socket Caller =
+          Socket::connectTo(m_Daemons[Index]->place().at(Place::Callers));
       std::string Id = "warm-up-" + std::to_string(Index);
       const Route &Next = m_Routes[Served % m_Routes.size()];
       bool IsServed =
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -4,6 +4,8 @@
 #ifndef REVIEW_STANDINS_H
 #define REVIEW_STANDINS_H
 
+#include "model/Endpoint.h"
+
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -22,6 +24,7 @@
 
 namespace review {
 
+using knapweedloft::model::Endpoint;
 using Clock = std::chrono::steady_clock;
 using Millis = std::chrono::milliseconds;
 
@@ -65,8 +68,8 @@
   Socket &operator=(Socket &&Other) noexcept;
   ~Socket();
 
-  static Socket connectTo(const std::string &Address, int Port);
-  static Socket listenAt(const std::string &Address, int Port);
+  static Socket connectTo(const Endpoint &To);
+  static Socket listenAt(const Endpoint &Own);
 
   [[nodiscard]] bool isOpen() const { return m_Fd >= 0; }
   [[nodiscard]] int fd() const { return m_Fd; }
@@ -91,7 +94,7 @@
 class Server {
 public:
   using Talk = std::function<void(Socket &)>;
-  Server(const std::string &Address, int Port, Talk OnConnection);
+  Server(const Endpoint &Own, Talk OnConnection);
   ~Server();
   Server(const Server &) = delete;
   Server &operator=(const Server &) = delete;
@@ -111,7 +114,7 @@
 /// The platform's store: a log with topics of one partition.
 class Store {
 public:
-  Store(const std::string &Address, int Port);
+  explicit Store(const Endpoint &Own);
   ~Store();
   Store(const Store &) = delete;
   Store &operator=(const Store &) = delete;
@@ -148,14 +151,17 @@
   double m_GraceS = 6;
   int m_MemoryMb = 260;
 
-  static constexpr int Callers = 7001;
-  static constexpr int Links = 7002;
-  static constexpr int Ready = 7003;
-  static constexpr int Control = 7004;
-  static constexpr int Metrics = 7005;
-  static constexpr int Target = 7006;
-  static constexpr int StorePort = 7007;
+  static constexpr std::uint16_t Callers = 7001;
+  static constexpr std::uint16_t Links = 7002;
+  static constexpr std::uint16_t Ready = 7003;
+  static constexpr std::uint16_t Control = 7004;
+  static constexpr std::uint16_t Metrics = 7005;
+  static constexpr std::uint16_t Target = 7006;
+  static constexpr std::uint16_t StorePort = 7007;
 
+  [[nodiscard]] Endpoint at(std::uint16_t Port) const {
+    return {m_Address, Port};
+  }
   /// \returns the settings file as the platform fills in
   /// deploy/settings.toml.
   [[nodiscard]] std::string settings() const;
