Review, case 2: all heartbeats after the restart are late

Cause: a heartbeat in time, between the start of the daemon and the late one, would have hidden the fault. Done: the upstream's heartbeats are late from the end of the daemon on.

--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -34,8 +34,9 @@
   }
 }
 
-/// Stops the daemon of sidecar-1 as the platform does, and starts it again.
-bool restart(Daemon &Stopped, Record &Log) {
+/// Stops the daemon of sidecar-1 as the platform does, and starts it again. The
+/// beats of its upstream come late from then on.
+bool restart(Daemon &Stopped, Upstream &Beside, Record &Log) {
   Log.line("SIGTERM to the daemon of sidecar-1; its upstream runs on");
   Stopped.signal(SIGTERM);
   auto Grace = Clock::now() + Millis(6000);
@@ -44,6 +45,7 @@
       Stopped.signal(SIGKILL);
     sleepFor(Millis(5));
   }
+  Beside.delayBeats(BeatLate);
   Log.line("the daemon of sidecar-1 has ended; it is started again");
   Stopped.start();
   return Stopped.awaitReady(Millis(5000));
@@ -63,10 +65,8 @@
         [&, Client] { sendOn(Machines, Log, Client, IsOver); });
   sleepFor(Millis(500));
   bool IsReady = true;
-  if (isTroubled()) {
-    IsReady = restart(Machines.daemon(0), Log);
-    Leaving.delayNextBeat(BeatLate);
-  }
+  if (isTroubled())
+    IsReady = restart(Machines.daemon(0), Leaving, Log);
   sleepFor(Millis(1600)); // A beat has been sent since.
   double Acknowledged = Leaving.leave();
   sleepFor(ServesOn);
--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -416,8 +416,8 @@
 Upstream::~Upstream() {
   m_IsStopping = true;
   m_Beats.join();
-  if (m_LateBeat.joinable())
-    m_LateBeat.join();
+  for (std::thread &Each : m_LateBeats)
+    Each.join();
 }
 
 std::vector<Upstream::Run> Upstream::runs() {
@@ -458,7 +458,7 @@
     }
     std::uint64_t Sequence = ++m_Sequence;
     Next = Clock::now() + BeatInterval;
-    Millis Late(m_NextBeatLateMs.exchange(0));
+    Millis Late(m_BeatsLateMs);
     if (Late.count() == 0) {
       if (!report(Sequence))
         Next = Clock::now() + Millis(100);
@@ -466,7 +466,7 @@
     }
     m_Record.line(join({"upstream ", m_Id, " sends beat ",
                         std::to_string(Sequence), ", which comes late"}));
-    m_LateBeat = std::thread([this, Sequence, Late] {
+    m_LateBeats.emplace_back([this, Sequence, Late] {
       sleepFor(Late);
       bool IsTaken = !m_IsStopping && report(Sequence);
       m_Record.line(
--- a/review/standins/Standins.h
+++ b/review/standins/Standins.h
@@ -189,9 +189,9 @@
   ~Upstream();
   Upstream(const Upstream &) = delete;
   Upstream &operator=(const Upstream &) = delete;
-  /// The next beat is sent in time and arrives so much later.
-  void delayNextBeat(Millis Late) {
-    m_NextBeatLateMs = static_cast<int>(Late.count());
+  /// Beats that are sent from now on arrive so much later.
+  void delayBeats(Millis Late) {
+    m_BeatsLateMs = static_cast<int>(Late.count());
   }
   /// Sends no more beats, says that it is gone, and serves on. \returns when
   /// that was acknowledged; 0: it was not.
@@ -216,9 +216,9 @@
   std::vector<Run> m_Runs;
   std::atomic<bool> m_IsStopping{false};
   std::atomic<bool> m_IsLeaving{false};
-  std::atomic<int> m_NextBeatLateMs{0};
+  std::atomic<int> m_BeatsLateMs{0};
   std::uint64_t m_Sequence = 0;
-  std::thread m_LateBeat;
+  std::vector<std::thread> m_LateBeats;
   Server m_Server;
   std::thread m_Beats;
 };
