A late report no longer takes back a leaving

Cause: after a restart the daemon knows its target by a health check, without start time or sequence. TargetState took any report with a start time for one of another start then, and forgot the leaving. A DELETE of an instance that was not the present one was acknowledged and forgotten as well.

Change: a leaving is kept by instance and start; where the start is not known, a start before the acknowledgement counts as the one that left. A first start time is no new start. A draining report that cannot be placed closes the target until a health check that began after it. Entry sides drop a notice of a leaving without a start once the same daemon says that the target is open under a known start. Reports that change nothing are logged with what they were compared with.

Why it works: each acknowledgement records the leaving first, and only a later start removes it, so that the order of arrival does not matter.

Ruled out: peers and the store, which open nothing by themselves; a daemon killed after its acknowledgement, whose successor asks the target first.

--- a/libs/mesh/include/mesh/TargetNotices.h
+++ b/libs/mesh/include/mesh/TargetNotices.h
@@ -27,9 +27,9 @@
 /// \endcode
 class TargetNotices {
 public:
-  /// An answer came from the daemon named \p Daemon. \returns whether the
-  /// target was not known before to leave.
-  bool onAnswer(const std::string &Daemon, const wire::AnswerT &Answer,
+  /// An answer came from \p Daemon. \returns whether the target was not known
+  /// before to leave.
+  bool onAnswer(const model::Member &Daemon, const wire::AnswerT &Answer,
                 absl::Time Now);
 
   /// \returns whether \p Target has said that it leaves.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -65,6 +65,8 @@
         m_OnCrash;
     /// The target completed a request. Null: not reported.
     std::function<void(model::Fingerprint, absl::Time Now)> m_OnCompleted;
+    /// \returns the Unix time. Null: unknown.
+    std::function<absl::Time()> m_UnixNow;
   };
 
   struct Options {
@@ -74,6 +76,8 @@
     model::Endpoint m_At; ///< Address of the local target.
     HeaderNames m_HeaderNames;
     bool m_IsRestart = false;
+    /// Unix time at which this process started; infinitely late: unknown.
+    absl::Time m_ProcessStart = absl::InfiniteFuture();
     policy::SlotScheduler::Options m_Scheduler;
     policy::AdmittedShareController::Options m_ShareController;
     /// A health check without an answer fails after this time.
@@ -256,6 +260,8 @@
   /// Takes from an answer of \p Instance whether it leaves.
   void applyNamedLeave(const http::HttpResponse &Response,
                        const std::string &Instance, absl::Time Now);
+  /// The present instance has said in an answer that it leaves.
+  void onNamedLeave(absl::Time Now);
   /// Takes over what an entry side remembers of the target.
   void adoptNotice(const wire::ForwardT &Message, absl::Time Now);
   /// \p At: when the target named it.
@@ -274,7 +280,8 @@
   void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
   void updatePace(absl::Time Now);
   void beginHealthCheck(absl::Time Now);
-  void onHealthCheckDone(const http::HttpResult &Result, absl::Time Now);
+  void onHealthCheckDone(const http::HttpResult &Result, absl::Time Began,
+                         absl::Time Now);
   /// Takes over what the roll-out says.
   void applyRollout(absl::Time Now);
 
--- a/libs/mesh/include/mesh/TargetReport.h
+++ b/libs/mesh/include/mesh/TargetReport.h
@@ -27,6 +27,8 @@
   std::uint64_t m_Sequence = 0; ///< Increases with each report of an instance.
   std::int64_t m_StartTimeMs = 0; ///< Unix time of the start; 0: not reported.
   absl::Duration m_ColdRemaining; ///< Time for which the target stays cold.
+  /// Unix time of its arrival; infinitely late: unknown.
+  absl::Time m_ReceivedAt = absl::InfiniteFuture();
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -5,7 +5,9 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 
 namespace knapweedloft::mesh {
@@ -34,8 +36,11 @@
 ///
 /// Reports may arrive late, out of order, from earlier instances of the target
 /// or from other targets: the start time orders instances, the sequence number
-/// orders the reports of one instance. Once a target has said that it leaves,
-/// only a later instance opens it again. Not thread-safe.
+/// orders the reports of one instance. A leaving that was acknowledged holds
+/// for its instance also if no report of that instance was known then, and only
+/// a later start opens the target again. Where the start time of a leaving
+/// instance is unknown, starts before its leaving count as the same. Not
+/// thread-safe.
 class TargetState {
 public:
   struct Options {
@@ -44,23 +49,32 @@
     /// A report alone does not open a target that ran before this process
     /// started: a previous process may have acknowledged that it leaves.
     bool m_NeedsCheck = false;
+    /// Unix time at which this process started. Instances that started later
+    /// have not said to an earlier process that they leave.
+    absl::Time m_ProcessStart = absl::InfiniteFuture();
   };
 
-  /// What became of a report. Foreign: of another service or address.
+  /// What became of a report. Outdated: it says nothing of the present
+  /// instance. Foreign: of another service or address.
   enum class ReportResult : std::uint8_t { Accepted, Outdated, Foreign };
 
+  static constexpr model::NameTable<ReportResult, 3> ReportResultNames{
+      {"accepted", "outdated", "foreign"}};
+
   explicit TargetState(Options Settings)
       : m_Settings(std::move(Settings)), m_NeedsCheck(m_Settings.m_NeedsCheck) {
   }
 
   ReportResult onReport(const TargetReport &Report, absl::Time Now);
-  /// A health check of \p Instance succeeded or failed.
+  /// A health check of \p Instance, which began at \p Began, succeeded or
+  /// failed.
   void onHealthCheck(const std::string &Instance, bool IsHealthy,
-                     absl::Time Now);
+                     absl::Time Began);
   /// \p Instance answered a request that was sent to another instance.
   void onUnexpectedInstance(const std::string &Instance);
   /// The target said in an answer of its present instance that it leaves.
-  void onLeaving() { m_IsLeaving = true; }
+  /// \param At Unix time; infinitely late: unknown.
+  void onLeaving(absl::Time At);
   /// The target refused a connection.
   void onConnectionRefused();
   void setWithdrawn(bool IsWithdrawn);
@@ -83,10 +97,33 @@
   [[nodiscard]] std::int64_t startTimeMs() const { return m_StartTimeMs; }
 
 private:
+  /// An instance that has said that it leaves.
+  struct LeftInstance {
+    std::string m_Instance;
+    std::int64_t m_StartTimeMs = 0; ///< 0: unknown.
+    absl::Time m_At;                ///< Unix time of its leaving.
+  };
+
+  /// Late reports of more instances than this are not expected.
+  static constexpr std::size_t MaxLeftInstances = 16;
+
   [[nodiscard]] bool isOutdated(const TargetReport &Report) const;
+  /// \returns whether the start of \p Instance at \p StartTimeMs (0: unknown)
+  /// is one that has said that it leaves.
+  [[nodiscard]] bool hasLeft(const std::string &Instance,
+                             std::int64_t StartTimeMs) const;
+  void addLeft(const std::string &Instance, std::int64_t StartTimeMs,
+               absl::Time At);
+  /// A leaving of an instance that is not known to be the present one.
+  ReportResult onLeavingOfOther(const TargetReport &Report, absl::Time Now);
+  /// Sets the present instance. What was known of the former one is dropped.
+  void setInstance(const std::string &Instance, std::int64_t StartTimeMs);
 
   Options m_Settings;
   bool m_NeedsCheck;
+  /// Health checks that began before this do not open the target.
+  absl::Time m_DoubtedAt = absl::InfinitePast();
+  std::deque<LeftInstance> m_Left;
   std::string m_Instance; ///< Empty: unknown.
   std::int64_t m_StartTimeMs = 0;
   std::uint64_t m_Sequence = 0;
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -46,7 +46,7 @@
                                absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
   Request.m_IsSent = false;
-  if (m_Notices.onAnswer(Request.m_To.m_Name, Answer, Now)) {
+  if (m_Notices.onAnswer(Request.m_To, Answer, Now)) {
     m_Log.state("A target leaves.", {{"target", Request.m_To.m_Name},
                                      {"instance", Answer.notice->instance},
                                      {"id", Request.m_CallId}});
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -412,7 +412,9 @@
 
 TargetState::ReportResult
 Node::Impl::onTargetReport(const TargetReport &Report) {
-  return m_Target->onReport(Report, io::monotonicNow());
+  TargetReport Received = Report;
+  Received.m_ReceivedAt = absl::Now();
+  return m_Target->onReport(Received, io::monotonicNow());
 }
 
 bool Node::Impl::isReady() const {
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -219,6 +219,8 @@
   Options.m_At = m_Settings.m_Target;
   Options.m_HeaderNames = m_Settings.m_HeaderNames;
   Options.m_IsRestart = m_Settings.m_IsRestart;
+  Options.m_ProcessStart = absl::Now();
+  Options.m_Hooks.m_UnixNow = [] { return absl::Now(); };
   Options.m_Rollout = m_Rollouts ? &m_Rollouts->target() : nullptr;
   Options.m_Hooks.m_Answer = [this](link::PeerHandle To, wire::AnswerT Answer) {
     answer(To, std::move(Answer));
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -68,8 +68,23 @@
 TargetState::ReportResult TargetPath::onReport(const TargetReport &Report,
                                                absl::Time Now) {
   TargetState::ReportResult Result = m_State.onReport(Report, Now);
-  if (Result != TargetState::ReportResult::Accepted)
+  if (Result != TargetState::ReportResult::Accepted) {
+    m_Log.notable(
+        "A target report did not change the present instance.",
+        {{"result", TargetState::ReportResultNames.nameOf(Result)},
+         {"reported", Report.m_Instance},
+         {"condition", TargetConditionNames.nameOf(Report.m_Condition)},
+         {"reported_born", Report.m_StartTimeMs},
+         {"reported_sequence", Report.m_Sequence},
+         {"instance", m_State.instance()},
+         {"born", m_State.startTimeMs()},
+         {"sequence", m_State.sequence()},
+         {"needs_check", m_State.needsCheck()}});
+    if (m_State.needsCheck())
+      m_NextCheck = Now;
+    applyStateChange(Now);
     return Result;
+  }
   if (m_Options.m_Rollout && Report.m_Condition != TargetCondition::Gone)
     m_Options.m_Rollout->onReport(Report, Now);
   if (Report.m_Condition != TargetCondition::Gone) {
@@ -196,14 +211,14 @@
   Call.m_Timeout = m_Options.m_CheckTimeout;
   m_Options.m_Hooks.m_Call(
       std::move(Call),
-      [this](const http::HttpResult &Result, absl::Time Ended) {
+      [this, Now](const http::HttpResult &Result, absl::Time Ended) {
         m_IsChecking = false;
-        onHealthCheckDone(Result, Ended);
+        onHealthCheckDone(Result, Now, Ended);
       });
 }
 
 void TargetPath::onHealthCheckDone(const http::HttpResult &Result,
-                                   absl::Time Now) {
+                                   absl::Time Began, absl::Time Now) {
   const http::HttpResponse &Response = Result.m_Response;
   const std::string *Instance = http::findHeader(
       Response.m_Headers, m_Options.m_HeaderNames.m_ReportedInstance);
@@ -213,7 +228,7 @@
               {{"how", http::FailureNames.nameOf(Result.m_Failure)},
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
-  m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Now);
+  m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Began);
   if (Result.m_Failure == Failure::None && Instance)
     applyNamedLeave(Response, *Instance, Now);
   onCheckOfBrokenRuns(Result.m_Failure, Instance, Now);
--- a/libs/mesh/src/TargetNotices.cpp
+++ b/libs/mesh/src/TargetNotices.cpp
@@ -11,16 +11,17 @@
 
 } // namespace
 
-bool TargetNotices::onAnswer(const std::string &Daemon,
+bool TargetNotices::onAnswer(const model::Member &Daemon,
                              const wire::AnswerT &Answer, absl::Time Now) {
   if (Answer.notice) {
     absl::erase_if(m_ByDaemon, [Now](const auto &Entry) {
       return Now - Entry.second.m_At > Retention;
     });
-    TargetNotice &Known = m_ByDaemon[Daemon];
+    TargetNotice &Known = m_ByDaemon[Daemon.m_Name];
     bool WasLeaving =
         Known.m_IsLeaving && Known.m_Instance == Answer.notice->instance;
-    Known = {.m_Instance = Answer.notice->instance,
+    Known = {.m_Daemon = Daemon.m_Incarnation,
+             .m_Instance = Answer.notice->instance,
              .m_StartTimeMs = Answer.notice->start_time_ms,
              .m_RateLimit = Answer.notice->rate_limit,
              .m_IsLeaving = Answer.notice->is_leaving,
@@ -30,7 +31,7 @@
   // A refusal by the daemon alone says nothing of its target.
   bool IsFromTarget = Answer.refusal == 0 || Answer.status != 0;
   if (IsFromTarget)
-    m_ByDaemon.erase(Daemon);
+    m_ByDaemon.erase(Daemon.m_Name);
   return false;
 }
 
@@ -48,7 +49,12 @@
                      Target.m_StartTimeMs != Known.m_StartTimeMs;
   bool IsReplaced =
       !Target.m_Instance.empty() && Target.m_Instance != Known.m_Instance;
-  return IsReplaced || IsRestarted ? nullptr : &Known;
+  // The daemon that said so now says that the target is open: it knows that an
+  // instance whose start it did not know then has started again.
+  bool IsOpenAgain = Target.m_IsOpen && Target.m_StartTimeMs != 0 &&
+                     Known.m_StartTimeMs == 0 &&
+                     Target.m_Member.m_Incarnation == Known.m_Daemon;
+  return IsReplaced || IsRestarted || IsOpenAgain ? nullptr : &Known;
 }
 
 std::unique_ptr<wire::TargetNoticeT>
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -17,48 +17,101 @@
          Report.m_Condition == TargetCondition::Ready;
 }
 
+bool TargetState::hasLeft(const std::string &Instance,
+                          std::int64_t StartTimeMs) const {
+  return std::any_of(
+      m_Left.begin(), m_Left.end(), [&](const LeftInstance &One) {
+        if (One.m_Instance != Instance)
+          return false;
+        if (StartTimeMs == 0)
+          return true;
+        return One.m_StartTimeMs != 0
+                   ? StartTimeMs <= One.m_StartTimeMs
+                   : absl::FromUnixMillis(StartTimeMs) <= One.m_At;
+      });
+}
+
+void TargetState::addLeft(const std::string &Instance, std::int64_t StartTimeMs,
+                          absl::Time At) {
+  if (hasLeft(Instance, StartTimeMs))
+    return;
+  if (m_Left.size() == MaxLeftInstances)
+    m_Left.pop_front();
+  m_Left.push_back({Instance, StartTimeMs, At});
+}
+
+void TargetState::setInstance(const std::string &Instance,
+                              std::int64_t StartTimeMs) {
+  m_Instance = Instance;
+  m_StartTimeMs = StartTimeMs;
+  m_Sequence = 0;
+  m_IsLeaving = hasLeft(Instance, StartTimeMs);
+  m_DoubtedAt = absl::InfinitePast();
+}
+
+TargetState::ReportResult
+TargetState::onLeavingOfOther(const TargetReport &Report, absl::Time Now) {
+  addLeft(Report.m_Instance, Report.m_StartTimeMs, Report.m_ReceivedAt);
+  bool IsOrdered = Report.m_StartTimeMs != 0 && m_StartTimeMs != 0;
+  bool IsOtherInstance = Report.m_Instance != m_Instance;
+  if (m_Instance.empty() || Report.m_Condition == TargetCondition::Gone ||
+      (IsOtherInstance && IsOrdered))
+    return ReportResult::Outdated;
+  // A late report of an earlier start, or one of the present start whose clock
+  // went back or whose instance is not known yet: only the target can say.
+  m_NeedsCheck = true;
+  m_DoubtedAt = Now;
+  return ReportResult::Outdated;
+}
+
 TargetState::ReportResult TargetState::onReport(const TargetReport &Report,
-                                                absl::Time /*Now*/) {
-  if (Report.m_Condition != TargetCondition::Gone &&
-      (Report.m_Service != m_Settings.m_Service ||
-       Report.m_At != m_Settings.m_At))
+                                                absl::Time Now) {
+  bool IsGone = Report.m_Condition == TargetCondition::Gone;
+  bool IsLeaving = Report.m_Condition != TargetCondition::Ready;
+  if (!IsGone && (Report.m_Service != m_Settings.m_Service ||
+                  Report.m_At != m_Settings.m_At))
     return ReportResult::Foreign;
-  if (Report.m_Condition == TargetCondition::Gone &&
-      Report.m_Instance != m_Instance)
-    return m_Instance.empty() ? ReportResult::Accepted : ReportResult::Outdated;
-  if (isOutdated(Report))
+  bool IsOther = Report.m_Instance != m_Instance;
+  bool IsOrdered = Report.m_StartTimeMs != 0 && m_StartTimeMs != 0;
+  if (IsLeaving) {
+    bool IsUnorderedOther = IsOther && !m_Instance.empty() && !IsOrdered;
+    if ((IsGone && IsOther) || IsUnorderedOther || isOutdated(Report))
+      return onLeavingOfOther(Report, Now);
+  } else if (isOutdated(Report) ||
+             (IsOther && hasLeft(Report.m_Instance, Report.m_StartTimeMs))) {
     return ReportResult::Outdated;
-  bool IsNewInstance =
-      Report.m_Instance != m_Instance ||
-      (Report.m_StartTimeMs != 0 && Report.m_StartTimeMs != m_StartTimeMs);
-  if (IsNewInstance && !m_Instance.empty()) {
-    m_IsLeaving = false;
-    m_NeedsCheck = false; // It started while this process was running.
   }
-  if (IsNewInstance)
-    m_Sequence = 0;
-  m_Instance = Report.m_Instance;
-  if (Report.m_StartTimeMs != 0)
+  bool IsLaterStart = IsOrdered && Report.m_StartTimeMs != m_StartTimeMs;
+  if (IsOther || IsLaterStart) {
+    setInstance(Report.m_Instance, Report.m_StartTimeMs);
+  } else if (m_StartTimeMs == 0 && Report.m_StartTimeMs != 0) {
+    // A health check tells the instance without its start.
     m_StartTimeMs = Report.m_StartTimeMs;
+    m_IsLeaving = hasLeft(m_Instance, m_StartTimeMs);
+  }
+  bool IsStartedSince =
+      Report.m_StartTimeMs != 0 &&
+      absl::FromUnixMillis(Report.m_StartTimeMs) > m_Settings.m_ProcessStart;
+  if (IsStartedSince && m_DoubtedAt == absl::InfinitePast())
+    m_NeedsCheck = false;
   m_Sequence = std::max(m_Sequence, Report.m_Sequence);
-  if (Report.m_Condition != TargetCondition::Ready)
-    m_IsLeaving = true;
+  if (IsLeaving)
+    onLeaving(Report.m_ReceivedAt);
   m_IsDown = false;
   return ReportResult::Accepted;
 }
 
 void TargetState::onHealthCheck(const std::string &Instance, bool IsHealthy,
-                                absl::Time /*Now*/) {
+                                absl::Time Began) {
   m_HasCheckFailed = !IsHealthy;
   if (!IsHealthy)
     return;
-  if (Instance != m_Instance) {
-    m_IsLeaving = false;
-    m_Sequence = 0;
-    m_StartTimeMs = 0;
+  if (Instance != m_Instance)
+    setInstance(Instance, 0);
+  if (Began >= m_DoubtedAt) {
+    m_NeedsCheck = false;
+    m_DoubtedAt = absl::InfinitePast();
   }
-  m_Instance = Instance;
-  m_NeedsCheck = false;
   m_IsDown = false;
 }
 
@@ -66,13 +119,15 @@
   if (Instance == m_Instance)
     return;
   // The instance gets no requests until a report or a check confirms it.
-  m_Instance = Instance;
-  m_StartTimeMs = 0;
-  m_Sequence = 0;
-  m_IsLeaving = false;
+  setInstance(Instance, 0);
   m_NeedsCheck = true;
 }
 
+void TargetState::onLeaving(absl::Time At) {
+  addLeft(m_Instance, m_StartTimeMs, At);
+  m_IsLeaving = true;
+}
+
 void TargetState::onConnectionRefused() { m_IsDown = true; }
 
 void TargetState::setWithdrawn(bool IsWithdrawn) {
--- a/libs/mesh/src/TargetWords.cpp
+++ b/libs/mesh/src/TargetWords.cpp
@@ -67,7 +67,12 @@
       http::findHeader(Response.m_Headers, m_Options.m_HeaderNames.m_Leaving);
   if (!Text || *Text != "1" || Instance != m_State.instance())
     return;
-  m_State.onLeaving();
+  onNamedLeave(Now);
+}
+
+void TargetPath::onNamedLeave(absl::Time Now) {
+  m_State.onLeaving(m_Options.m_Hooks.m_UnixNow ? m_Options.m_Hooks.m_UnixNow()
+                                                : absl::InfiniteFuture());
   applyStateChange(Now);
 }
 
@@ -84,10 +89,8 @@
       std::isfinite(Notice->rate_limit))
     setRateLimit(std::clamp(Notice->rate_limit, 0.0, MaxRateLimit), "peer", At,
                  Now);
-  if (Notice->is_leaving) {
-    m_State.onLeaving();
-    applyStateChange(Now);
-  }
+  if (Notice->is_leaving)
+    onNamedLeave(Now);
 }
 
 void TargetPath::setRateLimit(double PerSecond, const char *Source,
--- a/libs/mesh/tests/TargetStateTest.cpp
+++ b/libs/mesh/tests/TargetStateTest.cpp
@@ -108,5 +108,155 @@
   EXPECT_TRUE(m_State.isOpen());
 }
 
+/// The state of a process that was started again beside a running target.
+class TargetStateRestartTest : public TargetStateTest {
+protected:
+  /// Unix times in milliseconds: of the target's start, of the process's, of
+  /// the arrival of reports, and of a later start.
+  static constexpr std::int64_t Born = 1'000;
+  static constexpr std::int64_t ProcessStart = 50'000;
+  static constexpr std::int64_t Arrival = 60'000;
+  static constexpr std::int64_t BornLater = 65'000;
+
+  static TargetReport
+  arrived(const std::string &Instance, std::uint64_t Sequence,
+          std::int64_t StartTimeMs,
+          TargetCondition Condition = TargetCondition::Ready) {
+    TargetReport Report = report(Instance, Sequence, StartTimeMs, Condition);
+    Report.m_ReceivedAt = absl::FromUnixMillis(Arrival);
+    return Report;
+  }
+
+  static TargetReport gone(const std::string &Instance) {
+    return {.m_Instance = Instance,
+            .m_Condition = TargetCondition::Gone,
+            .m_ReceivedAt = absl::FromUnixMillis(Arrival)};
+  }
+
+  void check(const std::string &Instance, bool IsHealthy = true) {
+    m_Restarted.onHealthCheck(Instance, IsHealthy, m_Now);
+  }
+
+  TargetState m_Restarted{
+      {.m_Service = "orders",
+       .m_At = {"10.0.0.1", 80},
+       .m_NeedsCheck = true,
+       .m_ProcessStart = absl::FromUnixMillis(ProcessStart)}};
+};
+
+// Guards against a late report that takes back an acknowledged leaving of an
+// instance that only a health check had told before.
+TEST_F(TargetStateRestartTest, OnReport_LateReadyAfterGone_StaysClosed) {
+  check("a");
+  ASSERT_TRUE(m_Restarted.isOpen());
+  m_Restarted.onReport(gone("a"), m_Now);
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  EXPECT_EQ(m_Restarted.availability(), TargetAvailability::Leaving);
+  m_Restarted.onReport(arrived("a", 10, Born), m_Now);
+  EXPECT_EQ(m_Restarted.availability(), TargetAvailability::Leaving);
+}
+
+TEST_F(TargetStateRestartTest, OnReport_LateReadyAfterDraining_StaysClosed) {
+  check("a");
+  TargetReport Draining = arrived("a", 4, 0, TargetCondition::Draining);
+  m_Restarted.onReport(Draining, m_Now);
+  m_Restarted.onReport(arrived("a", 3, Born), m_Now);
+  EXPECT_EQ(m_Restarted.availability(), TargetAvailability::Leaving);
+}
+
+TEST_F(TargetStateRestartTest, OnReport_GoneBeforeAnyReport_IsRemembered) {
+  m_Restarted.onReport(gone("a"), m_Now);
+  check("a"); // Answered before the target said that it leaves.
+  EXPECT_FALSE(m_Restarted.isOpen());
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  EXPECT_FALSE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnReport_GoneOfUnknownSuccessor_IsRemembered) {
+  check("a");
+  m_Restarted.onReport(gone("b"), m_Now);
+  m_Restarted.onReport(arrived("b", 1, ProcessStart + 1), m_Now);
+  EXPECT_FALSE(m_Restarted.isOpen() && m_Restarted.instance() == "b");
+  m_Restarted.onUnexpectedInstance("b");
+  check("b");
+  EXPECT_FALSE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnLeaving_LateReadyAfterwards_StaysClosed) {
+  check("a");
+  m_Restarted.onLeaving(absl::FromUnixMillis(Arrival));
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  EXPECT_EQ(m_Restarted.availability(), TargetAvailability::Leaving);
+}
+
+// Two late reports, of instances that may have left before the restart.
+TEST_F(TargetStateRestartTest, OnReport_TwoInstancesFromBefore_NeedsCheck) {
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  m_Restarted.onReport(arrived("b", 3, Born + 1), m_Now);
+  EXPECT_FALSE(m_Restarted.isOpen());
+  EXPECT_TRUE(m_Restarted.needsCheck());
+  check("b");
+  EXPECT_TRUE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnReport_NewIdAfterLeaving_OpensAtOnce) {
+  check("a");
+  m_Restarted.onReport(gone("a"), m_Now);
+  m_Restarted.onReport(arrived("b", 1, BornLater), m_Now);
+  EXPECT_TRUE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnReport_SameIdLaterStart_OpensAtOnce) {
+  check("a");
+  m_Restarted.onReport(gone("a"), m_Now);
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  m_Restarted.onReport(arrived("a", 1, BornLater), m_Now);
+  EXPECT_TRUE(m_Restarted.isOpen());
+  // Also where no report of the former start came in between.
+  m_Restarted.onReport(gone("a"), m_Now);
+  EXPECT_FALSE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnReport_LaterStartIsFirstReport_OpensAtOnce) {
+  check("a");
+  m_Restarted.onReport(gone("a"), m_Now);
+  m_Restarted.onReport(arrived("a", 1, BornLater), m_Now);
+  EXPECT_TRUE(m_Restarted.isOpen());
+}
+
+TEST_F(TargetStateRestartTest, OnReport_FirstAfterACheck_StaysOpen) {
+  check("a");
+  m_Restarted.onReport(arrived("a", 9, Born), m_Now);
+  EXPECT_TRUE(m_Restarted.isOpen());
+  EXPECT_EQ(m_Restarted.startTimeMs(), Born);
+}
+
+// Guards against an acknowledged leaving without effect, where the clock of a
+// target went back before it started again under its former id.
+TEST_F(TargetStateTest, OnReport_DrainingOfEarlierStart_ClosedUntilChecked) {
+  m_State.onReport(report("a", 7, 200), m_Now);
+  absl::Time CheckBegan = m_Now - absl::Seconds(1);
+  m_State.onReport(report("a", 1, 100, TargetCondition::Draining), m_Now);
+  EXPECT_FALSE(m_State.isOpen());
+  EXPECT_TRUE(m_State.needsCheck());
+  m_State.onReport(report("a", 8, 200), m_Now); // It may be late, too.
+  EXPECT_FALSE(m_State.isOpen());
+  m_State.onHealthCheck("a", true, CheckBegan);
+  EXPECT_FALSE(m_State.isOpen());
+  m_State.onHealthCheck("a", false, m_Now);
+  EXPECT_FALSE(m_State.isOpen());
+  m_State.onHealthCheck("a", true, m_Now);
+  EXPECT_TRUE(m_State.isOpen());
+}
+
+TEST_F(TargetStateTest, OnReport_DrainingOfOtherEarlierInstance_StaysOpen) {
+  m_State.onReport(report("b", 1, 200), m_Now);
+  m_State.onReport(report("a", 9, 100, TargetCondition::Draining), m_Now);
+  EXPECT_TRUE(m_State.isOpen());
+  m_State.onReport({.m_Instance = "a", .m_Condition = TargetCondition::Gone},
+                   m_Now);
+  EXPECT_TRUE(m_State.isOpen());
+}
+
 } // namespace
 } // namespace knapweedloft::mesh
