An answer decides whether it closes its connection when it is written

Cause: LoopServer decided when an answer was made that it is the last of its connection, kept it behind the answers before it, and read on meanwhile.

Change: answers that wait are kept as status, lines and body, and become bytes in their turn; the decision falls there, and reading ends with it.

The 734 tests of mesh and http pass.

Why it works: between the decision and the end of reading nothing runs.

Ruled out: the links between daemons (answers go by id) and the connections to targets (one request at a time), and the server of `run`, which reads a request when the one before it is answered.

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -228,35 +228,47 @@
   if (Found == Held->m_Exchanges.end() || Found->m_Answer)
     return;
   --m_Pending;
-  // The last answer on a connection announces the close; those before it leave
-  // it open, since what was sent behind a closing answer counts as not read.
-  bool IsLast = std::next(Found) == Held->m_Exchanges.end();
-  if (m_IsClosing && IsLast && !Held->m_Parser.hasMessage())
-    Found->m_KeepsOpen = false;
-  Found->m_Answer.emplace();
-  appendResponse(*Found->m_Answer, Status, Lines, Body, !Found->m_KeepsOpen,
-                 Found->m_IsHead);
-  fillOutput(*Held);
+  std::uint64_t Connection = Held->m_Id;
+  bool WasFull = Held->m_Exchanges.size() >= m_Settings.m_MaxPipelined;
+  if (Found == Held->m_Exchanges.begin()) {
+    writeFirst(*Held, Status, Lines, Body);
+    writeAnswered(*Held);
+  } else {
+    Found->m_Answer = {Status, std::string(Lines), std::string(Body)};
+  }
+  if (Held->m_Exchanges.empty())
+    Held->m_LastActive = io::monotonicNow();
+  flush(*Held);
+  if (WasFull && find(Connection))
+    m_Loop.post([this, Connection, IsAlive = m_IsAlive] {
+      if (*IsAlive)
+        takeMessages(Connection);
+    });
 }
 
-void LoopServer::Impl::fillOutput(ServerConnection &Held) {
-  std::uint64_t Id = Held.m_Id;
-  bool WasFull = Held.m_Exchanges.size() >= m_Settings.m_MaxPipelined;
+void LoopServer::Impl::writeFirst(ServerConnection &Held, int Status,
+                                  std::string_view Lines,
+                                  std::string_view Body) {
+  ServerConnection::Exchange &Done = Held.m_Exchanges.front();
+  // While the server closes, the last answer on a connection announces it. An
+  // answer that others follow leaves it open, since requests behind a closing
+  // answer count as not read.
+  bool IsLast = Held.m_Exchanges.size() == 1 && !Held.m_Parser.hasMessage();
+  bool Closes = !Done.m_KeepsOpen || (m_IsClosing && IsLast);
+  std::string Bytes;
+  appendResponse(Bytes, Status, Lines, Body, Closes, Done.m_IsHead);
+  Held.m_Output.append(Bytes);
+  if (Closes)
+    Held.m_ClosesAfterWrite = Held.m_StopsReading = true;
+  Held.m_Exchanges.pop_front();
+}
+
+void LoopServer::Impl::writeAnswered(ServerConnection &Held) {
   while (!Held.m_Exchanges.empty() && Held.m_Exchanges.front().m_Answer) {
-    ServerConnection::Exchange &Done = Held.m_Exchanges.front();
-    Held.m_Output.append(*Done.m_Answer);
-    if (!Done.m_KeepsOpen)
-      Held.m_ClosesAfterWrite = Held.m_StopsReading = true;
-    Held.m_Exchanges.pop_front();
+    ServerConnection::Answer Next =
+        *std::exchange(Held.m_Exchanges.front().m_Answer, std::nullopt);
+    writeFirst(Held, Next.m_Status, Next.m_Lines, Next.m_Body);
   }
-  if (Held.m_Exchanges.empty())
-    Held.m_LastActive = io::monotonicNow();
-  flush(Held);
-  if (WasFull && find(Id))
-    m_Loop.post([this, Id, IsAlive = m_IsAlive] {
-      if (*IsAlive)
-        takeMessages(Id);
-    });
 }
 
 void LoopServer::Impl::flush(ServerConnection &Held) {
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -48,7 +48,11 @@
   [[nodiscard]] bool waitsForOthers();
   void resume();
   void flush(ServerConnection &Held);
-  void fillOutput(ServerConnection &Held);
+  /// Writes the answer to the first exchange of \p Held and ends it.
+  void writeFirst(ServerConnection &Held, int Status, std::string_view Lines,
+                  std::string_view Body);
+  /// Writes the answers that wait for no other.
+  void writeAnswered(ServerConnection &Held);
   void setEvents(ServerConnection &Held);
   void close(std::uint64_t Id);
   void closeWhere(const std::function<bool(const ServerConnection &)> &IsDue);
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -17,12 +17,20 @@
 
 /// One accepted connection of a LoopServer.
 struct ServerConnection {
+  struct Answer {
+    int m_Status = 0;
+    std::string m_Lines;
+    std::string m_Body;
+  };
+
   /// A request that was handed over; they are answered in order.
   struct Exchange {
     std::uint64_t m_Sequence = 0;
     bool m_IsHead = false;
     bool m_KeepsOpen = true;
-    std::optional<std::string> m_Answer; ///< Bytes, once it is answered.
+    /// Waits for the answers before it. It becomes bytes when it is written:
+    /// only then is it known whether it is the last of its connection.
+    std::optional<Answer> m_Answer;
   };
 
   std::uint64_t m_Id = 0;
