A health check alone no longer opens a target of unknown service

Cause: a health answer names the instance and not its service. TargetState took whatever instance answered for the next one of its own, and requests then named it, so that it could not refuse them. A report of the other service changed nothing.

Change: an instance gets requests once a report has named the service for it, or a peer remembers that it was open for the service (each link begins with what the peer last heard of the target beside the other daemon; new optional fields). A report of the present instance for another service closes it until a later one of its own; a report for a service that the configuration does not have is ignored.

Why it works: each request names its instance, and whatever else stands at the address answers 421 and runs nothing.

Ruled out: settings as a voucher, which may change before the target does or after; records of the store, which hold nothing of targets.

--- a/libs/mesh/include/mesh/PeerLinks.h
+++ b/libs/mesh/include/mesh/PeerLinks.h
@@ -28,6 +28,12 @@
 /// after a delay. Belongs to one thread.
 class PeerLinks {
 public:
+  /// An instance of a target and the service for which it was open.
+  struct RememberedTarget {
+    std::string m_Service;
+    std::string m_Instance; ///< Empty: not known.
+  };
+
   struct Hooks {
     std::function<void(const model::Endpoint &To)> m_Connect;
     std::function<void(link::PeerHandle)> m_Close;
@@ -67,6 +73,10 @@
   /// Opens missing links to known members.
   void tick(absl::Time Now);
 
+  /// \returns the target of the daemon behind \p Link as it was last open, also
+  /// by the word of an earlier process of that daemon.
+  [[nodiscard]] RememberedTarget rememberedTarget(link::PeerHandle Link) const;
+
   /// \returns the link to this incarnation of a daemon, or an invalid handle.
   [[nodiscard]] link::PeerHandle linkTo(const model::Member &Member) const;
   [[nodiscard]] const model::Member *memberOf(link::PeerHandle Link) const;
@@ -87,6 +97,7 @@
     std::vector<link::PeerHandle> m_Links;
     wire::TargetNewsT m_TargetState; ///< Without the calls.
     std::vector<CallEdge> m_Calls;
+    RememberedTarget m_LastOpen; ///< Kept when the daemon starts again.
     absl::Time m_NextConnect;
     absl::Duration m_RetryDelay;
     absl::Time m_LastLinked; ///< Or first known; while it has no link.
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -116,6 +116,10 @@
   TargetState::ReportResult onReport(const TargetReport &Report,
                                      absl::Time Now);
 
+  /// A peer remembers that \p Instance of the target was open for the service,
+  /// by the word of an earlier process of this daemon.
+  void onRemembered(const std::string &Instance, absl::Time Now);
+
   /// \param Age how long the message has been on its way at least.
   void onForward(link::PeerHandle From, wire::ForwardT &Message, absl::Time Now,
                  absl::Duration Age = absl::ZeroDuration());
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -15,18 +15,20 @@
 /// Whether the local target gets requests, and if not, why.
 enum class TargetAvailability : std::uint8_t {
   Open,
-  Unknown,   ///< No report or check yet, or none since a restart.
-  Leaving,   ///< It reported, or said in an answer, that it leaves.
-  Down,      ///< It does not accept connections.
-  Withdrawn, ///< An operator withdrew its data center.
-  Stopping,  ///< The daemon is stopping.
-  Held,      ///< A roll-out does not let its version have requests.
-  Superseded ///< A new version has taken over from its version.
+  Unknown,     ///< No report or check yet, or none since a restart.
+  Unconfirmed, ///< Nothing says that the instance belongs to the service.
+  Leaving,     ///< It reported, or said in an answer, that it leaves.
+  Down,        ///< It does not accept connections.
+  Withdrawn,   ///< An operator withdrew its data center.
+  Stopping,    ///< The daemon is stopping.
+  Held,        ///< A roll-out does not let its version have requests.
+  Superseded   ///< A new version has taken over from its version.
 };
 
-inline constexpr model::NameTable<TargetAvailability, 8>
-    TargetAvailabilityNames{{"open", "unknown", "leaving", "down", "withdrawn",
-                             "stopping", "held", "superseded"}};
+inline constexpr model::NameTable<TargetAvailability, 9>
+    TargetAvailabilityNames{{"open", "unknown", "unconfirmed", "leaving",
+                             "down", "withdrawn", "stopping", "held",
+                             "superseded"}};
 
 /// Why a roll-out closes a target.
 enum class RolloutHold : std::uint8_t { None, Held, Superseded };
@@ -39,8 +41,12 @@
 /// orders the reports of one instance. A leaving that was acknowledged holds
 /// for its instance also if no report of that instance was known then, and only
 /// a later start opens the target again. Where the start time of a leaving
-/// instance is unknown, starts before its leaving count as the same. Not
-/// thread-safe.
+/// instance is unknown, starts before its leaving count as the same.
+///
+/// An address may be used again by a target of another service. A health check
+/// tells the instance and not its service, so that an instance gets requests
+/// only once a report, or a peer that remembers one, has named the service for
+/// it. Not thread-safe.
 class TargetState {
 public:
   struct Options {
@@ -70,6 +76,8 @@
   /// failed.
   void onHealthCheck(const std::string &Instance, bool IsHealthy,
                      absl::Time Began);
+  /// A peer remembers that \p Instance was open for the service.
+  void onRemembered(const std::string &Instance);
   /// \p Instance answered a request that was sent to another instance.
   void onUnexpectedInstance(const std::string &Instance);
   /// The target said in an answer of its present instance that it leaves.
@@ -104,8 +112,16 @@
     absl::Time m_At;                ///< Unix time of its leaving.
   };
 
+  /// What the latest report of an instance said of its service.
+  struct ReportedService {
+    std::string m_Instance;
+    std::int64_t m_StartTimeMs = 0; ///< 0: unknown.
+    std::uint64_t m_Sequence = 0;
+    bool m_IsOwn = false;
+  };
+
   /// Late reports of more instances than this are not expected.
-  static constexpr std::size_t MaxLeftInstances = 16;
+  static constexpr std::size_t MaxFormerInstances = 16;
 
   [[nodiscard]] bool isOutdated(const TargetReport &Report) const;
   /// \returns whether the start of \p Instance at \p StartTimeMs (0: unknown)
@@ -114,6 +130,9 @@
                              std::int64_t StartTimeMs) const;
   void addLeft(const std::string &Instance, std::int64_t StartTimeMs,
                absl::Time At);
+  void noteService(const TargetReport &Report);
+  /// \returns whether \p Instance is known to belong to the service.
+  [[nodiscard]] bool isConfirmed(const std::string &Instance) const;
   /// A leaving of an instance that is not known to be the present one.
   ReportResult onLeavingOfOther(const TargetReport &Report, absl::Time Now);
   /// Sets the present instance. What was known of the former one is dropped.
@@ -124,6 +143,7 @@
   /// Health checks that began before this do not open the target.
   absl::Time m_DoubtedAt = absl::InfinitePast();
   std::deque<LeftInstance> m_Left;
+  std::deque<ReportedService> m_Services;
   std::string m_Instance; ///< Empty: unknown.
   std::int64_t m_StartTimeMs = 0;
   std::uint64_t m_Sequence = 0;
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -170,7 +170,11 @@
   m_Peers->onUp(Link, Member, io::monotonicNow());
   m_Entry->onTargetsChanged();
   m_Entry->rates().onReachability(Member.m_Name, true, io::monotonicNow());
-  m_Links->send(Link, targetStateMessage());
+  wire::TargetNewsT State = targetStateMessage();
+  PeerLinks::RememberedTarget Known = m_Peers->rememberedTarget(Link);
+  State.remembered_service = Known.m_Service;
+  State.remembered_instance = Known.m_Instance;
+  m_Links->send(Link, std::move(State));
   m_Links->send(Link, spentMessage(m_Entry->rates().all(), io::monotonicNow()));
   m_Quarantine->onLinkUp(Link, Member.m_Name, io::monotonicNow());
   if (m_Rollouts)
@@ -206,6 +210,8 @@
   } else if (auto *State = as<wire::TargetNewsT>(Message)) {
     m_Peers->onTargetState(From, *State);
     m_Entry->onTargetsChanged();
+    if (State->remembered_service == m_Self.m_Service)
+      m_Target->onRemembered(State->remembered_instance, Now);
   } else if (auto *Spent = as<wire::SpentNewsT>(Message)) {
     onSpent(From, *Spent, Now);
   } else if (auto *Request = as<wire::StoredRecordsAskT>(Message)) {
--- a/libs/mesh/src/PeerLinks.cpp
+++ b/libs/mesh/src/PeerLinks.cpp
@@ -91,6 +91,8 @@
     Remote.m_TargetState.slots = State.slots;
     Remote.m_TargetState.version = State.version;
     Remote.m_TargetState.exposure = State.exposure;
+    if (State.is_open)
+      Remote.m_LastOpen = {State.service, State.instance};
     Remote.m_Calls.clear();
     for (const auto &Edge : State.calls)
       Remote.m_Calls.push_back({Edge->from_route, Edge->to_route});
@@ -109,6 +111,13 @@
   }
 }
 
+PeerLinks::RememberedTarget
+PeerLinks::rememberedTarget(link::PeerHandle Link) const {
+  auto Found = m_ByLink.find(Link);
+  return Found == m_ByLink.end() ? RememberedTarget()
+                                 : m_Peers.at(Found->second).m_LastOpen;
+}
+
 link::PeerHandle PeerLinks::linkTo(const model::Member &Member) const {
   auto Found = m_Peers.find(Member.m_Name);
   if (Found == m_Peers.end() || Found->second.m_Links.empty() ||
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -67,12 +67,22 @@
 
 TargetState::ReportResult TargetPath::onReport(const TargetReport &Report,
                                                absl::Time Now) {
-  TargetState::ReportResult Result = m_State.onReport(Report, Now);
+  // A report that names no service of the configuration says nothing of the
+  // target, whoever wrote it.
+  bool IsUnknownService = m_Catalog &&
+                          Report.m_Service != m_Options.m_Service &&
+                          !m_Catalog->service(Report.m_Service);
+  bool IsIgnored =
+      Report.m_Condition != TargetCondition::Gone && IsUnknownService;
+  TargetState::ReportResult Result = IsIgnored
+                                         ? TargetState::ReportResult::Foreign
+                                         : m_State.onReport(Report, Now);
   if (Result != TargetState::ReportResult::Accepted) {
     m_Log.notable(
         "A target report did not change the present instance.",
         {{"result", TargetState::ReportResultNames.nameOf(Result)},
          {"reported", Report.m_Instance},
+         {"reported_service", Report.m_Service},
          {"condition", TargetConditionNames.nameOf(Report.m_Condition)},
          {"reported_born", Report.m_StartTimeMs},
          {"reported_sequence", Report.m_Sequence},
@@ -97,6 +107,11 @@
   return Result;
 }
 
+void TargetPath::onRemembered(const std::string &Instance, absl::Time Now) {
+  m_State.onRemembered(Instance);
+  applyStateChange(Now);
+}
+
 void TargetPath::applyRollout(absl::Time Now) {
   if (!m_Options.m_Rollout)
     return;
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -1,6 +1,8 @@
 #include "mesh/TargetState.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace knapweedloft::mesh {
 
@@ -35,11 +37,46 @@
                           absl::Time At) {
   if (hasLeft(Instance, StartTimeMs))
     return;
-  if (m_Left.size() == MaxLeftInstances)
+  if (m_Left.size() == MaxFormerInstances)
     m_Left.pop_front();
   m_Left.push_back({Instance, StartTimeMs, At});
 }
 
+void TargetState::noteService(const TargetReport &Report) {
+  bool IsOwn = Report.m_Service == m_Settings.m_Service;
+  auto Found = std::find_if(m_Services.begin(), m_Services.end(),
+                            [&](const ReportedService &One) {
+                              return One.m_Instance == Report.m_Instance;
+                            });
+  if (Found == m_Services.end()) {
+    if (m_Services.size() == MaxFormerInstances)
+      m_Services.pop_front();
+    m_Services.push_back({.m_Instance = Report.m_Instance});
+    Found = std::prev(m_Services.end());
+  } else if (std::pair(Report.m_StartTimeMs, Report.m_Sequence) <
+             std::pair(Found->m_StartTimeMs, Found->m_Sequence)) {
+    return; // A late report.
+  }
+  Found->m_StartTimeMs = Report.m_StartTimeMs;
+  Found->m_Sequence = Report.m_Sequence;
+  Found->m_IsOwn = IsOwn;
+}
+
+bool TargetState::isConfirmed(const std::string &Instance) const {
+  return std::any_of(m_Services.begin(), m_Services.end(),
+                     [&](const ReportedService &One) {
+                       return One.m_Instance == Instance && One.m_IsOwn;
+                     });
+}
+
+void TargetState::onRemembered(const std::string &Instance) {
+  bool IsKnown = std::any_of(
+      m_Services.begin(), m_Services.end(),
+      [&](const ReportedService &One) { return One.m_Instance == Instance; });
+  if (!IsKnown && !Instance.empty())
+    noteService({.m_Instance = Instance, .m_Service = m_Settings.m_Service});
+}
+
 void TargetState::setInstance(const std::string &Instance,
                               std::int64_t StartTimeMs) {
   m_Instance = Instance;
@@ -68,8 +105,11 @@
                                                 absl::Time Now) {
   bool IsGone = Report.m_Condition == TargetCondition::Gone;
   bool IsLeaving = Report.m_Condition != TargetCondition::Ready;
-  if (!IsGone && (Report.m_Service != m_Settings.m_Service ||
-                  Report.m_At != m_Settings.m_At))
+  if (!IsGone && Report.m_At != m_Settings.m_At)
+    return ReportResult::Foreign;
+  if (!IsGone)
+    noteService(Report);
+  if (!IsGone && Report.m_Service != m_Settings.m_Service)
     return ReportResult::Foreign;
   bool IsOther = Report.m_Instance != m_Instance;
   bool IsOrdered = Report.m_StartTimeMs != 0 && m_StartTimeMs != 0;
@@ -143,6 +183,8 @@
     return TargetAvailability::Leaving;
   if (m_Instance.empty() || m_NeedsCheck)
     return TargetAvailability::Unknown;
+  if (!isConfirmed(m_Instance))
+    return TargetAvailability::Unconfirmed;
   if (m_IsDown)
     return TargetAvailability::Down;
   if (m_Hold != RolloutHold::None)
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -329,10 +329,44 @@
   finish(
       1, http::Failure::None,
       {.m_Status = 200, .m_Headers = {{"I-Am", "i-2"}, {"Cold-Left", "2000"}}});
+  EXPECT_TRUE(m_Path.isCold(m_Now));
+  forward(3);
+  EXPECT_EQ(m_Calls.size(), 2U) << "nothing says that i-2 is of the service";
+  TargetReport Next =
+      report(1, TargetCondition::Ready, absl::Milliseconds(1900));
+  Next.m_Instance = "i-2";
+  m_Path.onReport(Next, m_Now);
   EXPECT_TRUE(m_Path.state().isOpen());
   EXPECT_TRUE(m_Path.isCold(m_Now));
 }
 
+// Guards against a target that is closed by a report of another writer.
+TEST_F(TargetPathTest, OnReport_ServiceNotInConfiguration_ChangesNothing) {
+  m_Path.onReport(report(1), m_Now);
+  TargetReport Odd = report(1'000'000);
+  Odd.m_Service = "nowhere";
+  EXPECT_EQ(m_Path.onReport(Odd, m_Now), TargetState::ReportResult::Foreign);
+  EXPECT_TRUE(m_Path.state().isOpen());
+  m_Path.onReport(report(2, TargetCondition::Draining), m_Now);
+  EXPECT_FALSE(m_Path.state().isOpen());
+}
+
+TEST_F(TargetPathTest, OnRemembered_CheckedBefore_OpensAtOnce) {
+  TargetPath::Options Options = options();
+  Options.m_IsRestart = true;
+  m_Path = TargetPath(std::move(Options), ComponentLog(m_Log, "target"), m_Now);
+  m_Path.setCatalog(makeCatalog());
+  tick(1);
+  ASSERT_EQ(m_Calls.size(), 1U);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"I-Am", "i-1"}}});
+  forward(1);
+  EXPECT_EQ(m_Calls.size(), 1U);
+  m_Path.onRemembered("i-1", m_Now);
+  forward(2);
+  EXPECT_EQ(m_Calls.size(), 2U);
+}
+
 TEST_F(TargetPathTest, SetWithdrawn_Restored_ColdUntilReportedOtherwise) {
   m_Path.onReport(report(1), m_Now);
   m_Path.setWithdrawn(true, m_Now);
