run: a late announcement takes back no leaving; queued requests keep their service

Callers would see, with `knapweedloft run`: requests at a target that has announced that it drains, after a late or repeated "ready" of the same life; and requests that waited for one service run by a target that announced another at the same address.

TargetSide took each announcement as it came, and did not look at the service again when a queued request started.

Change: a life that has announced its draining is opened by no later announcement of the same life (where it names one); a request whose service the target has given up is refused as not run when its turn comes.

--- a/libs/app/include/app/TargetSide.h
+++ b/libs/app/include/app/TargetSide.h
@@ -159,6 +159,8 @@
               absl::Duration RetryAfter, absl::Time Now);
   void drainAdmission(absl::Time Now);
   void start(policy::TicketId Ticket, absl::Time Now);
+  /// Refuses an admitted request whose service the target has given up since.
+  void refuseOtherService(policy::TicketId Ticket, absl::Time Now);
   void onResult(policy::TicketId Ticket, http::HttpResult Result,
                 absl::Time Now);
   void answerResult(Run &Done, http::HttpResult &Result, absl::Time Now);
@@ -181,6 +183,7 @@
   std::string m_Service;
   std::string m_TargetBase; ///< Empty until the target announced itself.
   std::uint64_t m_TargetInstance = 0;
+  std::uint64_t m_LeftInstance = 0; ///< The last that announced its leaving.
   bool m_IsServing = false;
   bool m_IsStopping = false;
   policy::TicketId m_LastTicket = 0;
--- a/libs/app/src/TargetSide.cpp
+++ b/libs/app/src/TargetSide.cpp
@@ -87,6 +87,12 @@
       m_Dedupe(m_Options.m_Dedupe), m_Watch(m_Options.m_Deaths) {}
 
 void TargetSide::onAnnouncement(const Announcement &News, absl::Time Now) {
+  // A late announcement does not take back that this life leaves.
+  if (News.m_State != TargetState::Draining && News.m_Instance != 0 &&
+      News.m_Instance == m_LeftInstance)
+    return;
+  if (News.m_State == TargetState::Draining)
+    m_LeftInstance = News.m_Instance;
   std::string Base = toBaseUrl(News.m_At);
   if (Base != m_TargetBase || News.m_Instance != m_TargetInstance)
     m_Admission.restart(Now);
@@ -244,6 +250,8 @@
     return;
   Run &Next = Found->second;
   wire::ForwardT &Message = Next.m_Message;
+  if (Message.service != m_Service)
+    return refuseOtherService(Ticket, Now);
   CallContext Context;
   Context.m_Customer = Message.customer;
   Context.m_HasKey = Message.key_digest.size() == Context.m_Digest.size();
@@ -274,6 +282,18 @@
       });
 }
 
+void TargetSide::refuseOtherService(policy::TicketId Ticket, absl::Time Now) {
+  auto Found = m_Runs.find(Ticket);
+  Run Refused = std::move(Found->second);
+  m_Runs.erase(Found);
+  m_Tickets.erase(Refused.m_Id);
+  m_Admission.finish(Ticket, policy::RunOutcome::Cancelled,
+                     absl::ZeroDuration(), Now);
+  m_Watch.end(Refused.m_Message.fingerprint, false);
+  refuse(Refused.m_From, Refused.m_Id, RefusalReason::NoTarget, Ran::No,
+         ComeBackAfter, Now);
+}
+
 void TargetSide::onResult(policy::TicketId Ticket, http::HttpResult Result,
                           absl::Time Now) {
   auto Found = m_Runs.find(Ticket);
--- a/libs/app/tests/TargetSideTest.cpp
+++ b/libs/app/tests/TargetSideTest.cpp
@@ -282,6 +282,44 @@
   EXPECT_EQ(toText(m_Answers[1].body), "done");
 }
 
+// Guards against a late announcement that takes back a leaving.
+TEST_F(TargetSideTest, OnAnnouncement_ReadyOfLifeThatLeft_StaysClosed) {
+  announce(7, TargetState::Draining);
+  announce(7, TargetState::Ready);
+  send(forward(1));
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(reason(0), RefusalReason::NoTarget);
+  announce(8, TargetState::Ready);
+  send(forward(2));
+  EXPECT_EQ(m_Requests.size(), 1U);
+}
+
+// Guards against requests that waited for the former service of an address and
+// are run by the next.
+TEST_F(TargetSideTest, OnAnnouncement_OtherService_QueuedAreRefusedAsNotRun) {
+  constexpr std::uint64_t Sent = 100;
+  for (std::uint64_t Index = 1; Index <= Sent; ++Index)
+    send(forward(Index));
+  std::size_t Running = m_Requests.size();
+  std::size_t Queued = Sent - Running - m_Answers.size();
+  ASSERT_GT(Queued, 0U);
+  std::size_t Before = m_Answers.size();
+  m_Target.onAnnouncement(
+      {.m_Service = "archive", .m_At = {"127.0.0.1", 9000}, .m_Instance = 8},
+      m_Now);
+  for (std::uint64_t Call = 1; Call <= Running; ++Call)
+    finish(Call, http::Failure::None, "done");
+  pass(absl::Milliseconds(50));
+  pass(absl::Seconds(2));
+  EXPECT_EQ(m_Requests.size(), Running);
+  EXPECT_EQ(m_Answers.size(), Before + Running + Queued);
+  for (std::size_t Index = 0; Index < m_Answers.size(); ++Index) {
+    if (m_Answers[Index].refusal != 0) {
+      EXPECT_EQ(ran(Index), Ran::No);
+    }
+  }
+}
+
 TEST_F(TargetSideTest, OnResult_ConnectionBrokeHalfWay_IsNeverPassedAsWhole) {
   send(forward(1));
   finish(1, http::Failure::Cut, "half of it");
