A copy of a refusal without a name is no answer to the next request

Callers would see "not run" for a request that its target runs: a target refuses a request without naming it, and writes that refusal once more behind the next request on the kept connection.

Cause: an answer without a name was taken on a used connection until the target's address had named a call. Only connections of health checks were kept from that.

Change: a connection is used again only if its address has named a call. Targets name their calls, so that this costs nothing once one has answered.

Ruled out: named copies, copies in the same write or while the connection is idle.

--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -254,10 +254,8 @@
   return !Held.m_WasUsed || !m_NamesCalls.contains(addressOf(Held.m_To));
 }
 
-bool LoopClient::Impl::mayBeMistaken(const ClientConnection &Held,
-                                     const Call &Last) const {
-  return m_Settings.m_IsNamed && Last.m_Tag.empty() &&
-         !m_NamesCalls.contains(addressOf(Held.m_To));
+bool LoopClient::Impl::mayBeMistaken(const ClientConnection &Held) const {
+  return m_Settings.m_IsNamed && !m_NamesCalls.contains(addressOf(Held.m_To));
 }
 
 void LoopClient::Impl::accept(ClientConnection &Held, ParsedMessage Message) {
@@ -276,7 +274,7 @@
   bool IsReusable = Message.m_KeepsOpen && Held.m_Output.left() == 0 &&
                     Held.m_Parser.state() == ParseState::Good &&
                     !Held.m_Parser.hasMessage() && !Held.m_Parser.isInside() &&
-                    !mayBeMistaken(Held, Active.m_Call);
+                    !mayBeMistaken(Held);
   if (IsReusable)
     keep(Held, Response, io::monotonicNow());
   else
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -46,8 +46,9 @@
   void accept(ClientConnection &Held, ParsedMessage Message);
   [[nodiscard]] bool isOwn(const ClientConnection &Held,
                            const HttpResponse &Response, const Call &Waiting);
-  [[nodiscard]] bool mayBeMistaken(const ClientConnection &Held,
-                                   const Call &Last) const;
+  /// \returns whether a copy of an answer on this connection could pass for the
+  /// answer to the next call: its address has not named any call yet.
+  [[nodiscard]] bool mayBeMistaken(const ClientConnection &Held) const;
   /// Counts one more answer that the call does not wait for.
   void skip(ClientConnection &Held);
   void countHeld(ClientConnection &Held, std::size_t Bytes);
