run: a kept connection with unread bytes is not used again

Callers would see, with `knapweedloft run`, the copy of an earlier answer in place of their own.

Cause: libcurl 7.88 takes a kept connection without a look at what waits there, and reads it as the answer to the next request.

Change: before a request is sent, the client looks whether bytes wait at the connection (ClientSockets finds its socket by the local port); if so it is given up and the request goes to another.

Ruled out: CURLINFO_ACTIVESOCKET, which names no socket at that moment. Not covered: bytes that arrive after the next request was written; the targets of `run` name no requests, and nothing is called "not run" there.

--- a/libs/http/src/ClientCall.cpp
+++ b/libs/http/src/ClientCall.cpp
@@ -50,11 +50,13 @@
 
 } // namespace
 
-ClientCall::ClientCall(std::size_t MaxBodyBytes)
-    : m_MaxBodyBytes(MaxBodyBytes), m_Handle(curl_easy_init()) {
+ClientCall::ClientCall(std::size_t MaxBodyBytes, ClientSockets &Sockets)
+    : m_MaxBodyBytes(MaxBodyBytes), m_Sockets(Sockets),
+      m_Handle(curl_easy_init()) {
   if (m_Handle == nullptr)
     throw HttpError("no handle for an HTTP call");
   setFixedOptions();
+  m_Sockets.attach(m_Handle);
 }
 
 ClientCall::~ClientCall() {
@@ -223,10 +225,14 @@
                                   std::string(trim(Line.substr(Colon + 1)))});
 }
 
-int ClientCall::onSend(void *Self, char *, char *, int, int) {
+int ClientCall::onSend(void *Self, char *, char *, int, int LocalPort) {
   auto &Call = *static_cast<ClientCall *>(Self);
   if (Call.m_HasSent)
     return CURL_PREREQFUNC_ABORT;
+  Call.m_IsStale =
+      Call.m_Sockets.hasUnreadInput(static_cast<std::uint16_t>(LocalPort));
+  if (Call.m_IsStale)
+    return CURL_PREREQFUNC_ABORT;
   Call.m_HasSent = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/libs/http/src/ClientCall.h
+++ b/libs/http/src/ClientCall.h
@@ -1,11 +1,13 @@
 #ifndef KNAPWEEDLOFT_HTTP_CLIENTCALL_H
 #define KNAPWEEDLOFT_HTTP_CLIENTCALL_H
 
+#include "ClientSockets.h"
 #include "http/HttpClient.h"
 
 #include <curl/curl.h>
 
 #include <string>
+#include <utility>
 
 namespace knapweedloft::http {
 
@@ -17,7 +19,7 @@
 /// before each sending allows the first one only.
 class ClientCall {
 public:
-  explicit ClientCall(std::size_t MaxBodyBytes);
+  ClientCall(std::size_t MaxBodyBytes, ClientSockets &Sockets);
   ~ClientCall();
   ClientCall(const ClientCall &) = delete;
   ClientCall &operator=(const ClientCall &) = delete;
@@ -34,6 +36,10 @@
   /// \returns what the transfer's result means for the caller.
   [[nodiscard]] Failure failureOf(CURLcode Code) const;
 
+  /// \returns, once, whether the call was not sent since its kept connection
+  /// held bytes that belong to no answer. It may be sent on another.
+  [[nodiscard]] bool takeStale() { return std::exchange(m_IsStale, false); }
+
   [[nodiscard]] HttpClient::CallId id() const { return m_Id; }
   [[nodiscard]] CURL *handle() const { return m_Handle; }
 
@@ -51,6 +57,7 @@
   [[nodiscard]] bool hasFramedBody() const;
 
   const std::size_t m_MaxBodyBytes;
+  ClientSockets &m_Sockets;
   CURL *m_Handle;
   curl_slist *m_HeaderLines = nullptr;
   HttpClient::CallId m_Id = 0;
@@ -60,6 +67,7 @@
   absl::Time m_Started;
   std::size_t m_HeaderBytes = 0;
   bool m_HasSent = false;
+  bool m_IsStale = false;
   bool m_IsTooLarge = false;
   bool m_HasHeaders = false;
 };
--- a/libs/http/src/ClientImpl.cpp
+++ b/libs/http/src/ClientImpl.cpp
@@ -145,7 +145,8 @@
 
 std::unique_ptr<ClientCall> HttpClient::Impl::makeCall() {
   if (m_Spare.empty()) {
-    auto Call = std::make_unique<ClientCall>(m_Settings.m_MaxBodyBytes);
+    auto Call =
+        std::make_unique<ClientCall>(m_Settings.m_MaxBodyBytes, m_Sockets);
     curl_easy_setopt(Call->handle(), CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
     return Call;
   }
@@ -292,6 +293,10 @@
     curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
     curl_multi_remove_handle(m_Multi, Handle);
     auto Found = m_Calls.find(static_cast<ClientCall *>(Private)->id());
+    if (Found->second->takeStale()) {
+      curl_multi_add_handle(m_Multi, Handle);
+      continue;
+    }
     std::unique_ptr<ClientCall> Call = std::move(Found->second);
     m_Calls.erase(Found);
     Failure What = Call->failureOf(Code);
--- a/libs/http/src/ClientImpl.h
+++ b/libs/http/src/ClientImpl.h
@@ -75,6 +75,7 @@
   // Of the client's thread alone.
   std::vector<Order> m_Taken;
   std::deque<Order> m_Queue; ///< Waits for a connection.
+  ClientSockets m_Sockets;   ///< Outlives the calls.
   absl::flat_hash_map<CallId, std::unique_ptr<ClientCall>> m_Calls;
   std::vector<std::unique_ptr<ClientCall>> m_Spare;
   absl::Time m_TimerAt = absl::InfiniteFuture();
--- a/libs/http/tests/RefusalCopyTest.cpp
+++ b/libs/http/tests/RefusalCopyTest.cpp
@@ -1,4 +1,5 @@
 #include "LoopFixture.h"
+#include "http/HttpClient.h"
 #include "model/NameTable.h"
 
 #include "fmt/format.h"
@@ -141,6 +142,38 @@
   }
 }
 
+// The same for the daemon that stands alone, as far as an answer without a name
+// can be told from another: until the next request is written.
+TEST_P(RefusalCopyTest, HttpClient_CopyBeforeTheNext_IsNoAnswerToTheNext) {
+  CopyMoment When = std::get<3>(GetParam());
+  if (When != CopyMoment::BehindTheRefusal && When != CopyMoment::BeforeTheNext)
+    return;
+  RawSocket Listener = RawSocket::listenAnywhere();
+  std::thread Target([&] { runTarget(Listener); });
+  HttpClient Client({});
+  auto Call = [&](const char *Path) {
+    HttpResult Seen;
+    absl::Notification Done;
+    Client.send(fmt::format("http://127.0.0.1:{}", Listener.port()),
+                {"GET", Path, {}, ""}, absl::Minutes(1),
+                [&](HttpResult Result) {
+                  Seen = std::move(Result);
+                  Done.Notify();
+                });
+    Done.WaitForNotification();
+    return Seen;
+  };
+  EXPECT_EQ(Call("/1").m_Response.m_Status, std::get<0>(GetParam()));
+  m_IsFirstAnswered.Notify();
+  m_MaySendNext.WaitForNotification();
+  HttpResult Next = Call("/2");
+  Target.join();
+  if (Next.m_Failure != Failure::Cut) {
+    EXPECT_EQ(Next.m_Failure, Failure::None);
+    EXPECT_EQ(Next.m_Response.m_Body, "own");
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Copies, RefusalCopyTest,
     testing::Combine(
