run: an answer that ends inside its head is no answer

Callers would see, with `knapweedloft run`, a 200 with an empty body where the target broke off inside the head of its answer.

Cause: libcurl reports success for a connection that ends there, once a length of 0 or a status without a body has been read.

Change: an answer counts only with its whole head.

Evidence: CutHeadTest cuts eight heads after each byte, in order and by a reset, for both clients. Three heads failed with the client of `run`; none does now. The client of `node` was right; with its check taken out, 6 of 8 heads fail.

--- a/libs/http/src/ClientCall.cpp
+++ b/libs/http/src/ClientCall.cpp
@@ -157,9 +157,11 @@
     OnDone(std::move(Result));
 }
 
+// libcurl takes the end of the connection inside the header for the end of an
+// answer that has no body.
 Failure ClientCall::failureOf(CURLcode Code) const {
   if (Code == CURLE_OK)
-    return hasFramedBody() ? Failure::None : Failure::Cut;
+    return m_HasHeaders && hasFramedBody() ? Failure::None : Failure::Cut;
   if (!m_HasSent)
     return Failure::NotSent;
   if (m_IsTooLarge)
