--- a/libs/mesh/include/mesh/MemberRecord.h
+++ b/libs/mesh/include/mesh/MemberRecord.h
@@ -13,7 +13,8 @@
 [[nodiscard]] std::string toRecordText(const model::Member &Member);
 
 /// Parses what toRecordText() writes.
-/// \returns nullopt if \p Text is not JSON or lacks a field.
+/// \returns nullopt if \p Text is not JSON, lacks a field, or has one that no
+/// member can have.
 [[nodiscard]] std::optional<model::Member>
 memberFromRecord(std::string_view Text);
 
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -1,6 +1,7 @@
 #include "NodeImpl.h"
 
 #include "link/MessageCast.h"
+#include "mesh/LogText.h"
 #include "mesh/MemberRecord.h"
 
 #include "absl/random/distributions.h"
@@ -133,7 +134,7 @@
                 {{"key", Record.m_Key},
                  {"era", Record.m_Era},
                  {"offset", Record.m_Offset},
-                 {"why", Unreadable->m_Reason}});
+                 {"why", shortReason(Unreadable->m_Reason)}});
     if (m_Rollouts && Unreadable->m_IsRolloutOrder)
       m_Rollouts->onUnreadableOrder();
   }
--- a/libs/mesh/src/RequestQuarantine.cpp
+++ b/libs/mesh/src/RequestQuarantine.cpp
@@ -1,11 +1,16 @@
 #include "mesh/RequestQuarantine.h"
 
+#include "mesh/JsonValues.h"
+#include "mesh/LogText.h"
+
 #include "fmt/format.h"
 #include "nlohmann/json.hpp"
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <iterator>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -24,6 +29,9 @@
 constexpr absl::Duration ExpiryInterval = absl::Minutes(1);
 /// Bounds ages that other processes tell.
 constexpr absl::Duration MaxAge = absl::Hours(30 * 24);
+/// Unix milliseconds; a time far beyond any that is meant.
+constexpr std::uint64_t MaxUnixMs = 100'000'000'000'000;
+constexpr std::uint64_t MaxSequence = std::numeric_limits<std::uint32_t>::max();
 
 std::uint64_t ageOf(absl::Time At, absl::Time Now) {
   return static_cast<std::uint64_t>(
@@ -245,7 +253,7 @@
     Text["completed"].push_back(
         {{"request", fmt::format("{:016x}", Request)},
          {"at_ms", absl::ToUnixMillis(Wall - (Now - At))}});
-  return Text.dump();
+  return toJsonText(Text);
 }
 
 void RequestQuarantine::onRecord(const StoredRecord &Record, absl::Time Now,
@@ -254,12 +262,12 @@
     return;
   try {
     mergeRecord(Record, Now, Wall);
-  } catch (const nlohmann::json::exception &Error) {
+  } catch (const std::exception &Error) {
     m_Log.state("Skipped an unreadable crash record.",
                 {{"key", Record.m_Key},
                  {"era", Record.m_Era},
                  {"offset", Record.m_Offset},
-                 {"why", Error.what()}});
+                 {"why", shortReason(Error.what())}});
   }
 }
 
@@ -268,7 +276,8 @@
   nlohmann::json Text = nlohmann::json::parse(Record.m_Value);
   auto TimeOf = [&](const nlohmann::json &Entry) {
     absl::Duration Age =
-        Wall - absl::FromUnixMillis(Entry.at("at_ms").get<std::int64_t>());
+        Wall - absl::FromUnixMillis(static_cast<std::int64_t>(
+                   wholeNumber(Entry.at("at_ms"), MaxUnixMs).value()));
     return Now - std::clamp(Age, absl::ZeroDuration(), MaxAge);
   };
   for (const nlohmann::json &Entry : Text.at("completed"))
@@ -276,12 +285,13 @@
         fingerprintFrom(Entry.at("request").get<std::string>()), TimeOf(Entry));
   std::size_t OwnCrashes = 0;
   for (const nlohmann::json &Entry : Text.at("crashes")) {
-    TargetCrash Crash{.m_Daemon = Record.m_Key,
-                      .m_Incarnation =
-                          Entry.at("incarnation").get<std::uint64_t>(),
-                      .m_Sequence = Entry.at("sequence").get<std::uint32_t>(),
-                      .m_Instance = Entry.at("instance").get<std::string>(),
-                      .m_At = TimeOf(Entry)};
+    TargetCrash Crash{
+        .m_Daemon = Record.m_Key,
+        .m_Incarnation = wholeNumber(Entry.at("incarnation")).value(),
+        .m_Sequence = static_cast<std::uint32_t>(
+            wholeNumber(Entry.at("sequence"), MaxSequence).value()),
+        .m_Instance = Entry.at("instance").get<std::string>(),
+        .m_At = TimeOf(Entry)};
     for (const nlohmann::json &Request : Entry.at("in_flight"))
       if (Fingerprint Known = fingerprintFrom(Request.get<std::string>()))
         Crash.m_InFlight.push_back(Known);
--- a/libs/mesh/tests/RequestQuarantineTest.cpp
+++ b/libs/mesh/tests/RequestQuarantineTest.cpp
@@ -66,6 +66,18 @@
   RequestQuarantine m_Quarantine = make();
 };
 
+// Guards against a daemon that ends by itself when its target has an odd id.
+TEST_F(RequestQuarantineTest, Tick_InstanceIsNoUtf8_RecordIsStillWritten) {
+  m_Quarantine.onRecordsRead();
+  m_Quarantine.onTargetCrash("i-\xff\xfe", std::vector{Poison}, m_Now);
+  m_Quarantine.tick(m_Now, m_Wall);
+  ASSERT_EQ(m_Writes.size(), 1U);
+  RequestQuarantine Peer = make();
+  Peer.onRecord({.m_Key = "other", .m_Value = m_Writes[0].m_Value}, m_Now,
+                m_Wall);
+  EXPECT_EQ(Peer.judge(Poison, m_Now).m_Crashes, 1U);
+}
+
 TEST_F(RequestQuarantineTest, OnTargetCrash_ReportReachesPeer_CountsThere) {
   RequestQuarantine Peer = make();
   for (int Count = 0; Count < 3; ++Count)
