Other instances do not push out what is known of the present one

Change: what is known of the present instance stays.

Evidence: OnReport_ManyOtherInstances_PresentIsKept fails with the former order.

--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -5,6 +5,23 @@
 #include <utility>
 
 namespace knapweedloft::mesh {
+namespace {
+
+/// Makes room for one more of at most \p Max. What is known of \p Present
+/// stays.
+template <typename FormerT>
+void dropOldest(std::deque<FormerT> &Former, std::size_t Max,
+                const std::string &Present) {
+  if (Former.size() < Max)
+    return;
+  auto Oldest =
+      std::find_if(Former.begin(), Former.end(), [&](const FormerT &One) {
+        return One.m_Instance != Present;
+      });
+  Former.erase(Oldest == Former.end() ? Former.begin() : Oldest);
+}
+
+} // namespace
 
 bool TargetState::isOutdated(const TargetReport &Report) const {
   if (m_Instance.empty())
@@ -37,8 +54,7 @@
                           absl::Time At) {
   if (hasLeft(Instance, StartTimeMs))
     return;
-  if (m_Left.size() == MaxFormerInstances)
-    m_Left.pop_front();
+  dropOldest(m_Left, MaxFormerInstances, m_Instance);
   m_Left.push_back({Instance, StartTimeMs, At});
 }
 
@@ -49,8 +65,7 @@
                               return One.m_Instance == Report.m_Instance;
                             });
   if (Found == m_Services.end()) {
-    if (m_Services.size() == MaxFormerInstances)
-      m_Services.pop_front();
+    dropOldest(m_Services, MaxFormerInstances, m_Instance);
     m_Services.push_back({.m_Instance = Report.m_Instance});
     Found = std::prev(m_Services.end());
   } else if (std::pair(Report.m_StartTimeMs, Report.m_Sequence) <
--- a/libs/mesh/tests/TargetStateTest.cpp
+++ b/libs/mesh/tests/TargetStateTest.cpp
@@ -142,6 +142,27 @@
   EXPECT_EQ(m_State.instance(), "b");
 }
 
+// Guards against a sound target that is closed, or a leaving that is forgotten,
+// by the number of other instances that are heard of.
+TEST_F(TargetStateTest, OnReport_ManyOtherInstances_PresentIsKept) {
+  m_State.onReport(report("present", 1, 1000), m_Now);
+  for (int Index = 0; Index < 100; ++Index) {
+    std::string Other = "other-" + std::to_string(Index);
+    m_State.onReport(report(Other, 1, 100), m_Now);
+    m_State.onReport(
+        {.m_Instance = Other, .m_Condition = TargetCondition::Gone}, m_Now);
+  }
+  EXPECT_TRUE(m_State.isOpen());
+  m_State.onReport(
+      {.m_Instance = "present", .m_Condition = TargetCondition::Gone}, m_Now);
+  for (int Index = 0; Index < 100; ++Index)
+    m_State.onReport({.m_Instance = "later-" + std::to_string(Index),
+                      .m_Condition = TargetCondition::Gone},
+                     m_Now);
+  m_State.onReport(report("present", 2, 1000), m_Now);
+  EXPECT_EQ(m_State.availability(), TargetAvailability::Leaving);
+}
+
 TEST_F(TargetStateTest, SetWithdrawn_OverridesReports) {
   m_State.onReport(report("a", 1, 100), m_Now);
   m_State.setWithdrawn(true);
