--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -173,7 +173,8 @@
 void TargetState::onUnexpectedInstance(const std::string &Instance) {
   if (Instance == m_Instance)
     return;
-  // The instance gets no requests until a report or a check confirms it.
+  // The instance gets no requests until a check has found it well and a report
+  // has named its service.
   setInstance(Instance, 0);
   m_NeedsCheck = true;
 }
