Log and count what a target gets while it is cold

A flood of a cold target could not be told from a target that nobody knew to be cold: the log had one line at the start of a cold time that was paced, none for one that was dropped, shortened or taken back, and no count.

Now each change of the cold time is logged with its source and the rate in force, and the starts in a cold time are counted from what the target says, whether or not they are paced: a line at its end and three metrics. No decision changes.

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -5,6 +5,7 @@
 #include "http/LoopClient.h"
 #include "link/LinkNode.h"
 #include "mesh/CatalogIndex.h"
+#include "mesh/ColdStartMeter.h"
 #include "mesh/ComponentLog.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/TargetCounts.h"
@@ -108,7 +109,7 @@
 
   TargetPath(Options Settings, ComponentLog Log, absl::Time Now);
 
-  void setCatalog(CatalogPtr Catalog);
+  void setCatalog(CatalogPtr Catalog, absl::Time Now);
   void setWithdrawn(bool IsWithdrawn, absl::Time Now);
 
   /// Handles a report of the target. A report that is Accepted takes effect
@@ -158,6 +159,9 @@
     return m_Scheduler.load().m_Queued;
   }
   [[nodiscard]] const TargetCounts &counts() const { return m_Counts; }
+  [[nodiscard]] const ColdStartMeter &coldStarts() const {
+    return m_ColdStarts;
+  }
   /// \returns the requests a second that the target takes; 0: it named none.
   [[nodiscard]] double rateLimit() const { return m_RateLimit.m_PerSecond; }
 
@@ -279,7 +283,9 @@
   void closeQueue(absl::Time Now);
   /// Applies a change of availability or instance since the last call.
   void applyStateChange(absl::Time Now);
-  void setCold(absl::Duration For, absl::Time Now);
+  /// \param Source what says that the target is cold \p For a time.
+  void setCold(absl::Duration For, const char *Source, absl::Time Now);
+  void logColdStarts(absl::Time Now);
   /// Takes the slots and the pace that the target names.
   void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
   void updatePace(absl::Time Now);
@@ -314,6 +320,8 @@
   bool m_IsRamping = false; ///< The target was cold at the last tick.
   bool m_IsChecking = false;
   bool m_IsColdTimeKnown = true; ///< The target reported its cold time.
+  ColdStartMeter m_ColdStarts;
+  absl::Time m_LoggedColdUntil = absl::InfinitePast();
   double m_LoggedAdmittedShare = 1;
   JobId m_SuspectJob = 0; ///< The running job of a suspected request; 0: none.
   std::optional<BrokenRuns> m_Broken;
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -164,7 +164,7 @@
                         .m_IdleTimeout = Limits.m_IdleTimeout});
   m_Catalog = std::make_shared<const CatalogIndex>(std::move(Next));
   m_Entry->setCatalog(m_Catalog, Now);
-  m_Target->setCatalog(m_Catalog);
+  m_Target->setCatalog(m_Catalog, Now);
 }
 
 void Node::Impl::onUp(link::PeerHandle Link, const model::Member &Member) {
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -131,6 +131,11 @@
   append(Text, "target_checks_total", static_cast<double>(Target.m_Checks));
   append(Text, "target_crashes_total", static_cast<double>(Target.m_Crashes));
   append(Text, "target_queued", static_cast<double>(m_Target->queued()));
+  append(Text, "target_cold", m_Target->isCold(io::monotonicNow()) ? 1 : 0);
+  append(Text, "target_cold_starts_total",
+         static_cast<double>(m_Target->coldStarts().starts()));
+  append(Text, "target_cold_starts_most_in_one_second",
+         static_cast<double>(m_Target->coldStarts().mostInOneSecond()));
   append(Text, "target_rate_limit", m_Target->rateLimit());
   append(Text, "target_rate_limited_starts_total",
          static_cast<double>(Target.m_PacedStarts));
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -4,6 +4,7 @@
 
 #include "http/MessageText.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <string_view>
@@ -16,6 +17,9 @@
 using model::RefusalReason;
 
 constexpr int OkStatus = 200;
+/// A cold target repeats its cold time in each report; smaller changes than
+/// this are not logged.
+constexpr absl::Duration LoggedColdChange = absl::Milliseconds(200);
 
 /// \returns the number at \p Index of a comma-separated list.
 std::optional<std::uint64_t> numberAt(std::string_view Text,
@@ -46,23 +50,47 @@
     m_NextCheck = Now;
     if (const CatalogService *Service =
             m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr)
-      setCold(Service->m_ColdStartDuration, Now);
+      setCold(Service->m_ColdStartDuration, "restored", Now);
   }
   applyStateChange(Now);
 }
 
-void TargetPath::setCold(absl::Duration For, absl::Time Now) {
+void TargetPath::setCold(absl::Duration For, const char *Source,
+                         absl::Time Now) {
   const CatalogService *Service =
       m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
-  if (For <= absl::ZeroDuration() || !Service ||
-      Service->m_ColdPerSecond <= 0) {
-    m_Scheduler.setCold(absl::InfinitePast(), 1);
-    return;
+  double PerSecond = Service ? Service->m_ColdPerSecond : 0;
+  m_ColdStarts.onCold(Now + For, Now);
+  bool IsCold = For > absl::ZeroDuration();
+  bool IsPaced = IsCold && PerSecond > 0;
+  bool WasCold = m_LoggedColdUntil > Now;
+  absl::Duration Change = Now + For - std::max(m_LoggedColdUntil, Now);
+  if (WasCold != IsCold ||
+      (WasCold && absl::AbsDuration(Change) > LoggedColdChange)) {
+    m_LoggedColdUntil = Now + For;
+    m_Log.state("The target's cold time changed.",
+                {{"for", For},
+                 {"change", Change},
+                 {"source", Source},
+                 {"bears", PerSecond},
+                 {"paced", IsPaced},
+                 {"config", m_Catalog ? m_Catalog->version() : 0},
+                 {"instance", m_State.instance()},
+                 {"born", m_State.startTimeMs()},
+                 {"sequence", m_State.sequence()}});
   }
-  if (!m_Scheduler.isCold(Now))
-    m_Log.state("The target is cold.",
-                {{"for", For}, {"bears", Service->m_ColdPerSecond}});
-  m_Scheduler.setCold(Now + For, Service->m_ColdPerSecond);
+  if (IsPaced)
+    m_Scheduler.setCold(Now + For, PerSecond);
+  else
+    m_Scheduler.setCold(absl::InfinitePast(), 1);
+}
+
+void TargetPath::logColdStarts(absl::Time Now) {
+  if (auto Ended = m_ColdStarts.takeEnded(Now))
+    m_Log.state("The target's cold time ended.",
+                {{"lasted", Ended->m_Lasted},
+                 {"starts", Ended->m_Starts},
+                 {"most_in_one_second", Ended->m_MostInOneSecond}});
 }
 
 TargetState::ReportResult TargetPath::onReport(const TargetReport &Report,
@@ -101,7 +129,7 @@
     if (Report.m_Slots > 0)
       m_Scheduler.setSlots(Report.m_Slots);
     m_IsColdTimeKnown = true;
-    setCold(Report.m_ColdRemaining, Now);
+    setCold(Report.m_ColdRemaining, "report", Now);
   }
   applyStateChange(Now);
   return Result;
@@ -254,7 +282,7 @@
     auto RemainingMs =
         ColdRemaining ? numberAt(*ColdRemaining, 0) : std::nullopt;
     m_IsColdTimeKnown = true;
-    setCold(absl::Milliseconds(RemainingMs.value_or(0)), Now);
+    setCold(absl::Milliseconds(RemainingMs.value_or(0)), "check", Now);
   }
   applyStateChange(Now);
   if (Result.m_Failure == Failure::None)
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -45,7 +45,7 @@
       m_NextCheck(m_Options.m_IsRestart ? Now
                                         : Now + m_Options.m_FirstCheckDelay) {}
 
-void TargetPath::setCatalog(CatalogPtr Catalog) {
+void TargetPath::setCatalog(CatalogPtr Catalog, absl::Time /*Now*/) {
   m_Catalog = std::move(Catalog);
 }
 
@@ -141,6 +141,7 @@
     return;
   PendingRequest &Next = m_Pending.at(Id);
   ++m_Counts.m_Started;
+  m_ColdStarts.onStart(Now);
   if (m_RateLimit.m_PerSecond > 0)
     ++m_Counts.m_PacedStarts;
   m_Counts.m_Wait.add(Now - Next.m_Arrived);
@@ -406,6 +407,7 @@
   m_IsRamping = m_Scheduler.isCold(Now);
   m_ShareController.update(m_Scheduler.usableSlots(), Now);
   logAdmittedShare();
+  logColdStarts(Now);
   poll(Now);
   judgeBrokenRuns(Now);
   releaseAnswers(Now);
--- a/libs/mesh/tests/RolloutFleet.cpp
+++ b/libs/mesh/tests/RolloutFleet.cpp
@@ -118,7 +118,7 @@
   makeTarget(Index);
   makeEntry(Index);
   Made.m_Entry->setCatalog(makeCatalog(), m_Now);
-  Made.m_Target->setCatalog(makeCatalog());
+  Made.m_Target->setCatalog(makeCatalog(), m_Now);
   Made.m_Entry->rates().onMembersKnown(m_Now, m_Random);
   readOrders(Index);
   report(Index);
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -29,7 +29,7 @@
   };
 
   TargetPathTest() : m_Path(options(), ComponentLog(m_Log, "target"), m_Now) {
-    m_Path.setCatalog(makeCatalog());
+    m_Path.setCatalog(makeCatalog(), m_Now);
   }
 
   TargetPath::Options options() {
@@ -80,7 +80,7 @@
     };
     m_Path =
         TargetPath(std::move(Options), ComponentLog(m_Log, "target"), m_Now);
-    m_Path.setCatalog(makeCatalog());
+    m_Path.setCatalog(makeCatalog(), m_Now);
     m_Path.onReport(report(1), m_Now);
   }
 
@@ -355,7 +355,7 @@
   TargetPath::Options Options = options();
   Options.m_IsRestart = true;
   m_Path = TargetPath(std::move(Options), ComponentLog(m_Log, "target"), m_Now);
-  m_Path.setCatalog(makeCatalog());
+  m_Path.setCatalog(makeCatalog(), m_Now);
   tick(1);
   ASSERT_EQ(m_Calls.size(), 1U);
   finish(0, http::Failure::None,
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -176,7 +176,7 @@
   makeEntry(Index);
   CatalogPtr Catalog = catalogOf(m_Settings.m_Services);
   Made.m_Entry->setCatalog(Catalog, m_Now);
-  Made.m_Target->setCatalog(Catalog);
+  Made.m_Target->setCatalog(Catalog, m_Now);
   Made.m_Entry->rates().onMembersKnown(m_Now, m_Random);
   Made.m_Records->start(m_Now);
   tick(Index);
