A cold time holds also if the configuration comes after it

What callers and targets saw: a target that had started cold got its full load, 300 requests in a second in the test where 26 are allowed, and could crash under it, whenever its daemon learned of the cold time before the configuration.

Cause: the cold time comes from reports, health checks and the return of a data center, the rate from the configuration. setCold dropped the time where no configuration named the service, and nothing applied it again; a new rate took effect with the next report only. Class: a state made of two inputs that is applied only if the other was known already.

Change: ColdTime keeps what is known of the time, and applyColdTime puts it together with the rate whenever one of the two changes. While a target is cold and no configuration names its service, it is closed (awaits-rate): how much it bears is not known, and a daemon without a configuration cannot ask it. It opens with the configuration or when the time is over. Where the configuration gives no rate, nothing is limited, as before.

Ruled out: entry sides, which forward to whatever the target side says is open, and the pacer, which keeps its rate once it has one.

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -6,6 +6,7 @@
 #include "link/LinkNode.h"
 #include "mesh/CatalogIndex.h"
 #include "mesh/ColdStartMeter.h"
+#include "mesh/ColdTime.h"
 #include "mesh/ComponentLog.h"
 #include "mesh/HeaderNames.h"
 #include "mesh/TargetCounts.h"
@@ -283,8 +284,9 @@
   void closeQueue(absl::Time Now);
   /// Applies a change of availability or instance since the last call.
   void applyStateChange(absl::Time Now);
-  /// \param Source what says that the target is cold \p For a time.
-  void setCold(absl::Duration For, const char *Source, absl::Time Now);
+  /// Applies the cold time with the rate of the configuration.
+  /// \param Source what has changed one of them.
+  void applyColdTime(const char *Source, absl::Time Now);
   void logColdStarts(absl::Time Now);
   /// Takes the slots and the pace that the target names.
   void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
@@ -319,9 +321,10 @@
   absl::Time m_NextCheck;
   bool m_IsRamping = false; ///< The target was cold at the last tick.
   bool m_IsChecking = false;
-  bool m_IsColdTimeKnown = true; ///< The target reported its cold time.
+  ColdTime m_ColdTime;
   ColdStartMeter m_ColdStarts;
   absl::Time m_LoggedColdUntil = absl::InfinitePast();
+  bool m_LoggedPaced = false;
   double m_LoggedAdmittedShare = 1;
   JobId m_SuspectJob = 0; ///< The running job of a suspected request; 0: none.
   std::optional<BrokenRuns> m_Broken;
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -22,13 +22,14 @@
   Withdrawn,   ///< An operator withdrew its data center.
   Stopping,    ///< The daemon is stopping.
   Held,        ///< A roll-out does not let its version have requests.
-  Superseded   ///< A new version has taken over from its version.
+  Superseded,  ///< A new version has taken over from its version.
+  AwaitsRate   ///< It is cold, and no configuration says what it bears.
 };
 
-inline constexpr model::NameTable<TargetAvailability, 9>
+inline constexpr model::NameTable<TargetAvailability, 10>
     TargetAvailabilityNames{{"open", "unknown", "unconfirmed", "leaving",
                              "down", "withdrawn", "stopping", "held",
-                             "superseded"}};
+                             "superseded", "awaits-rate"}};
 
 /// Why a roll-out closes a target.
 enum class RolloutHold : std::uint8_t { None, Held, Superseded };
@@ -87,6 +88,8 @@
   void onConnectionRefused();
   void setWithdrawn(bool IsWithdrawn);
   void setRolloutHold(RolloutHold Hold) { m_Hold = Hold; }
+  /// The target is cold, and how much it bears is not known.
+  void setAwaitsRate(bool AwaitsRate) { m_AwaitsRate = AwaitsRate; }
   void setStopping() { m_IsStopping = true; }
 
   [[nodiscard]] TargetAvailability availability() const;
@@ -152,6 +155,7 @@
   bool m_IsWithdrawn = false;
   bool m_IsStopping = false;
   bool m_HasCheckFailed = false;
+  bool m_AwaitsRate = false;
   RolloutHold m_Hold = RolloutHold::None;
 };
 
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -46,31 +46,32 @@
   if (WasWithdrawn && !IsWithdrawn) {
     // A withdrawn target may have gone cold: it is treated as cold, and
     // checked, before it gets its full load.
-    m_IsColdTimeKnown = false;
+    m_ColdTime.suspect(Now);
     m_NextCheck = Now;
-    if (const CatalogService *Service =
-            m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr)
-      setCold(Service->m_ColdStartDuration, "restored", Now);
+    applyColdTime("restored", Now);
   }
   applyStateChange(Now);
 }
 
-void TargetPath::setCold(absl::Duration For, const char *Source,
-                         absl::Time Now) {
+void TargetPath::applyColdTime(const char *Source, absl::Time Now) {
   const CatalogService *Service =
       m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
+  absl::Time Until = m_ColdTime.until(Service ? Service->m_ColdStartDuration
+                                              : absl::InfiniteDuration());
   double PerSecond = Service ? Service->m_ColdPerSecond : 0;
-  m_ColdStarts.onCold(Now + For, Now);
-  bool IsCold = For > absl::ZeroDuration();
+  bool IsCold = Until > Now;
   bool IsPaced = IsCold && PerSecond > 0;
+  m_State.setAwaitsRate(IsCold && !Service);
+  m_ColdStarts.onCold(Until, Now);
   bool WasCold = m_LoggedColdUntil > Now;
-  absl::Duration Change = Now + For - std::max(m_LoggedColdUntil, Now);
-  if (WasCold != IsCold ||
-      (WasCold && absl::AbsDuration(Change) > LoggedColdChange)) {
-    m_LoggedColdUntil = Now + For;
+  absl::Duration Change = Until - std::max(m_LoggedColdUntil, Now);
+  bool IsChanged =
+      IsPaced != m_LoggedPaced || absl::AbsDuration(Change) > LoggedColdChange;
+  if (WasCold != IsCold || (IsCold && IsChanged)) {
+    m_LoggedColdUntil = Until;
+    m_LoggedPaced = IsPaced;
     m_Log.state("The target's cold time changed.",
-                {{"for", For},
-                 {"change", Change},
+                {{"for", std::max(Until - Now, absl::ZeroDuration())},
                  {"source", Source},
                  {"bears", PerSecond},
                  {"paced", IsPaced},
@@ -80,7 +81,7 @@
                  {"sequence", m_State.sequence()}});
   }
   if (IsPaced)
-    m_Scheduler.setCold(Now + For, PerSecond);
+    m_Scheduler.setCold(Until, PerSecond);
   else
     m_Scheduler.setCold(absl::InfinitePast(), 1);
 }
@@ -128,8 +129,8 @@
   if (Report.m_Condition != TargetCondition::Gone) {
     if (Report.m_Slots > 0)
       m_Scheduler.setSlots(Report.m_Slots);
-    m_IsColdTimeKnown = true;
-    setCold(Report.m_ColdRemaining, "report", Now);
+    m_ColdTime.set(Report.m_ColdRemaining, Now);
+    applyColdTime("report", Now);
   }
   applyStateChange(Now);
   return Result;
@@ -281,8 +282,8 @@
         Response.m_Headers, m_Options.m_HeaderNames.m_ColdRemaining);
     auto RemainingMs =
         ColdRemaining ? numberAt(*ColdRemaining, 0) : std::nullopt;
-    m_IsColdTimeKnown = true;
-    setCold(absl::Milliseconds(RemainingMs.value_or(0)), "check", Now);
+    m_ColdTime.set(absl::Milliseconds(RemainingMs.value_or(0)), Now);
+    applyColdTime("check", Now);
   }
   applyStateChange(Now);
   if (Result.m_Failure == Failure::None)
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -45,8 +45,10 @@
       m_NextCheck(m_Options.m_IsRestart ? Now
                                         : Now + m_Options.m_FirstCheckDelay) {}
 
-void TargetPath::setCatalog(CatalogPtr Catalog, absl::Time /*Now*/) {
+void TargetPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
   m_Catalog = std::move(Catalog);
+  applyColdTime("configuration", Now);
+  applyStateChange(Now);
 }
 
 RefusalReason TargetPath::validate(const wire::ForwardT &Message) const {
@@ -402,6 +404,10 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
+  if (m_State.availability() == TargetAvailability::AwaitsRate) {
+    applyColdTime("its end", Now);
+    applyStateChange(Now);
+  }
   applyRollout(Now);
   updatePace(Now);
   m_IsRamping = m_Scheduler.isCold(Now);
@@ -412,7 +418,7 @@
   judgeBrokenRuns(Now);
   releaseAnswers(Now);
   bool IsCheckNeeded =
-      m_State.needsCheck() || (!m_IsColdTimeKnown && m_State.isOpen());
+      m_State.needsCheck() || (m_ColdTime.isSuspected() && m_State.isOpen());
   if (IsCheckNeeded && !m_IsChecking && Now >= m_NextCheck)
     beginHealthCheck(Now);
 }
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -203,6 +203,8 @@
     return TargetAvailability::Unconfirmed;
   if (m_IsDown)
     return TargetAvailability::Down;
+  if (m_AwaitsRate)
+    return TargetAvailability::AwaitsRate;
   if (m_Hold != RolloutHold::None)
     return m_Hold == RolloutHold::Held ? TargetAvailability::Held
                                        : TargetAvailability::Superseded;
