A late report does not end a cold time that it cannot know of

What callers and targets saw: a cold target got its full load, 300 requests in a second in the test where 26 are allowed.

Cause: whatever came last set the cold time. Reports may be seconds late, so one from before the target went cold ended what a health check, or the return of its data center, had said since; a health check without a word on the cold time ended what a report had said. Class: older news over newer.

Change: reports and health checks each replace what their own kind has said, and the longest holds; an answer that says nothing changes nothing. After the return of a data center only a health check that began after it shows that the target is not cold. Another start forgets what its predecessor said.

TargetPathTest.SetWithdrawn_Restored_ColdUntilReportedOtherwise asked that a report alone ends the doubt, which is this fault; the test that takes its place asks that it does not, and that a health check does.

Why it works: no order in which reports and checks arrive shortens the time that the other kind has told. Cost: after a withdrawal a target waits for its health check, which is begun at once, instead of possibly its next report.

--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -103,6 +103,8 @@
                           !m_Catalog->service(Report.m_Service);
   bool IsIgnored =
       Report.m_Condition != TargetCondition::Gone && IsUnknownService;
+  std::string Former = m_State.instance();
+  std::int64_t FormerStart = m_State.startTimeMs();
   TargetState::ReportResult Result = IsIgnored
                                          ? TargetState::ReportResult::Foreign
                                          : m_State.onReport(Report, Now);
@@ -129,7 +131,11 @@
   if (Report.m_Condition != TargetCondition::Gone) {
     if (Report.m_Slots > 0)
       m_Scheduler.setSlots(Report.m_Slots);
-    m_ColdTime.set(Report.m_ColdRemaining, Now);
+    bool IsLaterStart =
+        FormerStart != 0 && FormerStart != m_State.startTimeMs();
+    if (Former != m_State.instance() || IsLaterStart)
+      m_ColdTime.forgetInstance();
+    m_ColdTime.onReport(Report.m_ColdRemaining, Now);
     applyColdTime("report", Now);
   }
   applyStateChange(Now);
@@ -272,6 +278,8 @@
               {{"how", http::FailureNames.nameOf(Result.m_Failure)},
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
+  if (IsHealthy && *Instance != m_State.instance())
+    m_ColdTime.forgetInstance();
   m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Began);
   if (Result.m_Failure == Failure::None && Instance)
     applyNamedLeave(Response, *Instance, Now);
@@ -282,7 +290,10 @@
         Response.m_Headers, m_Options.m_HeaderNames.m_ColdRemaining);
     auto RemainingMs =
         ColdRemaining ? numberAt(*ColdRemaining, 0) : std::nullopt;
-    m_ColdTime.set(absl::Milliseconds(RemainingMs.value_or(0)), Now);
+    std::optional<absl::Duration> Remaining;
+    if (RemainingMs)
+      Remaining = absl::Milliseconds(*RemainingMs);
+    m_ColdTime.onHealthCheck(Remaining, Began, Now);
     applyColdTime("check", Now);
   }
   applyStateChange(Now);
--- a/libs/mesh/tests/ColdTargetTest.cpp
+++ b/libs/mesh/tests/ColdTargetTest.cpp
@@ -289,6 +289,30 @@
   EXPECT_FALSE(m_Path->isCold(m_Now));
 }
 
+// A health check that was on its way when the target's data center was given
+// back says nothing of the time after it.
+TEST_F(ColdTargetTest, OnHealthCheck_BeganBeforeRestore_DoesNotEndTheDoubt) {
+  restart(true);
+  m_Path->setCatalog(catalog(1), m_Now);
+  m_Path->onRemembered("i-1", m_Now);
+  m_Path->tick(m_Now);
+  ASSERT_EQ(m_Calls.size(), 1U);
+  m_Path->setWithdrawn(true, m_Now);
+  m_Now += Step;
+  m_Path->setWithdrawn(false, m_Now);
+  m_Now += RunTime;
+  answer(0);
+  EXPECT_TRUE(m_Path->isCold(m_Now));
+}
+
+TEST_F(ColdTargetTest, OnReport_NextStartIsWarm_FormerColdTimeEnds) {
+  m_Path->setCatalog(catalog(1), m_Now);
+  report(1, ColdDuration);
+  EXPECT_TRUE(m_Path->isCold(m_Now));
+  report(1, absl::ZeroDuration(), 6);
+  EXPECT_FALSE(m_Path->isCold(m_Now));
+}
+
 // Guards against a report from before a crash that opens the target for the
 // start after it, which keeps its id and is cold.
 TEST_F(ColdTargetTest, OnReport_LateWhileDown_DoesNotOpenTheNextStart) {
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -367,14 +367,20 @@
   EXPECT_EQ(m_Calls.size(), 2U);
 }
 
-TEST_F(TargetPathTest, SetWithdrawn_Restored_ColdUntilReportedOtherwise) {
+TEST_F(TargetPathTest, SetWithdrawn_Restored_ColdUntilCheckedOtherwise) {
   m_Path.onReport(report(1), m_Now);
   m_Path.setWithdrawn(true, m_Now);
   forward(1);
   EXPECT_TRUE(m_Calls.empty());
   m_Path.setWithdrawn(false, m_Now);
   EXPECT_TRUE(m_Path.isCold(m_Now));
+  // The report may be from before.
   m_Path.onReport(report(2), m_Now);
+  EXPECT_TRUE(m_Path.isCold(m_Now));
+  tick(1);
+  ASSERT_EQ(m_Calls.size(), 1U);
+  finish(0, http::Failure::None,
+         {.m_Status = 200, .m_Headers = {{"I-Am", "i-1"}, {"Cold-Left", "0"}}});
   EXPECT_FALSE(m_Path.isCold(m_Now));
 }
 
