A late report does not open a target that refused a connection

What callers and targets saw: a target that crashed and came back under its former id, cold, got its full load until its first report or check; 300 requests in a second in the test where 26 are allowed.

Cause: any report of the present start took back that the target is down, also one from before the crash that arrived after it, and with that ended the health checks, whose answer would have told the cold time. Class: older news over newer.

Change: a report of the start that refused a connection opens the target only once that has answered a health check that began since, well or not; a report of a later start opens it at once, as before. A check is begun with the report.

--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -74,7 +74,7 @@
 
   ReportResult onReport(const TargetReport &Report, absl::Time Now);
   /// A health check of \p Instance, which began at \p Began, succeeded or
-  /// failed.
+  /// failed. Empty: nobody named itself in an answer.
   void onHealthCheck(const std::string &Instance, bool IsHealthy,
                      absl::Time Began);
   /// A peer remembers that \p Instance was open for the service.
@@ -85,7 +85,7 @@
   /// \param At Unix time; infinitely late: unknown.
   void onLeaving(absl::Time At);
   /// The target refused a connection.
-  void onConnectionRefused();
+  void onConnectionRefused(absl::Time Now);
   void setWithdrawn(bool IsWithdrawn);
   void setRolloutHold(RolloutHold Hold) { m_Hold = Hold; }
   /// The target is cold, and how much it bears is not known.
@@ -152,6 +152,8 @@
   std::uint64_t m_Sequence = 0;
   bool m_IsLeaving = false;
   bool m_IsDown = false;
+  absl::Time m_RefusedAt = absl::InfinitePast(); ///< The latest connection.
+  bool m_AnswersAgain = false; ///< A health check since then, well or not.
   bool m_IsWithdrawn = false;
   bool m_IsStopping = false;
   bool m_HasCheckFailed = false;
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -138,6 +138,8 @@
     m_ColdTime.onReport(Report.m_ColdRemaining, Now);
     applyColdTime("report", Now);
   }
+  if (m_State.needsCheck())
+    m_NextCheck = Now;
   applyStateChange(Now);
   return Result;
 }
--- a/libs/mesh/src/TargetCrashes.cpp
+++ b/libs/mesh/src/TargetCrashes.cpp
@@ -143,7 +143,7 @@
     reportCrash(Broken.m_Instance, std::move(Broken.m_InFlight), Now);
   }
   if (Broken.m_IsRefused) {
-    m_State.onConnectionRefused();
+    m_State.onConnectionRefused(Now);
     applyStateChange(Now);
   }
   for (HeldAnswer &Held : Broken.m_Answers) {
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -260,7 +260,7 @@
     if (m_Broken)
       m_Broken->m_IsRefused = true;
     else
-      m_State.onConnectionRefused();
+      m_State.onConnectionRefused(Now);
     m_NextCheck = std::max(m_NextCheck, Now + m_Options.m_CheckInterval);
     applyStateChange(Now);
     refuse(Done.m_From, Done.m_Id, RefusalReason::NoTarget, Ran::No,
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -152,13 +152,18 @@
   m_Sequence = std::max(m_Sequence, Report.m_Sequence);
   if (IsLeaving)
     onLeaving(Report.m_ReceivedAt);
-  m_IsDown = false;
+  // A report of the start that refused a connection may be from before, so it
+  // opens the target only once that has answered again.
+  if (IsOther || IsLaterStart || m_AnswersAgain)
+    m_IsDown = false;
   return ReportResult::Accepted;
 }
 
 void TargetState::onHealthCheck(const std::string &Instance, bool IsHealthy,
                                 absl::Time Began) {
   m_HasCheckFailed = !IsHealthy;
+  if (!Instance.empty() && Instance == m_Instance && Began >= m_RefusedAt)
+    m_AnswersAgain = true;
   if (!IsHealthy)
     return;
   if (Instance != m_Instance)
@@ -184,7 +189,11 @@
   m_IsLeaving = true;
 }
 
-void TargetState::onConnectionRefused() { m_IsDown = true; }
+void TargetState::onConnectionRefused(absl::Time Now) {
+  m_IsDown = true;
+  m_AnswersAgain = false;
+  m_RefusedAt = Now;
+}
 
 void TargetState::setWithdrawn(bool IsWithdrawn) {
   m_IsWithdrawn = IsWithdrawn;
--- a/libs/mesh/tests/ColdTargetTest.cpp
+++ b/libs/mesh/tests/ColdTargetTest.cpp
@@ -326,6 +326,26 @@
   EXPECT_LE(mostInOneSecond(Start, m_Now), boundFor(12));
 }
 
+// A false health answer does not keep a target out that reports and answers.
+TEST_F(ColdTargetTest, OnReport_AnsweredIllSinceDown_Opens) {
+  m_Path->setCatalog(catalog(1), m_Now);
+  report(1, absl::ZeroDuration());
+  refuseConnection();
+  report(2, absl::ZeroDuration());
+  EXPECT_FALSE(m_Path->state().isOpen());
+  m_Path->tick(m_Now);
+  ASSERT_FALSE(m_Calls.empty());
+  Running Check = std::move(m_Calls.back());
+  m_Calls.pop_back();
+  ASSERT_TRUE(Check.m_IsCheck);
+  http::HttpResult Ill;
+  Ill.m_Response = {.m_Status = 503, .m_Headers = {{"I-Am", "i-1"}}};
+  Check.m_OnDone(std::move(Ill), m_Now);
+  EXPECT_FALSE(m_Path->state().isOpen());
+  report(3, absl::ZeroDuration());
+  EXPECT_TRUE(m_Path->state().isOpen());
+}
+
 // Times are told in whole milliseconds: a target is cold a little longer than
 // it says.
 TEST_F(ColdTargetTest, Tick_EndOfColdTime_WaitsForRoundedTimes) {
--- a/libs/mesh/tests/TargetStateTest.cpp
+++ b/libs/mesh/tests/TargetStateTest.cpp
@@ -105,7 +105,7 @@
 // the address of their target went.
 TEST_F(TargetStateTest, OnHealthCheck_OtherInstance_ClosedUntilItReports) {
   m_State.onReport(report("a", 1, 100), m_Now);
-  m_State.onConnectionRefused();
+  m_State.onConnectionRefused(m_Now);
   m_State.onHealthCheck("b", true, m_Now);
   EXPECT_EQ(m_State.availability(), TargetAvailability::Unconfirmed);
   TargetReport Foreign = report("b", 1, 200);
