A cold time that was told in rounded figures ends later, not sooner

What targets saw: the requests that waited for the end of a cold time came up to a millisecond before it; 27 in a second in the test where 26 are allowed, more with more callers.

Cause: targets tell the time that is left rounded, in health answers to whole milliseconds, and the daemon took it as exact. All that waits is started at its end.

Change: 50 ms more for a cold time that is not over.

--- a/libs/mesh/include/mesh/ColdTime.h
+++ b/libs/mesh/include/mesh/ColdTime.h
@@ -18,14 +18,14 @@
 public:
   /// The latest report says that the target is cold for \p Remaining.
   void onReport(absl::Duration Remaining, absl::Time Now) {
-    m_Reported = Now + Remaining;
+    m_Reported = endOf(Remaining, Now);
   }
   /// A health check that began at \p Began was answered. \p Remaining is what
   /// the answer said, if it said anything.
   void onHealthCheck(std::optional<absl::Duration> Remaining, absl::Time Began,
                      absl::Time Now) {
     if (Remaining)
-      m_Checked = Now + *Remaining;
+      m_Checked = endOf(*Remaining, Now);
     if (Began >= m_SuspectedAt)
       m_SuspectedAt = absl::InfinitePast();
   }
@@ -45,6 +45,15 @@
   }
 
 private:
+  /// Targets round the time that they tell, some to a tenth of a second. What
+  /// waits for the end of the cold time must not come before it.
+  static constexpr absl::Duration RoundingMargin = absl::Milliseconds(50);
+
+  static absl::Time endOf(absl::Duration Remaining, absl::Time Now) {
+    return Remaining > absl::ZeroDuration() ? Now + Remaining + RoundingMargin
+                                            : Now;
+  }
+
   absl::Time m_Reported = absl::InfinitePast();
   absl::Time m_Checked = absl::InfinitePast();
   absl::Time m_SuspectedAt = absl::InfinitePast();
