After a pause of the daemon its target is checked before it gets its full load

What targets saw: a target that went cold while its daemon stood still got its full load until its next report; 300 requests in a second in the test where 26 are allowed.

Cause: the daemon went on with what it had known before the pause. Class: a permission used after its time.

Change: after a second without a tick the target counts as possibly cold, as after the return of its data center, until a health check that began since says otherwise; the check is begun at once.

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -288,6 +288,8 @@
   /// \param Source what has changed one of them.
   void applyColdTime(const char *Source, absl::Time Now);
   void logColdStarts(absl::Time Now);
+  /// After a pause of the process, what became of the target is not known.
+  void notePause(absl::Time Now);
   /// Takes the slots and the pace that the target names.
   void applyReportedLoad(const http::HttpResponse &Response, absl::Time Now);
   void updatePace(absl::Time Now);
@@ -322,6 +324,7 @@
   bool m_IsRamping = false; ///< The target was cold at the last tick.
   bool m_IsChecking = false;
   ColdTime m_ColdTime;
+  absl::Time m_LastEvent;
   ColdStartMeter m_ColdStarts;
   absl::Time m_LoggedColdUntil = absl::InfinitePast();
   bool m_LoggedPaced = false;
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -20,6 +20,9 @@
 /// A cold target repeats its cold time in each report; smaller changes than
 /// this are not logged.
 constexpr absl::Duration LoggedColdChange = absl::Milliseconds(200);
+/// Ticks come every 100 ms at most. A target takes longer than this to crash
+/// and be back.
+constexpr absl::Duration LongPause = absl::Seconds(1);
 
 /// \returns the number at \p Index of a comma-separated list.
 std::optional<std::uint64_t> numberAt(std::string_view Text,
@@ -86,6 +89,15 @@
     m_Scheduler.setCold(absl::InfinitePast(), 1);
 }
 
+void TargetPath::notePause(absl::Time Now) {
+  absl::Duration Pause = Now - std::exchange(m_LastEvent, Now);
+  if (Pause < LongPause || m_State.instance().empty())
+    return;
+  m_ColdTime.suspect(Now);
+  m_NextCheck = Now;
+  applyColdTime("pause", Now);
+}
+
 void TargetPath::logColdStarts(absl::Time Now) {
   if (auto Ended = m_ColdStarts.takeEnded(Now))
     m_Log.state("The target's cold time ended.",
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -43,7 +43,8 @@
       m_Scheduler(m_Options.m_Scheduler),
       m_ShareController(m_Options.m_ShareController), m_Reports(Log),
       m_NextCheck(m_Options.m_IsRestart ? Now
-                                        : Now + m_Options.m_FirstCheckDelay) {}
+                                        : Now + m_Options.m_FirstCheckDelay),
+      m_LastEvent(Now) {}
 
 void TargetPath::setCatalog(CatalogPtr Catalog, absl::Time Now) {
   m_Catalog = std::move(Catalog);
@@ -68,6 +69,7 @@
 
 void TargetPath::onForward(link::PeerHandle From, wire::ForwardT &Message,
                            absl::Time Now, absl::Duration Age) {
+  notePause(Now);
   ++m_Counts.m_Forwards;
   model::ForwardId Id = app::fromWire(Message.id);
   adoptNotice(Message, Now);
@@ -404,6 +406,7 @@
 }
 
 void TargetPath::tick(absl::Time Now) {
+  notePause(Now);
   if (m_State.availability() == TargetAvailability::AwaitsRate) {
     applyColdTime("its end", Now);
     applyStateChange(Now);
