A pause is noticed by whatever starts requests, not by the next tick

What targets saw: 97 requests at once where 26 are allowed in a second, from a queue that the first answer after a pause let go.

Cause: the loop reads its sockets before it runs its timers, so that answers came before the tick that noticed the pause. Class: knowledge used after its time. Change: the check stands before each start from the queue.

--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -386,6 +386,8 @@
 }
 
 void TargetPath::poll(absl::Time Now) {
+  // After a pause the loop reads its sockets before it ticks.
+  notePause(Now);
   if (!m_State.isOpen()) {
     m_ShareController.onRunning(m_Scheduler.load().m_Running, Now);
     return;
