A cold time is not ended by a late first report or a rest rounded to nothing

Cause: the first report of a start dropped what health checks had said of it since; a rest that was rounded to nothing ended the cold time sooner than the report before it; a health answer was believed for any time. Class: older news over newer; told figures taken as exact.

Cost: a warm start behind a cold one waits for the next report or the end of the former cold time.

--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -115,8 +115,6 @@
                           !m_Catalog->service(Report.m_Service);
   bool IsIgnored =
       Report.m_Condition != TargetCondition::Gone && IsUnknownService;
-  std::string Former = m_State.instance();
-  std::int64_t FormerStart = m_State.startTimeMs();
   TargetState::ReportResult Result = IsIgnored
                                          ? TargetState::ReportResult::Foreign
                                          : m_State.onReport(Report, Now);
@@ -143,10 +141,6 @@
   if (Report.m_Condition != TargetCondition::Gone) {
     if (Report.m_Slots > 0)
       m_Scheduler.setSlots(Report.m_Slots);
-    bool IsLaterStart =
-        FormerStart != 0 && FormerStart != m_State.startTimeMs();
-    if (Former != m_State.instance() || IsLaterStart)
-      m_ColdTime.forgetInstance();
     m_ColdTime.onReport(Report.m_ColdRemaining, Now);
     applyColdTime("report", Now);
   }
--- a/libs/mesh/tests/ColdTargetTest.cpp
+++ b/libs/mesh/tests/ColdTargetTest.cpp
@@ -310,6 +310,7 @@
   report(1, ColdDuration);
   EXPECT_TRUE(m_Path->isCold(m_Now));
   report(1, absl::ZeroDuration(), 6);
+  press(absl::Milliseconds(100));
   EXPECT_FALSE(m_Path->isCold(m_Now));
 }
 
