A target that was down is open only after an answer from after it

What targets saw: 300 requests in a second where 26 are allowed, to the next start of a target that had refused a connection; a target whose health answers do not name it stayed closed for good.

Cause: the answer to a health check from before the refusal opened the target; an answer from before a refused health check let a late report open it; the cold time in an answer other than 200 was dropped; an answer without a name did not count as one. Class: older news over newer.

Change: what opens a target has to have begun after the latest connection that was refused, by a request or by a health check. Any answer of the instance, or without a name, shows that it accepts connections; a cold time in it counts, well or not.

The loop of OnReport_AnswersWithoutName_* ends once the target is open, as no health check is due then; its check at the end is the same.

--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -296,6 +296,8 @@
   void beginHealthCheck(absl::Time Now);
   void onHealthCheckDone(const http::HttpResult &Result, absl::Time Began,
                          absl::Time Now);
+  void applyCheckedColdTime(const http::HttpResponse &Response, bool IsHealthy,
+                            absl::Time Began, absl::Time Now);
   /// Takes over what the roll-out says.
   void applyRollout(absl::Time Now);
 
--- a/libs/mesh/include/mesh/TargetState.h
+++ b/libs/mesh/include/mesh/TargetState.h
@@ -74,9 +74,14 @@
 
   ReportResult onReport(const TargetReport &Report, absl::Time Now);
   /// A health check of \p Instance, which began at \p Began, succeeded or
-  /// failed. Empty: nobody named itself in an answer.
+  /// failed.
   void onHealthCheck(const std::string &Instance, bool IsHealthy,
                      absl::Time Began);
+  /// A health check that began at \p Began got an answer, well or not, which
+  /// named \p Instance, or nobody.
+  void onCheckAnswered(const std::string &Instance, absl::Time Began);
+  /// A health check found no connection.
+  void onCheckRefused(absl::Time Now);
   /// A peer remembers that \p Instance was open for the service.
   void onRemembered(const std::string &Instance);
   /// \p Instance answered a request that was sent to another instance.
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -286,29 +286,39 @@
               {{"how", http::FailureNames.nameOf(Result.m_Failure)},
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
-  if (IsHealthy && *Instance != m_State.instance())
-    m_ColdTime.forgetInstance();
   m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Began);
+  if (Result.m_Failure == Failure::None)
+    m_State.onCheckAnswered(Instance ? *Instance : "", Began);
+  else if (Result.m_Failure == Failure::NotSent)
+    m_State.onCheckRefused(Now);
   if (Result.m_Failure == Failure::None && Instance)
     applyNamedLeave(Response, *Instance, Now);
   onCheckOfBrokenRuns(Result.m_Failure, Instance, Now);
-  if (IsHealthy) {
+  if (IsHealthy)
     applyReportedLoad(Response, Now);
-    const std::string *ColdRemaining = http::findHeader(
-        Response.m_Headers, m_Options.m_HeaderNames.m_ColdRemaining);
-    auto RemainingMs =
-        ColdRemaining ? numberAt(*ColdRemaining, 0) : std::nullopt;
-    std::optional<absl::Duration> Remaining;
-    if (RemainingMs)
-      Remaining = absl::Milliseconds(*RemainingMs);
-    m_ColdTime.onHealthCheck(Remaining, Began, Now);
-    applyColdTime("check", Now);
-  }
+  if (Result.m_Failure == Failure::None && Instance &&
+      *Instance == m_State.instance())
+    applyCheckedColdTime(Response, IsHealthy, Began, Now);
   applyStateChange(Now);
   if (Result.m_Failure == Failure::None)
     m_Unanswered.clear();
 }
 
+void TargetPath::applyCheckedColdTime(const http::HttpResponse &Response,
+                                      bool IsHealthy, absl::Time Began,
+                                      absl::Time Now) {
+  const std::string *Text = http::findHeader(
+      Response.m_Headers, m_Options.m_HeaderNames.m_ColdRemaining);
+  auto RemainingMs = Text ? numberAt(*Text, 0) : std::nullopt;
+  if (!IsHealthy && !RemainingMs)
+    return;
+  std::optional<absl::Duration> Remaining;
+  if (RemainingMs)
+    Remaining = absl::Milliseconds(*RemainingMs);
+  m_ColdTime.onHealthCheck(Remaining, Began, Now);
+  applyColdTime("check", Now);
+}
+
 void TargetPath::stop(absl::Time Now) {
   m_State.setStopping();
   applyStateChange(Now);
--- a/libs/mesh/src/TargetState.cpp
+++ b/libs/mesh/src/TargetState.cpp
@@ -162,8 +162,6 @@
 void TargetState::onHealthCheck(const std::string &Instance, bool IsHealthy,
                                 absl::Time Began) {
   m_HasCheckFailed = !IsHealthy;
-  if (!Instance.empty() && Instance == m_Instance && Began >= m_RefusedAt)
-    m_AnswersAgain = true;
   if (!IsHealthy)
     return;
   if (Instance != m_Instance)
@@ -172,7 +170,20 @@
     m_NeedsCheck = false;
     m_DoubtedAt = absl::InfinitePast();
   }
-  m_IsDown = false;
+  if (Began >= m_RefusedAt)
+    m_IsDown = false;
+}
+
+void TargetState::onCheckAnswered(const std::string &Instance,
+                                  absl::Time Began) {
+  bool IsOther = !Instance.empty() && Instance != m_Instance;
+  if (!IsOther && Began >= m_RefusedAt)
+    m_AnswersAgain = true;
+}
+
+void TargetState::onCheckRefused(absl::Time Now) {
+  if (m_IsDown)
+    onConnectionRefused(Now);
 }
 
 void TargetState::onUnexpectedInstance(const std::string &Instance) {
--- a/libs/mesh/tests/ColdTargetReviewTest.cpp
+++ b/libs/mesh/tests/ColdTargetReviewTest.cpp
@@ -295,7 +295,8 @@
 TEST_F(ColdTargetReviewTest, OnReport_AnswersWithoutNameSinceDown_Opens) {
   refuseConnection();
   report(2, absl::ZeroDuration());
-  for (std::uint64_t Sequence = 3; Sequence < 13; ++Sequence) {
+  for (std::uint64_t Sequence = 3; Sequence < 13 && !m_Path->state().isOpen();
+       ++Sequence) {
     idle(absl::Milliseconds(750));
     end(takeCheck(), http::Failure::None, {.m_Status = 503});
     report(Sequence, absl::ZeroDuration());
