--- a/libs/mesh/tests/ColdTargetReviewTest.cpp
+++ b/libs/mesh/tests/ColdTargetReviewTest.cpp
@@ -105,7 +105,8 @@
     return Made;
   }
 
-  void end(Running Ended, http::Failure Failure, http::HttpResponse Response) {
+  void end(const Running &Ended, http::Failure Failure,
+           http::HttpResponse Response) {
     http::HttpResult Result;
     Result.m_Failure = Failure;
     Result.m_Response = std::move(Response);
@@ -140,7 +141,7 @@
         Running Done = std::move(m_Calls.front());
         m_Calls.pop_front();
         int Said = Done.m_IsCheck ? ColdMs : -1;
-        end(std::move(Done), http::Failure::None, answerOf(200, Said));
+        end(Done, http::Failure::None, answerOf(200, Said));
       }
       for (int Count = 0; Count < 3; ++Count)
         forward();
@@ -155,7 +156,7 @@
     Running Last = std::move(m_Calls.back());
     m_Calls.pop_back();
     m_Arrivals.pop_back();
-    end(std::move(Last), http::Failure::NotSent, {});
+    end(Last, http::Failure::NotSent, {});
   }
 
   /// \returns the most arrivals in any second that lies within the span.
@@ -196,7 +197,7 @@
   m_Now += absl::Seconds(4);
   absl::Time Start = m_Now;
   for (Running &Each : Broken)
-    end(std::move(Each), http::Failure::Cut, {});
+    end(Each, http::Failure::Cut, {});
   press(absl::Milliseconds(500), 2500);
   EXPECT_LE(mostInOneSecond(Start, m_Now), MaxInOneSecond);
 }
@@ -236,7 +237,7 @@
   Running Check = takeCheck();
   m_Now += absl::Milliseconds(600);
   refuseConnection();
-  end(std::move(Check), http::Failure::None, answerOf(200, 0));
+  end(Check, http::Failure::None, answerOf(200, 0));
   absl::Time Start = m_Now;
   press(absl::Milliseconds(1400), 2900);
   EXPECT_LE(mostInOneSecond(Start, m_Now), MaxInOneSecond);
