--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -30,7 +30,13 @@
 
   static RawSocket connectTo(std::uint16_t Port,
                              const std::string &To = "127.0.0.1") {
-    RawSocket Result(socket(AF_INET, SOCK_STREAM, 0));
+    return connectBy(socket(AF_INET, SOCK_STREAM, 0), Port, To);
+  }
+
+  /// Takes over \p Socket, whose options are set, and connects it.
+  static RawSocket connectBy(int Socket, std::uint16_t Port,
+                             const std::string &To = "127.0.0.1") {
+    RawSocket Result(Socket);
     sockaddr_in Address = addressOf(Port, To);
     require(connect(Result.m_Socket, reinterpret_cast<sockaddr *>(&Address),
                     sizeof Address));
