Server: unread answers count towards one memory budget

A crowd that asked for long answers and did not read them ended a daemon by its memory, with one answer a client and faster with pipelined requests.

Cause: the server bounded only requests that are not whole. Answers in a connection's output, and those that wait behind an earlier one, had no bound in bytes; the output also kept what was already written until it was empty.

policy::MemoryBudget counts what a process holds for others; half of limits.memory_mb is for callers. Over it the server closes the connection with the most unread answers, or refuses the largest unfinished request as not run. The output is kept in pieces that are given back as they are written.

UnreadAnswerTest covers the choice of who is closed.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -6,6 +6,7 @@
 #include "http/ParsedMessage.h"
 #include "io/EventLoop.h"
 #include "model/Endpoint.h"
+#include "policy/MemoryBudget.h"
 
 #include "absl/time/time.h"
 
@@ -62,6 +63,10 @@
     /// Of all requests that are not whole yet. Past it the largest is refused
     /// with 503 and its connection ended.
     std::size_t m_MaxHeldBytes = 256 << 20;
+    /// Of requests that are not whole and answers that are not read. While it
+    /// is over, the connection with the most unread is closed, or the largest
+    /// unfinished request refused with 503. Outlives the server; null: none.
+    policy::MemoryBudget *m_Budget = nullptr;
     Hooks m_Hooks;
   };
 
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -24,7 +24,6 @@
 constexpr absl::Duration ResumeAfter = absl::Milliseconds(100);
 /// Peers send on while the server waits.
 constexpr absl::Duration MeasuredAfter = absl::Seconds(1);
-constexpr int Unavailable = 503;
 /// More than a peer sends before it has read the last answer, unless it does
 /// not look for it.
 constexpr std::size_t MaxDroppedBytes = std::size_t{4} << 20;
@@ -87,7 +86,8 @@
            .m_MaxBodyBytes = m_Settings.m_Limits.m_MaxBodyBytes}),
       .m_Events = EPOLLIN,
       .m_LastActive = Now,
-      .m_LastWritten = Now});
+      .m_LastWritten = Now,
+      .m_Share = policy::HeldBytes(m_Settings.m_Budget)});
   Held->m_Watch =
       m_Loop.watch(Held->m_Socket.get(), EPOLLIN,
                    [this, Id](std::uint32_t Events) { onReady(Id, Events); });
@@ -156,6 +156,7 @@
     Held->m_MessageSince = io::monotonicNow();
   ParseState State = Held->m_Parser.feed(
       {m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
+  countHeld(*Held, Held->m_Parser.heldBytes());
   if (Held->m_Parser.takeContinueWanted()) {
     Held->m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
     flush(*Held);
@@ -166,26 +167,10 @@
     return;
   if (!Held->m_Parser.isInside())
     Held->m_MessageSince = absl::InfiniteFuture();
-  countHeld(*Held, Held->m_Parser.heldBytes());
   if (State != ParseState::Good && !Held->m_StopsReading)
     refuseRest(*Held, statusOf(State));
   limitHeld();
-}
-
-void LoopServer::Impl::countHeld(ServerConnection &Held, std::size_t Bytes) {
-  m_HeldBytes = m_HeldBytes - Held.m_HeldBytes + Bytes;
-  Held.m_HeldBytes = Bytes;
-}
-
-void LoopServer::Impl::limitHeld() {
-  while (m_HeldBytes > m_Settings.m_MaxHeldBytes) {
-    auto Largest = std::max_element(m_Connections.begin(), m_Connections.end(),
-                                    [](const auto &Left, const auto &Right) {
-                                      return Left.second->m_HeldBytes <
-                                             Right.second->m_HeldBytes;
-                                    });
-    refuseRest(*Largest->second, Unavailable);
-  }
+  limitAll();
 }
 
 void LoopServer::Impl::takeMessages(std::uint64_t Id) {
@@ -214,11 +199,17 @@
   std::uint64_t Sequence = ++Held.m_LastSequence;
   Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
   ++m_Pending;
-  answer({Held.m_Id, Sequence}, Status, "", "");
+  write({Held.m_Id, Sequence}, Status, "", "");
 }
 
 void LoopServer::Impl::answer(ExchangeId Id, int Status, std::string_view Lines,
                               std::string_view Body) {
+  write(Id, Status, Lines, Body);
+  limitAll();
+}
+
+void LoopServer::Impl::write(ExchangeId Id, int Status, std::string_view Lines,
+                             std::string_view Body) {
   ServerConnection *Held = find(Id.m_Connection);
   if (!Held)
     return;
@@ -235,6 +226,7 @@
     writeAnswered(*Held);
   } else {
     Found->m_Answer = {Status, std::string(Lines), std::string(Body)};
+    Held->m_WaitingBytes += Found->m_Answer->bytes();
   }
   if (Held->m_Exchanges.empty())
     Held->m_LastActive = io::monotonicNow();
@@ -257,7 +249,7 @@
   bool Closes = !Done.m_KeepsOpen || (m_IsClosing && IsLast);
   std::string Bytes;
   appendResponse(Bytes, Status, Lines, Body, Closes, Done.m_IsHead);
-  Held.m_Output.append(Bytes);
+  Held.m_Output.append(std::move(Bytes));
   if (Closes)
     Held.m_ClosesAfterWrite = Held.m_StopsReading = true;
   Held.m_Exchanges.pop_front();
@@ -267,6 +259,7 @@
   while (!Held.m_Exchanges.empty() && Held.m_Exchanges.front().m_Answer) {
     ServerConnection::Answer Next =
         *std::exchange(Held.m_Exchanges.front().m_Answer, std::nullopt);
+    Held.m_WaitingBytes -= Next.bytes();
     writeFirst(Held, Next.m_Status, Next.m_Lines, Next.m_Body);
   }
 }
@@ -281,6 +274,7 @@
   bool IsDone = Result == WriteBuffer::Result::Empty;
   if (IsDone && Held.m_ClosesAfterWrite && Held.m_Exchanges.empty())
     endWriting(Held);
+  count(Held);
   setEvents(Held);
 }
 
@@ -352,13 +346,6 @@
                      [](const auto &One) { return isIdle(*One.second); });
 }
 
-std::size_t LoopServer::Impl::unsentBytes() const {
-  std::size_t Sum = 0;
-  for (const auto &[Id, Held] : m_Connections)
-    Sum += Held->m_Output.left();
-  return Sum;
-}
-
 bool LoopServer::Impl::isOverdue(const ServerConnection &Held,
                                  absl::Time Now) const {
   const Limits &Bounds = m_Settings.m_Limits;
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -35,14 +35,23 @@
   [[nodiscard]] std::size_t unsentBytes() const;
 
 private:
+  // LoopServerMemory.cpp
+  void countHeld(ServerConnection &Held, std::size_t Bytes);
+  void count(ServerConnection &Held);
+  void limitHeld();
+  /// Makes room in the budget at the cost of those who hold most.
+  void limitAll();
+
+  // LoopServerImpl.cpp
   void listen();
   void add(io::FileDescriptor Socket, std::string From);
   void onReady(std::uint64_t Id, std::uint32_t Events);
   void read(std::uint64_t Id);
   void takeMessages(std::uint64_t Id);
   void refuseRest(ServerConnection &Held, int Status);
-  void countHeld(ServerConnection &Held, std::size_t Bytes);
-  void limitHeld();
+  /// Answers without making room for it.
+  void write(ExchangeId Id, int Status, std::string_view Lines,
+             std::string_view Body);
   void endWriting(ServerConnection &Held);
   /// Lets the other sockets of the loop go first after a pause.
   [[nodiscard]] bool waitsForOthers();
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -5,9 +5,11 @@
 #include "http/MessageParser.h"
 #include "io/EventLoop.h"
 #include "io/FileDescriptor.h"
+#include "policy/HeldBytes.h"
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -21,6 +23,10 @@
     int m_Status = 0;
     std::string m_Lines;
     std::string m_Body;
+
+    [[nodiscard]] std::size_t bytes() const {
+      return m_Lines.size() + m_Body.size();
+    }
   };
 
   /// A request that was handed over; they are answered in order.
@@ -48,9 +54,16 @@
   bool m_ClosesAfterWrite = false;
   bool m_StopsReading = false;    ///< Nothing that follows is looked at.
   std::size_t m_HeldBytes = 0;    ///< Of a request that is not whole yet.
+  std::size_t m_WaitingBytes = 0; ///< Of answers that wait for others.
+  policy::HeldBytes m_Share;      ///< Of the memory budget.
   std::size_t m_DroppedBytes = 0; ///< Read since m_StopsReading.
   /// All is written; it waits for the peer to close.
   absl::Time m_LingersSince = absl::InfiniteFuture();
+
+  /// \returns the bytes of answers that the peer has not read.
+  [[nodiscard]] std::size_t unreadBytes() const {
+    return m_Output.held() + m_WaitingBytes;
+  }
 };
 
 } // namespace knapweedloft::http
--- a/libs/http/src/WriteBuffer.cpp
+++ b/libs/http/src/WriteBuffer.cpp
@@ -2,32 +2,45 @@
 
 #include <cerrno>
 #include <sys/socket.h>
+#include <utility>
 
 namespace knapweedloft::http {
 namespace {
 
-/// A buffer that was larger gives its memory back once it is empty.
-constexpr std::size_t KeptBytes = 16 << 10;
+/// Short answers go out together.
+constexpr std::size_t PieceBytes = 16 << 10;
 
 } // namespace
 
+void WriteBuffer::append(std::string Bytes) {
+  if (Bytes.empty())
+    return;
+  m_Left += Bytes.size();
+  if (!m_Pieces.empty() && m_Pieces.back().size() + Bytes.size() <= PieceBytes)
+    m_Pieces.back().append(Bytes);
+  else
+    m_Pieces.push_back(std::move(Bytes));
+}
+
 WriteBuffer::Result WriteBuffer::flush(int Socket) {
-  while (m_Written < m_Bytes.size()) {
+  while (!m_Pieces.empty()) {
+    const std::string &First = m_Pieces.front();
     ssize_t Taken =
-        ::send(Socket, m_Bytes.data() + m_Written, m_Bytes.size() - m_Written,
+        ::send(Socket, First.data() + m_Written, First.size() - m_Written,
                MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Taken < 0 && errno == EINTR)
       continue;
     if (Taken < 0)
       return errno == EAGAIN ? Result::Blocked : Result::Broken;
-    m_Written += static_cast<std::size_t>(Taken);
-    m_TotalWritten += static_cast<std::size_t>(Taken);
+    auto Bytes = static_cast<std::size_t>(Taken);
+    m_Written += Bytes;
+    m_Left -= Bytes;
+    m_TotalWritten += Bytes;
+    if (m_Written == First.size()) {
+      m_Pieces.pop_front();
+      m_Written = 0;
+    }
   }
-  m_Written = 0;
-  if (m_Bytes.capacity() > KeptBytes)
-    m_Bytes = {};
-  else
-    m_Bytes.clear();
   return Result::Empty;
 }
 
--- a/libs/http/src/WriteBuffer.h
+++ b/libs/http/src/WriteBuffer.h
@@ -5,28 +5,33 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
-#include <string_view>
 
 namespace knapweedloft::http {
 
-/// Bytes on their way to a non-blocking socket.
+/// Bytes on their way to a non-blocking socket. They are kept in pieces; one
+/// that is written is given back.
 class WriteBuffer {
 public:
   enum class Result : std::uint8_t { Empty, Blocked, Broken };
 
-  void append(std::string_view Bytes) { m_Bytes.append(Bytes); }
+  void append(std::string Bytes);
 
   /// Writes as much as the socket takes.
   Result flush(int Socket);
 
-  [[nodiscard]] std::size_t left() const { return m_Bytes.size() - m_Written; }
+  [[nodiscard]] std::size_t left() const { return m_Left; }
+  /// \returns the bytes in memory: those left, and those of their first piece
+  /// that are written.
+  [[nodiscard]] std::size_t held() const { return m_Left + m_Written; }
   /// \returns the bytes that the socket has taken so far.
   [[nodiscard]] std::size_t totalWritten() const { return m_TotalWritten; }
 
 private:
-  std::string m_Bytes;
-  std::size_t m_Written = 0; ///< Of m_Bytes.
+  std::deque<std::string> m_Pieces;
+  std::size_t m_Left = 0;
+  std::size_t m_Written = 0; ///< Of the first piece.
   std::size_t m_TotalWritten = 0;
 };
 
--- /dev/null
+++ b/libs/http/tests/UnreadAnswerTest.cpp
@@ -0,0 +1,71 @@
+#include "LoopFixture.h"
+#include "policy/MemoryBudget.h"
+
+namespace knapweedloft::http {
+namespace {
+
+/// Callers that do not read what they asked for.
+class UnreadAnswerTest : public LoopFixture {
+protected:
+  static constexpr std::size_t BudgetBytes = 4 << 20;
+  /// More than the budget and the buffers of the sockets.
+  static constexpr std::size_t LongBytes = 32 << 20;
+  static constexpr const char *Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  UnreadAnswerTest() {
+    LoopServer::Options Options;
+    Options.m_Budget = &m_Budget;
+    serve(std::move(Options));
+    onLoop([this] { m_Port = m_Server->port(); });
+  }
+
+  /// The server goes before its budget.
+  ~UnreadAnswerTest() override {
+    onLoop([this] { m_Server.reset(); });
+  }
+
+  [[nodiscard]] std::size_t held() {
+    std::size_t Bytes = 0;
+    onLoop([&] { Bytes = m_Budget.heldBytes(); });
+    return Bytes;
+  }
+
+  policy::MemoryBudget m_Budget{BudgetBytes};
+  std::uint16_t m_Port = 0;
+};
+
+TEST_F(UnreadAnswerTest, Answer_LargestOverBudget_OnlyThatCallerIsCutOff) {
+  RawSocket Modest = RawSocket::connectTo(m_Port);
+  Modest.sendAll(Get);
+  answer(taken(0), std::string(1 << 20, 'm'));
+  RawSocket Greedy = RawSocket::connectTo(m_Port);
+  Greedy.sendAll(Get);
+  answer(taken(1), std::string(LongBytes, 'g'));
+  EXPECT_LE(held(), BudgetBytes);
+  EXPECT_LT(Greedy.readToEnd().size(), LongBytes);
+  Modest.sendAll("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  answer(taken(2), "last");
+  EXPECT_TRUE(Modest.readToEnd().ends_with("last"));
+  EXPECT_EQ(held(), 0U);
+}
+
+TEST_F(UnreadAnswerTest, Answer_WaitsBehindAnother_CountsToo) {
+  RawSocket Caller = RawSocket::connectTo(m_Port);
+  Caller.sendAll(std::string(Get) + Get);
+  taken(0);
+  answer(taken(1), std::string(LongBytes, 'x'));
+  EXPECT_EQ(held(), 0U);
+  EXPECT_EQ(Caller.readToEnd(), "");
+}
+
+TEST_F(UnreadAnswerTest, Read_UnfinishedRequestOverBudget_IsRefusedNotRun) {
+  RawSocket Caller = RawSocket::connectTo(m_Port);
+  Caller.sendAll("POST / HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n");
+  Caller.sendAll(std::string(BudgetBytes + 1, 'x'));
+  EXPECT_TRUE(Caller.readToEnd().starts_with("HTTP/1.1 503 "));
+  absl::MutexLock Lock(&m_Mutex);
+  EXPECT_TRUE(m_Taken.empty());
+}
+
+} // namespace
+} // namespace knapweedloft::http
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -14,6 +14,7 @@
 #include "mesh/RequestQuarantine.h"
 #include "mesh/Rollouts.h"
 #include "mesh/TargetPath.h"
+#include "policy/MemoryBudget.h"
 
 #include "absl/container/btree_set.h"
 #include "absl/random/random.h"
@@ -112,6 +113,7 @@
   bool m_LoggedReady = false;
   std::function<void()> m_OnStopped;
 
+  policy::MemoryBudget m_Memory; ///< Outlives those who hold of it.
   std::unique_ptr<http::LoopClient> m_Client;
   ConnectionLog m_ConnectionLog;
   std::unique_ptr<link::LinkNode> m_Links;
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -76,6 +76,7 @@
     : m_Loop(Loop), m_Settings(Settings), m_Ports(std::move(Ports)),
       m_EventLog(Log), m_Log(Log, "node"), m_Self(makeSelf(Settings)),
       m_StartedAt(io::monotonicNow()),
+      m_Memory(std::max(m_Settings.m_MemoryBytes / 2, MinHeldBytes)),
       m_ConnectionLog(ComponentLog(Log, "target")) {
   m_Client = std::make_unique<http::LoopClient>(
       m_Loop,
@@ -104,6 +105,7 @@
   Callers.m_MaxConnections = static_cast<std::size_t>(
       static_cast<double>(m_Settings.m_MaxDescriptors) * CallerDescriptorShare);
   Callers.m_MaxHeldBytes = std::max(m_Settings.m_MemoryBytes / 4, MinHeldBytes);
+  Callers.m_Budget = &m_Memory;
   Callers.m_Hooks.m_OnRequest = [this](http::ExchangeId Id,
                                        http::ParsedMessage Message,
                                        const std::string &From) {
