Daemon: large blocks go back to the kernel when they are freed

With the bound on unread answers a daemon still went past limits.memory_mb when whole bodies waited for a busy target and under the mix of clients.

Cause: the allocator raises its threshold for blocks of their own to the size of the first large one that is freed. From then on bodies of megabytes come from the heap, and what is free between others stays with the process.

The threshold is fixed at 256 KiB.

--- a/apps/knapweedloft/NodeCommand.cpp
+++ b/apps/knapweedloft/NodeCommand.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <malloc.h>
 #include <memory>
 #include <string>
 #include <unistd.h>
@@ -17,6 +18,11 @@
 
 constexpr const char *SettingsVariable = "KNAPWEEDLOFT_SETTINGS";
 
+/// Bodies and answers as large as this are blocks of their own, which the
+/// kernel gets back when they are freed. Unless it is set, the allocator raises
+/// it with the first large block and keeps what lies between others.
+constexpr int OwnBlockBytes = 256 << 10;
+
 adapter::AdapterSettings load(const std::string &Path) {
   try {
     return adapter::loadAdapterSettings(Path);
@@ -31,6 +37,8 @@
   if (IsCheck)
     return;
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, OwnBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, OwnBlockBytes);
   telemetry::EventLog Log({.m_Sink = telemetry::descriptorSink(STDOUT_FILENO)});
   io::EventLoop Loop;
   adapter::PlatformNode Node(Loop, Settings, Log);
