Refuse calls that can outlast a planned stop

Targets saw calls cut off at the end of a daemon's planned stop, without an answer and with the call run, also of calls that may not be repeated.

From 2.8 s after the begin of a stop the entry side refuses the requests of callers, but it took all calls of its target until the daemon ended, whatever their time. A call of 50 s taken in the last second was cut off when the daemon ended.

A call is now taken after that only if its time, the shorter of its deadline and its route's timeout, is over before the stop's own end, which follows from the platform's grace time; others get 503 with a time to come back. Shorter calls are still served, since refusing one wastes the work above it. Before the 2.8 s nothing changes.

OnRequest_CallOutlastsTheStop_IsRefusedAsNotRun fails without the new condition.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -117,8 +117,12 @@
   /// Ends requests whose time, with the answer grace, is over.
   void tick(absl::Time Now);
 
-  /// Refuses new requests from \p When on, except calls of the local target.
-  void stopAfter(absl::Time When) { m_StopsAt = When; }
+  /// Refuses new requests from \p IntakeEnd on, except calls of the local
+  /// target whose time is over by \p End, when the daemon ends.
+  void stopAfter(absl::Time IntakeEnd, absl::Time End) {
+    m_IntakeEnd = IntakeEnd;
+    m_StopEnd = End;
+  }
 
   /// Updates the edges of the local target in the call graph. \returns whether
   /// they changed.
@@ -183,6 +187,7 @@
                                  absl::Time Now);
   [[nodiscard]] Refusal identifyCustomer(Pending &Request) const;
   void setTimes(Pending &Request) const;
+  [[nodiscard]] bool isTooLate(const Pending &Request, absl::Time Now) const;
   [[nodiscard]] std::string chooseService(const CatalogRoute &Route);
   ServiceState &serviceOf(const std::string &Name, absl::Time Now);
   /// \returns the known targets of a service; those that leave are closed.
@@ -253,7 +258,8 @@
   EntryAdmission m_Admission;
   CallObserver m_CallObserver{{}};
   TargetNotices m_Notices;
-  absl::Time m_StopsAt = absl::InfiniteFuture();
+  absl::Time m_IntakeEnd = absl::InfiniteFuture();
+  absl::Time m_StopEnd = absl::InfiniteFuture();
   EntryCounts m_Counts;
   LeaveReports m_Leaving;
 };
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -149,7 +149,7 @@
                        ? CallRank
                        : rankOf(*Request.m_Route, Request.m_Customer);
   setTimes(Request);
-  if (Now >= m_StopsAt && !Request.m_IsCall)
+  if (isTooLate(Request, Now))
     return {RefusalReason::Stopping};
   if (Request.m_CallId.empty())
     return {RefusalReason::BadRequest};
@@ -196,6 +196,15 @@
       std::min(Request.m_Deadline, Request.m_Received + Timeout);
 }
 
+bool EntryPath::isTooLate(const Pending &Request, absl::Time Now) const {
+  if (Now < m_IntakeEnd)
+    return false;
+  // Refusing a call wastes what was done for the request above it; cutting it
+  // off wastes that too, and the call may have run.
+  return !Request.m_IsCall ||
+         Request.m_CompleteBy + m_Options.m_AnswerGrace > m_StopEnd;
+}
+
 std::string EntryPath::chooseService(const CatalogRoute &Route) {
   if (Route.m_WeightedServices.size() == 1)
     return Route.m_WeightedServices.front().m_Service;
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -440,7 +440,7 @@
   m_Stop.begin(Now);
   m_OnStopped = std::move(OnStopped);
   m_Target->stop(Now);
-  m_Entry->stopAfter(Now + PlannedStop::IntakeDuration);
+  m_Entry->stopAfter(Now + PlannedStop::IntakeDuration, m_Stop.end());
   m_Callers->beginClosing();
 }
 
--- a/libs/mesh/src/PlannedStop.h
+++ b/libs/mesh/src/PlannedStop.h
@@ -29,8 +29,9 @@
   /// Callers poll readiness once a second and stop sending after two negative
   /// answers in a row; until then their requests are accepted.
   static constexpr absl::Duration MinDuration = absl::Milliseconds(2300);
-  /// New requests are refused this long after the start of a stop. Those read
-  /// before have the rest of the platform's grace period.
+  /// New requests are refused this long after the start of a stop, except calls
+  /// that surely end in time. Those read before have the rest of the platform's
+  /// grace period.
   static constexpr absl::Duration IntakeDuration = absl::Milliseconds(2800);
   /// Callers have this long to close connections that the daemon has ended.
   static constexpr absl::Duration CloseTimeout = absl::Milliseconds(300);
@@ -43,6 +44,8 @@
     return m_Began != absl::InfiniteFuture();
   }
   [[nodiscard]] absl::Time began() const { return m_Began; }
+  /// \returns when the stop ends at the latest.
+  [[nodiscard]] absl::Time end() const { return m_Began + m_Timeout; }
 
   /// \p IsIdle: no request or answer is under way. \p Connections of callers
   /// are open.
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -330,6 +330,39 @@
   EXPECT_GT(m_Sent[1].m_Message.rank, 0U);
 }
 
+TEST_F(EntryPathTest, OnRequest_CallOutlastsTheStop_IsRefusedAsNotRun) {
+  m_Entry.stopAfter(m_Now, m_Now + absl::Seconds(2));
+  request("/calls/1", {{"Authorization", ""}, {"Time-Left", "1980"}},
+          "10.0.0.1");
+  EXPECT_TRUE(m_Sent.empty());
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+  EXPECT_NE(m_Answers[0].m_Lines.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(m_Answers[0].m_Body, R"({"reason":"stopping","ran":"no"})");
+}
+
+TEST_F(EntryPathTest, OnRequest_CallEndsBeforeTheStop_IsServed) {
+  m_Entry.stopAfter(m_Now, m_Now + absl::Seconds(2));
+  request("/calls/1", {{"Authorization", ""}, {"Time-Left", "1970"}},
+          "10.0.0.1");
+  ASSERT_EQ(m_Sent.size(), 1U);
+  // Without an answer it is over when the daemon ends.
+  m_Entry.tick(m_Now + absl::Seconds(2));
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 504);
+}
+
+TEST_F(EntryPathTest, OnRequest_IntakeOfTheStop_TakesCallersUntilItsEnd) {
+  m_Entry.stopAfter(m_Now + absl::Milliseconds(1), m_Now + absl::Seconds(2));
+  request("/reads/1");
+  EXPECT_EQ(m_Sent.size(), 1U);
+  m_Now += absl::Milliseconds(1);
+  request("/reads/2", {{"Time-Left", "500"}});
+  EXPECT_EQ(m_Sent.size(), 1U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+}
+
 TEST_F(EntryPathTest, OnAnswer_RefusedByATargetSide_TriesTheOther) {
   request("/orders/1");
   refuse(0, RefusalReason::Overloaded, Ran::No, false);
--- a/libs/mesh/tests/TestFleet.cpp
+++ b/libs/mesh/tests/TestFleet.cpp
@@ -478,7 +478,7 @@
 
 void TestFleet::stopDaemon(std::size_t Index) {
   m_Daemons[Index].m_Target->stop(m_Now);
-  m_Daemons[Index].m_Entry->stopAfter(m_Now);
+  m_Daemons[Index].m_Entry->stopAfter(m_Now, m_Now + m_Settings.m_StopTime);
   disturb(Index);
   later(Index, m_Settings.m_StopTime,
         [this, Index] { restartDaemons({Index}); });
