--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -28,9 +28,16 @@
   }
   ~RawSocket() { closeNow(); }
 
+  /// \p From: the address of this side; empty: the kernel chooses.
   static RawSocket connectTo(std::uint16_t Port,
-                             const std::string &To = "127.0.0.1") {
-    return connectBy(socket(AF_INET, SOCK_STREAM, 0), Port, To);
+                             const std::string &To = "127.0.0.1",
+                             const std::string &From = "") {
+    int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    if (!From.empty()) {
+      sockaddr_in Own = addressOf(0, From);
+      require(bind(Socket, reinterpret_cast<sockaddr *>(&Own), sizeof Own));
+    }
+    return connectBy(Socket, Port, To);
   }
 
   /// Takes over \p Socket, whose options are set, and connects it.
