Health checks for a suspected cold time end with it

What targets saw: a target whose health answers are all 503 was checked on and on after the return of its data center or a pause of its daemon, 32 checks in 24 s in the test; each takes a slot.

Cause: only an answer of 200 ended the suspicion, also once a cold start would have been over. Change: it expires with the cold start of the service.

Evidence: ColdTargetReviewTest.Tick_AnswersIllAfterRestore_* was red without it. Three guards that the review missed: a later start opens a target that was down, an idle target is not suspected, starts are counted.

--- a/libs/mesh/include/mesh/ColdTime.h
+++ b/libs/mesh/include/mesh/ColdTime.h
@@ -35,6 +35,12 @@
   /// The target may have gone cold by now; only a health check can tell.
   void suspect(absl::Time Now) { m_SuspectedAt = Now; }
 
+  /// Drops a suspicion that a cold start would have outlasted.
+  void expire(absl::Duration ColdStart, absl::Time Now) {
+    if (isSuspected() && Now >= m_SuspectedAt + ColdStart)
+      m_SuspectedAt = absl::InfinitePast();
+  }
+
   /// \returns whether the target has to be checked.
   [[nodiscard]] bool isSuspected() const {
     return m_SuspectedAt != absl::InfinitePast();
@@ -48,9 +54,8 @@
   }
 
 private:
-  /// Targets round the time that they tell, some to a tenth of a second, and a
-  /// rest to nothing. What waits for the end of the cold time must not come
-  /// before it.
+  /// Targets round the time that they tell, a rest to nothing. What waits for
+  /// the end of the cold time must not come before it.
   static constexpr absl::Duration RoundingMargin = absl::Milliseconds(50);
 
   static absl::Time endOf(absl::Duration Remaining, absl::Time Former,
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -59,6 +59,8 @@
 void TargetPath::applyColdTime(const char *Source, absl::Time Now) {
   const CatalogService *Service =
       m_Catalog ? m_Catalog->service(m_Options.m_Service) : nullptr;
+  if (Service)
+    m_ColdTime.expire(Service->m_ColdStartDuration, Now);
   absl::Time Until = m_ColdTime.until(Service ? Service->m_ColdStartDuration
                                               : absl::InfiniteDuration());
   double PerSecond = Service ? Service->m_ColdPerSecond : 0;
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -409,7 +409,8 @@
 
 void TargetPath::tick(absl::Time Now) {
   notePause(Now);
-  if (m_State.availability() == TargetAvailability::AwaitsRate) {
+  if (m_State.availability() == TargetAvailability::AwaitsRate ||
+      m_ColdTime.isSuspected()) {
     applyColdTime("its end", Now);
     applyStateChange(Now);
   }
--- a/libs/mesh/tests/ColdTargetReviewTest.cpp
+++ b/libs/mesh/tests/ColdTargetReviewTest.cpp
@@ -305,5 +305,45 @@
   EXPECT_TRUE(m_Path->state().isOpen());
 }
 
+// Guards against health checks, each of which takes a slot of the target, that
+// go on for good although the time that they are for is over.
+TEST_F(ColdTargetReviewTest, Tick_AnswersIllAfterRestore_ChecksEnd) {
+  m_Path->setWithdrawn(true, m_Now);
+  m_Path->setWithdrawn(false, m_Now);
+  std::size_t Late = 0;
+  absl::Time Start = m_Now;
+  for (std::uint64_t Sequence = 2; Sequence < 42; ++Sequence) {
+    idle(absl::Milliseconds(750));
+    report(Sequence, absl::ZeroDuration());
+    std::deque<Running> Checks = std::exchange(m_Calls, {});
+    for (const Running &Each : Checks)
+      end(Each, http::Failure::None, answerOf(503, 0));
+    if (m_Now > Start + 2 * ColdDuration)
+      Late += Checks.size();
+  }
+  EXPECT_EQ(Late, 0U);
+}
+
+TEST_F(ColdTargetReviewTest, OnReport_LaterStartWhileDown_Opens) {
+  refuseConnection();
+  report(1, absl::ZeroDuration(), 6);
+  EXPECT_TRUE(m_Path->state().isOpen());
+}
+
+TEST_F(ColdTargetReviewTest, Tick_IdleTarget_IsNotSuspected) {
+  idle(absl::Seconds(5));
+  EXPECT_TRUE(m_Calls.empty()) << "a health check takes a slot";
+  EXPECT_FALSE(m_Path->isCold(m_Now));
+}
+
+TEST_F(ColdTargetReviewTest, ColdStarts_ColdTarget_AreCounted) {
+  press(absl::Seconds(1));
+  EXPECT_EQ(m_Path->coldStarts().starts(), 0U);
+  report(2, ColdDuration);
+  press(ColdDuration);
+  EXPECT_GT(m_Path->coldStarts().starts(), 20U);
+  EXPECT_LE(m_Path->coldStarts().mostInOneSecond(), MaxInOneSecond);
+}
+
 } // namespace
 } // namespace knapweedloft::mesh
