Server: whole requests count towards the memory budget until answered

Clients that sent whole bodies one after the other, while the target was busy, took a daemon past limits.memory_mb without a bound.

Cause: a request was counted only until it was whole. After that the entry side keeps it for another try, and a copy waits beside the target, with no bound in bytes.

The server counts a request twice, for its copies, until it is answered or its caller is gone. What has no room is refused with 503 before it is handed over, so that it has not run; nothing that was handed over is refused for memory. Requests of up to 64 KiB have a quarter of the budget to themselves, and one larger request alone always has room.

UnansweredRequestTest covers refusal, small requests, the one large request and a caller that leaves.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -63,9 +63,11 @@
     /// Of all requests that are not whole yet. Past it the largest is refused
     /// with 503 and its connection ended.
     std::size_t m_MaxHeldBytes = 256 << 20;
-    /// Of requests that are not whole and answers that are not read. While it
-    /// is over, the connection with the most unread is closed, or the largest
-    /// unfinished request refused with 503. Outlives the server; null: none.
+    /// Of requests until they are answered and answers until they are read.
+    /// While it is over, the connection with the most unread is closed, or the
+    /// largest unfinished request refused with 503. A whole request that has no
+    /// room is refused with 503 and not handed over. Outlives the server; null:
+    /// none.
     policy::MemoryBudget *m_Budget = nullptr;
     Hooks m_Hooks;
   };
--- a/libs/http/include/http/ParsedMessage.h
+++ b/libs/http/include/http/ParsedMessage.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <string>
 
 namespace knapweedloft::http {
@@ -21,6 +22,14 @@
   /// How long the last bytes of a request waited at least until the process,
   /// after a pause, read them.
   absl::Duration m_Waited;
+
+  /// \returns about what it takes in memory.
+  [[nodiscard]] std::size_t bytes() const {
+    std::size_t Sum = m_Path.size() + m_Body.size();
+    for (const HeaderField &Field : m_Headers)
+      Sum += sizeof Field + Field.m_Name.size() + Field.m_Value.size();
+    return Sum;
+  }
 };
 
 } // namespace knapweedloft::http
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -24,6 +24,7 @@
 constexpr absl::Duration ResumeAfter = absl::Milliseconds(100);
 /// Peers send on while the server waits.
 constexpr absl::Duration MeasuredAfter = absl::Seconds(1);
+constexpr int Unavailable = 503;
 /// More than a peer sends before it has read the last answer, unless it does
 /// not look for it.
 constexpr std::size_t MaxDroppedBytes = std::size_t{4} << 20;
@@ -188,6 +189,12 @@
     if (!Message.m_KeepsOpen)
       Held->m_StopsReading = true;
     ++m_Pending;
+    std::size_t Bytes = Message.bytes();
+    if (!hasRoomFor(Bytes)) {
+      write(Next, Unavailable, "", "");
+      continue;
+    }
+    countRequest(*Held, Held->m_Exchanges.back(), Bytes);
     m_Settings.m_Hooks.m_OnRequest(Next, std::move(Message), Held->m_From);
   }
 }
@@ -219,6 +226,7 @@
   if (Found == Held->m_Exchanges.end() || Found->m_Answer)
     return;
   --m_Pending;
+  countRequest(*Held, *Found, 0);
   std::uint64_t Connection = Held->m_Id;
   bool WasFull = Held->m_Exchanges.size() >= m_Settings.m_MaxPipelined;
   if (Found == Held->m_Exchanges.begin()) {
@@ -306,7 +314,8 @@
   m_Connections.erase(Found);
   countHeld(*Held, 0);
   m_Loop.unwatch(Held->m_Watch);
-  for (const ServerConnection::Exchange &Open : Held->m_Exchanges) {
+  for (ServerConnection::Exchange &Open : Held->m_Exchanges) {
+    countRequest(*Held, Open, 0);
     if (Open.m_Answer)
       continue;
     --m_Pending;
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -38,7 +38,11 @@
   // LoopServerMemory.cpp
   void countHeld(ServerConnection &Held, std::size_t Bytes);
   void count(ServerConnection &Held);
+  /// Counts a request that was handed over, until it is answered.
+  void countRequest(ServerConnection &Held, ServerConnection::Exchange &Of,
+                    std::size_t Bytes);
   void limitHeld();
+  [[nodiscard]] bool hasRoomFor(std::size_t RequestBytes) const;
   /// Makes room in the budget at the cost of those who hold most.
   void limitAll();
 
@@ -79,6 +83,9 @@
   /// Until then requests may have waited unread.
   absl::Time m_MeasuresUntil = absl::InfinitePast();
   std::size_t m_HeldBytes = 0; ///< Over all connections.
+  /// Of requests that were handed over, by their size.
+  std::size_t m_LargeRequestBytes = 0;
+  std::size_t m_SmallRequestBytes = 0;
   std::vector<char> m_ReadBuffer;
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<ServerConnection>>
       m_Connections;
--- a/libs/http/src/LoopServerMemory.cpp
+++ b/libs/http/src/LoopServerMemory.cpp
@@ -8,6 +8,16 @@
 constexpr int Unavailable = 503;
 /// Who holds less is not ended for it: the room that is missing is elsewhere.
 constexpr std::size_t MinLargeBytes = 16 << 10;
+/// A request that was handed over is kept for another try while a copy is on
+/// its way to a target.
+constexpr std::size_t RequestCopies = 2;
+constexpr std::size_t SmallRequestBytes = 64 << 10;
+/// Small requests have a share of the budget that large ones do not take.
+constexpr std::size_t SmallRequestShare = 4;
+
+bool isSmall(std::size_t RequestBytes) {
+  return RequestBytes <= RequestCopies * SmallRequestBytes;
+}
 
 } // namespace
 
@@ -18,7 +28,34 @@
 }
 
 void LoopServer::Impl::count(ServerConnection &Held) {
-  Held.m_Share.set(Held.m_HeldBytes + Held.unreadBytes());
+  Held.m_Share.set(Held.m_HeldBytes + Held.m_RequestBytes + Held.unreadBytes());
+}
+
+void LoopServer::Impl::countRequest(ServerConnection &Held,
+                                    ServerConnection::Exchange &Of,
+                                    std::size_t Bytes) {
+  auto SumFor = [this](std::size_t Size) -> std::size_t & {
+    return isSmall(Size) ? m_SmallRequestBytes : m_LargeRequestBytes;
+  };
+  SumFor(Of.m_RequestBytes) -= Of.m_RequestBytes;
+  Held.m_RequestBytes -= Of.m_RequestBytes;
+  Of.m_RequestBytes = Bytes * RequestCopies;
+  SumFor(Of.m_RequestBytes) += Of.m_RequestBytes;
+  Held.m_RequestBytes += Of.m_RequestBytes;
+  count(Held);
+}
+
+bool LoopServer::Impl::hasRoomFor(std::size_t RequestBytes) const {
+  if (!m_Settings.m_Budget)
+    return true;
+  std::size_t Bytes = RequestBytes * RequestCopies;
+  std::size_t ForSmall = m_Settings.m_Budget->maxBytes() / SmallRequestShare;
+  if (isSmall(Bytes))
+    return m_SmallRequestBytes + Bytes <= ForSmall;
+  // One of any size has room, if it could be read at all.
+  return m_LargeRequestBytes == 0 ||
+         m_LargeRequestBytes + Bytes <=
+             m_Settings.m_Budget->maxBytes() - ForSmall;
 }
 
 void LoopServer::Impl::limitHeld() {
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -34,6 +34,7 @@
     std::uint64_t m_Sequence = 0;
     bool m_IsHead = false;
     bool m_KeepsOpen = true;
+    std::size_t m_RequestBytes = 0; ///< Until it is answered.
     /// Waits for the answers before it. It becomes bytes when it is written:
     /// only then is it known whether it is the last of its connection.
     std::optional<Answer> m_Answer;
@@ -55,6 +56,7 @@
   bool m_StopsReading = false;    ///< Nothing that follows is looked at.
   std::size_t m_HeldBytes = 0;    ///< Of a request that is not whole yet.
   std::size_t m_WaitingBytes = 0; ///< Of answers that wait for others.
+  std::size_t m_RequestBytes = 0; ///< Of requests that were handed over.
   policy::HeldBytes m_Share;      ///< Of the memory budget.
   std::size_t m_DroppedBytes = 0; ///< Read since m_StopsReading.
   /// All is written; it waits for the peer to close.
--- a/libs/http/tests/UnreadAnswerTest.cpp
+++ b/libs/http/tests/UnreadAnswerTest.cpp
@@ -1,6 +1,8 @@
 #include "LoopFixture.h"
 #include "policy/MemoryBudget.h"
 
+#include "absl/time/clock.h"
+
 namespace knapweedloft::http {
 namespace {
 
@@ -67,5 +69,49 @@
   EXPECT_TRUE(m_Taken.empty());
 }
 
+class UnansweredRequestTest : public UnreadAnswerTest {
+protected:
+  static std::string upload(std::size_t Bytes) {
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(Bytes) +
+           "\r\n\r\n" + std::string(Bytes, 'x');
+  }
+
+  /// A caller whose request was handed over as number \p Index.
+  RawSocket uploader(std::size_t Bytes, std::size_t Index) {
+    RawSocket Caller = RawSocket::connectTo(m_Port);
+    Caller.sendAll(upload(Bytes));
+    taken(Index);
+    return Caller;
+  }
+};
+
+TEST_F(UnansweredRequestTest, Read_NoRoomForWholeRequest_IsRefusedNotRun) {
+  RawSocket First = uploader(BudgetBytes / 4, 0);
+  RawSocket Second = RawSocket::connectTo(m_Port);
+  Second.sendAll(upload(BudgetBytes / 4));
+  EXPECT_TRUE(Second.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503 "));
+  RawSocket Small = uploader(100, 1);
+  answer(taken(0), "done");
+  EXPECT_TRUE(First.readUntil("done").starts_with("HTTP/1.1 200 "));
+  // The refused caller's connection is still good.
+  Second.sendAll(upload(BudgetBytes / 4));
+  answer(taken(2), "done");
+  EXPECT_TRUE(Second.readUntil("done").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(UnansweredRequestTest, Read_OneLargeRequest_HasRoomWhateverItsSize) {
+  RawSocket Small = uploader(100, 0);
+  RawSocket Large = uploader(BudgetBytes - (64 << 10), 1);
+  answer(taken(1), "done");
+  EXPECT_TRUE(Large.readUntil("done").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(UnansweredRequestTest, Closed_RequestUnderWay_ItsRoomIsGivenBack) {
+  uploader(BudgetBytes / 4, 0).reset();
+  while (held() != 0)
+    absl::SleepFor(absl::Milliseconds(1));
+  RawSocket Next = uploader(BudgetBytes / 4, 1);
+}
+
 } // namespace
 } // namespace knapweedloft::http
