Answer what is under way when the time of a planned stop is over

Callers of a stopping daemon heard nothing of a request that was still under way at the end of its time: the connection ended, also where no target had begun to run the request, since it waited in the queue of another daemon.

The process ended at its stop timeout with all that was left. Now the timeout is when requests end: each gets 504 with "ran":"unknown", which promises nothing, or 503 if it was never sent. The timeout doesn't change, so no request has less time than before. Nothing is cancelled at targets before the links end: work that takes effect goes on, as it did.

PlannedStopTest.Next_NeverIdle_EndsAtTheTimeout becomes two tests: at the timeout requests end, and the process ends then if no connection is left, else CloseTimeout later at the latest.

--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -118,11 +118,14 @@
   void tick(absl::Time Now);
 
   /// Refuses new requests from \p IntakeEnd on, except calls of the local
-  /// target whose time is over by \p End, when the daemon ends.
+  /// target whose time is over by \p End, when endAll() follows.
   void stopAfter(absl::Time IntakeEnd, absl::Time End) {
     m_IntakeEnd = IntakeEnd;
     m_StopEnd = End;
   }
+  /// Answers all requests that are under way. What is at a target goes on there
+  /// until the link to it ends.
+  void endAll(absl::Time Now);
 
   /// Updates the edges of the local target in the call graph. \returns whether
   /// they changed.
--- a/libs/mesh/include/mesh/Node.h
+++ b/libs/mesh/include/mesh/Node.h
@@ -47,8 +47,9 @@
 
   /// Starts a graceful stop: requests in flight may finish. Calls \p OnStopped
   /// once the minimum stop duration has passed and no request or answer is
-  /// pending, and at the latest after the stop timeout of the settings or, if
-  /// that is longer, the minimum stop duration (PlannedStop).
+  /// pending. After the stop timeout of the settings or, if that is longer, the
+  /// minimum stop duration, it answers what is left and calls \p OnStopped
+  /// within PlannedStop::CloseTimeout.
   void beginStop(std::function<void()> OnStopped);
 
   /// \returns counters, latency quantiles and the state of links and store in
--- a/libs/mesh/include/mesh/NodeSettings.h
+++ b/libs/mesh/include/mesh/NodeSettings.h
@@ -32,7 +32,8 @@
   bool m_IsRestart = false;
   std::size_t m_MemoryBytes = 256 << 20;
   std::size_t m_MaxDescriptors = 1024;
-  /// Longest time between a request to stop and the end of the daemon.
+  /// Longest time that requests have after a request to stop; the daemon ends
+  /// within PlannedStop::CloseTimeout after it.
   absl::Duration m_StopTimeout = absl::Seconds(5);
   /// Retry budget over the whole fleet: arrivals at a service beyond the first
   /// one of each request, per request for that service.
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -204,6 +204,20 @@
   forget(Id);
 }
 
+void EntryPath::endAll(absl::Time Now) {
+  std::vector<PendingId> Left;
+  for (auto &[Id, Request] : m_Pending) {
+    Request.m_MayHaveRun = Request.m_MayHaveRun || Request.m_IsSent;
+    Left.push_back(Id);
+  }
+  std::sort(Left.begin(), Left.end());
+  for (PendingId Id : Left)
+    end(Id,
+        {m_Pending.at(Id).m_MayHaveRun ? RefusalReason::OutcomeUnknown
+                                       : RefusalReason::Stopping},
+        Now);
+}
+
 EntryPath::Refusal EntryPath::quarantineRefusal(const Pending &Request,
                                                 absl::Time Now) const {
   policy::RequestJudgement Found = judge(Request, Now);
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -456,6 +456,11 @@
   PlannedStop::Step Next = m_Stop.next(IsIdle, m_Callers->connections(), Now);
   if (Next == PlannedStop::Step::EndIdle)
     m_Callers->endIdle();
+  if (Next == PlannedStop::Step::EndRequests) {
+    m_Log.state("The time to stop is over.", {{"entry", m_Entry->pending()},
+                                              {"target", m_Target->pending()}});
+    m_Entry->endAll(Now);
+  }
   if (Next != PlannedStop::Step::End)
     return;
   m_Log.state("Stopped.", {{"entry", m_Entry->pending()},
--- a/libs/mesh/src/PlannedStop.h
+++ b/libs/mesh/src/PlannedStop.h
@@ -10,7 +10,8 @@
 namespace knapweedloft::mesh {
 
 /// Decides how a planned stop goes on: requests are served for some seconds,
-/// then what is under way ends, then idle connections, then the process.
+/// then what is under way ends, then idle connections, then the process. What
+/// is still under way at the timeout is answered before the process ends.
 ///
 /// \code
 ///   Stop.begin(Now);
@@ -22,7 +23,8 @@
 public:
   enum class Step : std::uint8_t {
     Wait,
-    EndIdle, ///< Take what waits in the sockets and end idle connections.
+    EndIdle,     ///< Take what waits in the sockets and end idle connections.
+    EndRequests, ///< Answer what is still under way.
     End
   };
 
@@ -44,7 +46,7 @@
     return m_Began != absl::InfiniteFuture();
   }
   [[nodiscard]] absl::Time began() const { return m_Began; }
-  /// \returns when the stop ends at the latest.
+  /// \returns until when requests may be under way.
   [[nodiscard]] absl::Time end() const { return m_Began + m_Timeout; }
 
   /// \p IsIdle: no request or answer is under way. \p Connections of callers
@@ -53,21 +55,34 @@
                           absl::Time Now) {
     absl::Duration Passed = Now - m_Began;
     if (Passed >= m_Timeout)
-      return Step::End;
+      return nextAfterTimeout(Connections, Now);
     if (Passed < MinDuration || !IsIdle)
       return Step::Wait;
     if (m_EndedIdle == absl::InfiniteFuture()) {
       m_EndedIdle = Now;
       return Step::EndIdle;
     }
-    bool IsClosed = Connections == 0 || Now - m_EndedIdle >= CloseTimeout;
-    return IsClosed ? Step::End : Step::Wait;
+    return isClosed(Connections, m_EndedIdle, Now) ? Step::End : Step::Wait;
   }
 
 private:
+  [[nodiscard]] Step nextAfterTimeout(std::size_t Connections, absl::Time Now) {
+    if (m_EndedRequests == absl::InfiniteFuture()) {
+      m_EndedRequests = Now;
+      return Step::EndRequests;
+    }
+    return isClosed(Connections, m_EndedRequests, Now) ? Step::End : Step::Wait;
+  }
+
+  [[nodiscard]] static bool isClosed(std::size_t Connections, absl::Time Since,
+                                     absl::Time Now) {
+    return Connections == 0 || Now - Since >= CloseTimeout;
+  }
+
   absl::Duration m_Timeout;
   absl::Time m_Began = absl::InfiniteFuture();
   absl::Time m_EndedIdle = absl::InfiniteFuture();
+  absl::Time m_EndedRequests = absl::InfiniteFuture();
 };
 
 } // namespace knapweedloft::mesh
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -363,6 +363,22 @@
   EXPECT_EQ(m_Answers[0].m_Status, 503);
 }
 
+TEST_F(EntryPathTest, EndAll_RequestsAtTargets_EndWithOutcomeUnknown) {
+  request("/orders/1");
+  request("/reads/1");
+  m_Entry.endAll(m_Now);
+  EXPECT_EQ(m_Entry.pending(), 0U);
+  ASSERT_EQ(m_Answers.size(), 2U);
+  for (const Answered &Each : m_Answers) {
+    EXPECT_EQ(Each.m_Status, 504);
+    EXPECT_EQ(Each.m_Body, R"({"reason":"outcome-unknown","ran":"unknown"})");
+  }
+  // Work that takes effect goes on until the link ends.
+  EXPECT_TRUE(m_Cancelled.empty());
+  succeed(0); // A late answer is dropped.
+  EXPECT_EQ(m_Answers.size(), 2U);
+}
+
 TEST_F(EntryPathTest, OnAnswer_RefusedByATargetSide_TriesTheOther) {
   request("/orders/1");
   refuse(0, RefusalReason::Overloaded, Ran::No, false);
--- a/libs/mesh/tests/PlannedStopTest.cpp
+++ b/libs/mesh/tests/PlannedStopTest.cpp
@@ -40,9 +40,17 @@
       Step::End);
 }
 
-TEST_F(PlannedStopTest, Next_NeverIdle_EndsAtTheTimeout) {
+TEST_F(PlannedStopTest, Next_NeverIdle_EndsRequestsAtTheTimeout) {
   EXPECT_EQ(after(Timeout - absl::Milliseconds(1), false, 3), Step::Wait);
-  EXPECT_EQ(after(Timeout, false, 3), Step::End);
+  EXPECT_EQ(after(Timeout, false, 3), Step::EndRequests);
+  EXPECT_EQ(after(Timeout + absl::Milliseconds(1), true, 0), Step::End);
+}
+
+TEST_F(PlannedStopTest, Next_CallersReadNoAnswer_EndsSoonAfterTheTimeout) {
+  EXPECT_EQ(after(Timeout, false, 3), Step::EndRequests);
+  absl::Duration Last = Timeout + PlannedStop::CloseTimeout;
+  EXPECT_EQ(after(Last - absl::Milliseconds(1), false, 3), Step::Wait);
+  EXPECT_EQ(after(Last, false, 3), Step::End);
 }
 
 } // namespace
