run: Refuse requests that can outlast a planned stop

A daemon that stops serves the callers that had connected. It took their requests until its drain limit, whatever their deadlines: one of 10 s that came a second before the limit was passed on and cut off at the limit.

From the time at which the target side refuses forwards, 500 ms after the begin, the entry side refuses a request whose deadline, with the grace for the answer, lies behind the limit: 503, not run, with a time to come back. With the default limit of 30 s and deadlines of 10 s that are requests of the last 10 s. Shorter ones are served.

Submit_OutlastsTheStop_IsRefusedAsNotRun fails without the condition.

--- a/libs/app/include/app/EntrySide.h
+++ b/libs/app/include/app/EntrySide.h
@@ -82,6 +82,9 @@
   void onLivenessChange();
   void tick(absl::Time Now);
 
+  /// Refuses from now on what may be under way after \p End.
+  void stopBy(absl::Time End) { m_StopEnd = End; }
+
   [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
 
 private:
@@ -173,6 +176,7 @@
   const state::SnapshotStore &m_Store;
   ContextTable &m_Contexts;
   absl::BitGen m_Random;
+  absl::Time m_StopEnd = absl::InfiniteFuture();
   PendingId m_LastId = 0;
   std::uint64_t m_LastSequence = 0;
   std::uint64_t m_LivenessVersion = 1;
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -47,11 +47,12 @@
     m_Members->leave();
   });
   absl::SleepFor(NoticeTime);
-  post([this] {
+  absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
+  post([this, Limit] {
+    m_Entry->stopBy(Limit);
     m_Target->stopIntake();
     m_Target->dedupe().handOn();
   });
-  absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
   absl::SleepFor(PollInterval * 5);
   while (m_InFlight > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -41,6 +41,14 @@
     end(Id, Refused, Now);
     return;
   }
+  if (Held.m_Request.m_Deadline + m_Options.m_DeadlineGrace > m_StopEnd) {
+    end(Id,
+        {.m_Reason = RefusalReason::Stopping,
+         .m_RetryAfter = DefaultRetryAfter,
+         .m_IsFinal = true},
+        Now);
+    return;
+  }
   EntryService &Service = serviceOf(Held.m_Request.m_Route.m_Service, Now);
   Service.m_Retries.onFirstAttempt(false);
   if (auto RetryAfter = Service.m_EarlyRefusal.refuse(
--- a/libs/app/tests/EntrySideTest.cpp
+++ b/libs/app/tests/EntrySideTest.cpp
@@ -189,6 +189,28 @@
   EXPECT_EQ(m_Entry.pending(), 0U);
 }
 
+TEST_F(EntrySideTest, Submit_OutlastsTheStop_IsRefusedAsNotRun) {
+  m_Entry.stopBy(m_Now + Timeout);
+  submit();
+  EXPECT_TRUE(m_Sent.empty());
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+  EXPECT_NE(http::findHeader(m_Answers[0].m_Headers, "Retry-After"), nullptr);
+  EXPECT_EQ(problem()["reason"], "stopping");
+  EXPECT_EQ(problem()["ran"], "no");
+}
+
+TEST_F(EntrySideTest, Submit_EndsBeforeTheStop_IsServed) {
+  absl::Time End = m_Now + Timeout + absl::Milliseconds(50);
+  m_Entry.stopBy(End);
+  submit();
+  EXPECT_EQ(m_Sent.size(), 1U);
+  // Without an answer it is over when the stop ends.
+  m_Entry.tick(End);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 504);
+}
+
 TEST_F(EntrySideTest, Submit_CallersKey_IsNotForwarded) {
   submit();
   ASSERT_EQ(m_Sent.size(), 1U);
