run: Answer what is under way at the limit of a planned stop

Callers heard nothing of a request that was under way at target.drain_limit_ms: the connection ended with the process, also where the request was still in the queue of a target.

At the limit each gets 504 with "ran":"unknown", or 503 if it was never sent; the process waits at most 300 ms for these answers to leave. Nothing has less time than before, and nothing is cancelled at targets. A request that was sent at least once counts as sent, so that 503 keeps its promise.

--- a/libs/app/include/app/EntrySide.h
+++ b/libs/app/include/app/EntrySide.h
@@ -84,6 +84,8 @@
 
   /// Refuses from now on what may be under way after \p End.
   void stopBy(absl::Time End) { m_StopEnd = End; }
+  /// Answers all that is under way. What is at a target goes on there.
+  void endAll(absl::Time Now);
 
   [[nodiscard]] std::size_t pending() const { return m_Pending.size(); }
 
--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -10,6 +10,8 @@
 /// Time for callers and peers to learn of the stop while everything is served.
 constexpr absl::Duration NoticeTime = absl::Milliseconds(500);
 constexpr absl::Duration PollInterval = absl::Milliseconds(20);
+/// Time to send the answers of what is left at the limit.
+constexpr absl::Duration AnswerTime = absl::Milliseconds(300);
 
 } // namespace
 
@@ -58,7 +60,12 @@
     absl::SleepFor(PollInterval);
   while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
-  return m_InFlight;
+  std::size_t Left = m_InFlight;
+  post([this] { m_Entry->endAll(monotonicNow()); });
+  Limit = monotonicNow() + AnswerTime;
+  while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
+    absl::SleepFor(PollInterval);
+  return Left;
 }
 
 } // namespace knapweedloft::app
--- a/libs/app/src/EntrySide.cpp
+++ b/libs/app/src/EntrySide.cpp
@@ -445,6 +445,27 @@
   Done.m_Request.m_Answer(std::move(Response));
 }
 
+void EntrySide::endAll(absl::Time Now) {
+  std::vector<PendingId> Left;
+  for (const auto &[Id, Held] : m_Pending)
+    Left.push_back(Id);
+  std::sort(Left.begin(), Left.end());
+  for (PendingId Id : Left) {
+    const Pending &Held = m_Pending.at(Id);
+    if (Held.isAtTarget())
+      m_BySequence.erase(Held.m_Sequence);
+    if (Held.m_Attempt > 0)
+      end(Id,
+          {.m_Reason = RefusalReason::OutcomeUnknown, .m_Ran = Ran::Unknown},
+          Now);
+    else
+      end(Id,
+          {.m_Reason = RefusalReason::Stopping,
+           .m_RetryAfter = DefaultRetryAfter},
+          Now);
+  }
+}
+
 void EntrySide::succeed(PendingId Id, wire::AnswerT &Answer, absl::Time Now) {
   auto Found = m_Pending.find(Id);
   Pending Done = std::move(Found->second);
--- a/libs/app/tests/EntrySideTest.cpp
+++ b/libs/app/tests/EntrySideTest.cpp
@@ -211,6 +211,29 @@
   EXPECT_EQ(m_Answers[0].m_Status, 504);
 }
 
+TEST_F(EntrySideTest, EndAll_AtTarget_SaysUnknown) {
+  submit();
+  m_Entry.endAll(m_Now);
+  EXPECT_EQ(m_Entry.pending(), 0U);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 504);
+  EXPECT_EQ(problem()["ran"], "unknown");
+  EXPECT_EQ(m_Cancels, 0);
+  // A late answer is dropped.
+  answer(m_Sent[0].second, RefusalReason::None, Ran::Yes, "printed");
+  EXPECT_EQ(m_Answers.size(), 1U);
+}
+
+TEST_F(EntrySideTest, EndAll_NeverSent_SaysNotRun) {
+  m_IsLinked = false;
+  submit();
+  ASSERT_TRUE(m_Answers.empty());
+  m_Entry.endAll(m_Now);
+  ASSERT_EQ(m_Answers.size(), 1U);
+  EXPECT_EQ(m_Answers[0].m_Status, 503);
+  EXPECT_EQ(problem()["ran"], "no");
+}
+
 TEST_F(EntrySideTest, Submit_CallersKey_IsNotForwarded) {
   submit();
   ASSERT_EQ(m_Sent.size(), 1U);
