--- a/libs/app/src/DaemonStop.cpp
+++ b/libs/app/src/DaemonStop.cpp
@@ -10,6 +10,8 @@
 /// Time for callers and peers to learn of the stop while everything is served.
 constexpr absl::Duration NoticeTime = absl::Milliseconds(500);
 constexpr absl::Duration PollInterval = absl::Milliseconds(20);
+/// Time to send the answers of what is left at the limit.
+constexpr absl::Duration AnswerTime = absl::Milliseconds(300);
 
 } // namespace
 
@@ -47,17 +49,23 @@
     m_Members->leave();
   });
   absl::SleepFor(NoticeTime);
-  post([this] {
+  absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
+  post([this, Limit] {
+    m_Entry->stopBy(Limit);
     m_Target->stopIntake();
     m_Target->dedupe().handOn();
   });
-  absl::Time Limit = monotonicNow() + m_Settings.m_Target.m_DrainLimit;
   absl::SleepFor(PollInterval * 5);
   while (m_InFlight > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
   while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
     absl::SleepFor(PollInterval);
-  return m_InFlight;
+  std::size_t Left = m_InFlight;
+  post([this] { m_Entry->endAll(monotonicNow()); });
+  Limit = monotonicNow() + AnswerTime;
+  while (m_CallerServer->pending() > 0 && monotonicNow() < Limit)
+    absl::SleepFor(PollInterval);
+  return Left;
 }
 
 } // namespace knapweedloft::app
