Server: reads no further from a caller that does not read

A caller that sent request after request and read no answer had all of them run, up to 64 at a time, for answers that pile up in the daemon.

Cause: reading went on while the output grew, to see that a peer leaves. Now a connection with more than 256 KiB unread is not read and hands no request over; its end is seen by EPOLLRDHUP. Once the peer has read, what waited is taken, and the time for an unfinished request begins anew.

Evidence: SlowCallerTest.Read_AnswerIsUnread_NextRequestWaits failed before (the request behind the unread answer was handed over first).

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -105,6 +105,8 @@
     if (ServerConnection *Held = find(Id))
       flush(*Held);
   }
+  if (Events & EPOLLRDHUP)
+    return close(Id); // The peer, which is not read, is gone.
   if (!(Events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
     return;
   if (!waitsForOthers())
@@ -177,7 +179,8 @@
 void LoopServer::Impl::takeMessages(std::uint64_t Id) {
   while (ServerConnection *Held = find(Id)) {
     bool IsFull = Held->m_Exchanges.size() >= m_Settings.m_MaxPipelined;
-    if (IsFull || Held->m_StopsReading || !Held->m_Parser.hasMessage())
+    if (IsFull || isBehind(*Held) || Held->m_StopsReading ||
+        !Held->m_Parser.hasMessage())
       return setEvents(*Held);
     ParsedMessage Message = Held->m_Parser.take();
     if (io::monotonicNow() < m_MeasuresUntil)
@@ -199,16 +202,6 @@
   }
 }
 
-void LoopServer::Impl::refuseRest(ServerConnection &Held, int Status) {
-  Held.m_StopsReading = true;
-  countHeld(Held, 0);
-  Held.m_Parser = MessageParser(MessageKind::Request, {});
-  std::uint64_t Sequence = ++Held.m_LastSequence;
-  Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
-  ++m_Pending;
-  write({Held.m_Id, Sequence}, Status, "", "");
-}
-
 void LoopServer::Impl::answer(ExchangeId Id, int Status, std::string_view Lines,
                               std::string_view Body) {
   write(Id, Status, Lines, Body);
@@ -240,10 +233,14 @@
     Held->m_LastActive = io::monotonicNow();
   flush(*Held);
   if (WasFull && find(Connection))
-    m_Loop.post([this, Connection, IsAlive = m_IsAlive] {
-      if (*IsAlive)
-        takeMessages(Connection);
-    });
+    takeMessagesLater(Connection);
+}
+
+void LoopServer::Impl::takeMessagesLater(std::uint64_t Id) {
+  m_Loop.post([this, Id, IsAlive = m_IsAlive] {
+    if (*IsAlive)
+      takeMessages(Id);
+  });
 }
 
 void LoopServer::Impl::writeFirst(ServerConnection &Held, int Status,
@@ -274,6 +271,7 @@
 
 void LoopServer::Impl::flush(ServerConnection &Held) {
   std::size_t Before = Held.m_Output.totalWritten();
+  bool WasBehind = isBehind(Held);
   WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
   if (Held.m_Output.totalWritten() != Before)
     Held.m_LastWritten = io::monotonicNow();
@@ -284,6 +282,8 @@
     endWriting(Held);
   count(Held);
   setEvents(Held);
+  if (WasBehind && !isBehind(Held))
+    readOn(Held);
 }
 
 void LoopServer::Impl::endWriting(ServerConnection &Held) {
@@ -298,7 +298,9 @@
 void LoopServer::Impl::setEvents(ServerConnection &Held) {
   std::uint32_t Events = Held.m_Output.left() > 0 ? EPOLLOUT : 0U;
   // Reading goes on while requests are under way: it shows that a peer left.
-  if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined && !m_IsWaiting)
+  if (isBehind(Held))
+    Events |= EPOLLRDHUP;
+  else if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined && !m_IsWaiting)
     Events |= EPOLLIN;
   if (Events == Held.m_Events)
     return;
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -42,7 +42,12 @@
   void countRequest(ServerConnection &Held, ServerConnection::Exchange &Of,
                     std::size_t Bytes);
   void limitHeld();
+  void refuseRest(ServerConnection &Held, int Status);
   [[nodiscard]] bool hasRoomFor(std::size_t RequestBytes) const;
+  /// \returns whether \p Held is not read because its peer does not read.
+  [[nodiscard]] static bool isBehind(const ServerConnection &Held);
+  /// Its peer has read.
+  void readOn(ServerConnection &Held);
   /// Makes room in the budget at the cost of those who hold most.
   void limitAll();
 
@@ -52,7 +57,7 @@
   void onReady(std::uint64_t Id, std::uint32_t Events);
   void read(std::uint64_t Id);
   void takeMessages(std::uint64_t Id);
-  void refuseRest(ServerConnection &Held, int Status);
+  void takeMessagesLater(std::uint64_t Id);
   /// Answers without making room for it.
   void write(ExchangeId Id, int Status, std::string_view Lines,
              std::string_view Body);
--- a/libs/http/src/LoopServerMemory.cpp
+++ b/libs/http/src/LoopServerMemory.cpp
@@ -1,5 +1,7 @@
 #include "LoopServerImpl.h"
 
+#include "io/MonotonicClock.h"
+
 #include <algorithm>
 
 namespace knapweedloft::http {
@@ -11,6 +13,8 @@
 /// A request that was handed over is kept for another try while a copy is on
 /// its way to a target.
 constexpr std::size_t RequestCopies = 2;
+/// Further requests of a peer with more unread wait in the kernel.
+constexpr std::size_t MaxUnreadBytes = 256 << 10;
 constexpr std::size_t SmallRequestBytes = 64 << 10;
 /// Small requests have a share of the budget that large ones do not take.
 constexpr std::size_t SmallRequestShare = 4;
@@ -58,6 +62,26 @@
              m_Settings.m_Budget->maxBytes() - ForSmall;
 }
 
+void LoopServer::Impl::refuseRest(ServerConnection &Held, int Status) {
+  Held.m_StopsReading = true;
+  countHeld(Held, 0);
+  Held.m_Parser = MessageParser(MessageKind::Request, {});
+  std::uint64_t Sequence = ++Held.m_LastSequence;
+  Held.m_Exchanges.push_back({.m_Sequence = Sequence, .m_KeepsOpen = false});
+  ++m_Pending;
+  write({Held.m_Id, Sequence}, Status, "", "");
+}
+
+bool LoopServer::Impl::isBehind(const ServerConnection &Held) {
+  return Held.m_Output.left() > MaxUnreadBytes && !Held.m_StopsReading;
+}
+
+void LoopServer::Impl::readOn(ServerConnection &Held) {
+  if (Held.m_Parser.isInside())
+    Held.m_MessageSince = io::monotonicNow();
+  takeMessagesLater(Held.m_Id);
+}
+
 void LoopServer::Impl::limitHeld() {
   while (m_HeldBytes > m_Settings.m_MaxHeldBytes) {
     auto Largest = std::max_element(m_Connections.begin(), m_Connections.end(),
--- a/libs/http/tests/UnreadAnswerTest.cpp
+++ b/libs/http/tests/UnreadAnswerTest.cpp
@@ -3,6 +3,9 @@
 
 #include "absl/time/clock.h"
 
+#include <string>
+#include <thread>
+
 namespace knapweedloft::http {
 namespace {
 
@@ -69,6 +72,46 @@
   EXPECT_TRUE(m_Taken.empty());
 }
 
+/// As above, with a budget that nothing here reaches.
+class SlowCallerTest : public LoopFixture {
+protected:
+  static constexpr std::size_t LongBytes = 32 << 20;
+  static constexpr const char *Get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  /// A caller that has a long answer unread.
+  RawSocket caller() {
+    serve();
+    onLoop([this] { m_Port = m_Server->port(); });
+    RawSocket Caller = RawSocket::connectTo(m_Port);
+    Caller.sendAll(Get);
+    answer(taken(0), std::string(LongBytes, 'x'));
+    return Caller;
+  }
+
+  std::uint16_t m_Port = 0;
+};
+
+TEST_F(SlowCallerTest, Read_AnswerIsUnread_NextRequestWaits) {
+  RawSocket Slow = caller();
+  Slow.sendAll("GET /next HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  RawSocket Other = RawSocket::connectTo(m_Port);
+  Other.sendAll("GET /other HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(taken(1).m_Message.m_Path, "/other");
+  std::thread Reader([&] { EXPECT_GT(Slow.readToEnd().size(), LongBytes); });
+  Taken Next = taken(2);
+  EXPECT_EQ(Next.m_Message.m_Path, "/next");
+  answer(Next, "last");
+  Reader.join();
+}
+
+TEST_F(SlowCallerTest, Closed_AnswerIsUnread_IsSeen) {
+  RawSocket Slow = caller();
+  Slow.shutDown();
+  std::size_t Open = 1;
+  while (Open > 0)
+    onLoop([&] { Open = m_Server->connections(); });
+}
+
 class UnansweredRequestTest : public UnreadAnswerTest {
 protected:
   static std::string upload(std::size_t Bytes) {
