Server: parsed requests that wait count like unfinished ones

One read can bring over a thousand short requests. Those behind 64 unanswered ones, or behind answers that nobody reads, waited in the parser uncounted, each several times its bytes.

Cause: only the request that is not whole was counted. Now what the parser holds counts until it is handed over, and the connection with the most of it is refused with 503 at the bound; none of it has run.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -60,8 +60,8 @@
     Limits m_Limits;
     std::size_t m_MaxConnections = 3000;
     std::size_t m_MaxPipelined = 64; ///< Requests unanswered on a connection.
-    /// Of all requests that are not whole yet. Past it the largest is refused
-    /// with 503 and its connection ended.
+    /// Of all requests that are not handed over yet. Past it the largest is
+    /// refused with 503 and its connection ended.
     std::size_t m_MaxHeldBytes = 256 << 20;
     /// Of requests until they are answered and answers until they are read.
     /// While it is over, the connection with the most unread is closed, or the
--- a/libs/http/include/http/MessageParser.h
+++ b/libs/http/include/http/MessageParser.h
@@ -62,6 +62,8 @@
   [[nodiscard]] bool isInside() const;
   /// \returns how many bytes of the message that is not whole yet are held.
   [[nodiscard]] std::size_t heldBytes() const;
+  /// \returns about how many bytes whole messages hold that were not taken.
+  [[nodiscard]] std::size_t readyBytes() const;
   /// \returns whether the headers of the message that is not whole yet are
   /// complete and ask for "100 Continue" before the body.
   [[nodiscard]] bool takeContinueWanted();
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -180,8 +180,11 @@
   while (ServerConnection *Held = find(Id)) {
     bool IsFull = Held->m_Exchanges.size() >= m_Settings.m_MaxPipelined;
     if (IsFull || isBehind(*Held) || Held->m_StopsReading ||
-        !Held->m_Parser.hasMessage())
+        !Held->m_Parser.hasMessage()) {
+      countHeld(*Held,
+                Held->m_Parser.heldBytes() + Held->m_Parser.readyBytes());
       return setEvents(*Held);
+    }
     ParsedMessage Message = Held->m_Parser.take();
     if (io::monotonicNow() < m_MeasuresUntil)
       Message.m_Waited = io::sinceLastInput(Held->m_Socket.get());
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -55,6 +55,7 @@
   }
 
   std::deque<ParsedMessage> m_Ready;
+  std::size_t m_ReadyBytes = 0;
   ParseState m_State = ParseState::Good;
   bool m_IsInside = false;
   bool m_IsContinueWanted = false;
@@ -170,6 +171,7 @@
 
   int onComplete() {
     m_Current.m_KeepsOpen = http_should_keep_alive(&m_Parser) != 0;
+    m_ReadyBytes += sizeof m_Current + m_Current.bytes();
     m_Ready.push_back(std::move(m_Current));
     m_Current = {};
     m_IsInside = false;
@@ -203,6 +205,7 @@
 ParsedMessage MessageParser::take() {
   ParsedMessage Next = std::move(m_Impl->m_Ready.front());
   m_Impl->m_Ready.pop_front();
+  m_Impl->m_ReadyBytes -= sizeof Next + Next.bytes();
   return Next;
 }
 
@@ -212,6 +215,8 @@
 
 std::size_t MessageParser::heldBytes() const { return m_Impl->heldBytes(); }
 
+std::size_t MessageParser::readyBytes() const { return m_Impl->m_ReadyBytes; }
+
 bool MessageParser::takeContinueWanted() {
   return std::exchange(m_Impl->m_IsContinueWanted, false);
 }
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -54,7 +54,7 @@
   absl::Time m_LastWritten;
   bool m_ClosesAfterWrite = false;
   bool m_StopsReading = false;    ///< Nothing that follows is looked at.
-  std::size_t m_HeldBytes = 0;    ///< Of a request that is not whole yet.
+  std::size_t m_HeldBytes = 0;    ///< Of requests that are not handed over.
   std::size_t m_WaitingBytes = 0; ///< Of answers that wait for others.
   std::size_t m_RequestBytes = 0; ///< Of requests that were handed over.
   policy::HeldBytes m_Share;      ///< Of the memory budget.
--- a/libs/http/tests/UnreadAnswerTest.cpp
+++ b/libs/http/tests/UnreadAnswerTest.cpp
@@ -149,6 +149,20 @@
   EXPECT_TRUE(Large.readUntil("done").starts_with("HTTP/1.1 200 "));
 }
 
+TEST_F(UnansweredRequestTest, Read_ManyBehindUnansweredOnes_AreCounted) {
+  constexpr std::size_t Requests = 1000;
+  std::string Text;
+  for (std::size_t Index = 0; Index < Requests; ++Index)
+    Text += Get;
+  RawSocket Caller = RawSocket::connectTo(m_Port);
+  Caller.sendAll(Text);
+  taken(0);
+  EXPECT_GT(held(), Requests * sizeof(ParsedMessage));
+  Caller.reset();
+  while (held() != 0)
+    absl::SleepFor(absl::Milliseconds(1));
+}
+
 TEST_F(UnansweredRequestTest, Closed_RequestUnderWay_ItsRoomIsGivenBack) {
   uploader(BudgetBytes / 4, 0).reset();
   while (held() != 0)
