Test: the server of HeldAnswersTest reads a request before it answers

It answered at once, and a connection that has bytes before its request was sent counts as stale: the client rightly took another, which no answer came to. Such a call counted as one that holds a whole answer.

--- a/libs/http/tests/HeldAnswersTest.cpp
+++ b/libs/http/tests/HeldAnswersTest.cpp
@@ -22,6 +22,7 @@
   void answerAllButTheEnd() {
     for (std::size_t Index = 0; Index < Calls; ++Index) {
       RawSocket Client = m_Listener.acceptOne();
+      (void)Client.readUntil("\r\n\r\n");
       Client.sendAll(fmt::format(
           "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", AnswerBytes));
       Client.sendAll(std::string(AnswerBytes - 1, 'x'));
