Unfinished answers to the client of "knapweedloft run" are bounded together

What operators saw elsewhere: a faulty upstream's answers without end ran the machine that had called it out of memory. Here: each answer was bounded by caller.max_body_bytes, the sum over the calls by nothing.

Cause: the client held up to 1,024 answers of up to 64 MiB, and no place counted them together.

Change: the bodies of answers that are not whole yet take 256 MiB together. Past it the largest is cut off as too large, as one past its own limit is; its caller gets what such an answer got before, the others go on. It is checked once a round, since libcurl also reads on its timer.

--- a/libs/http/include/http/HttpClient.h
+++ b/libs/http/include/http/HttpClient.h
@@ -23,6 +23,9 @@
 
   struct Options {
     std::size_t m_MaxBodyBytes = 1 << 20; ///< A larger answer is cut off.
+    /// Of the bodies of all answers that are not whole yet. Past it the largest
+    /// is cut off as TooLarge.
+    std::size_t m_MaxHeldBytes = std::size_t{256} << 20;
     std::size_t m_MaxIdleConnections = 256;
     /// More calls than this wait for one of the connections.
     std::size_t m_MaxConnections = 1024;
--- a/libs/http/src/ClientCall.cpp
+++ b/libs/http/src/ClientCall.cpp
@@ -50,8 +50,9 @@
 
 } // namespace
 
-ClientCall::ClientCall(std::size_t MaxBodyBytes, ClientSockets &Sockets)
-    : m_MaxBodyBytes(MaxBodyBytes), m_Sockets(Sockets),
+ClientCall::ClientCall(std::size_t MaxBodyBytes, std::size_t &HeldBytes,
+                       ClientSockets &Sockets)
+    : m_MaxBodyBytes(MaxBodyBytes), m_HeldBytes(HeldBytes), m_Sockets(Sockets),
       m_Handle(curl_easy_init()) {
   if (m_Handle == nullptr)
     throw HttpError("no handle for an HTTP call");
@@ -144,6 +145,7 @@
   HttpResult Result;
   Result.m_Failure = What;
   Result.m_Latency = Now - m_Started;
+  m_HeldBytes -= heldBytes();
   if (What == Failure::None)
     Result.m_Response = std::move(m_Response);
   HttpClient::Done OnDone = std::exchange(m_OnDone, nullptr);
@@ -188,6 +190,7 @@
   if (Call.m_IsTooLarge)
     return 0;
   Body.append(Data, Size);
+  Call.m_HeldBytes += Size;
   return Size;
 }
 
--- a/libs/http/src/ClientCall.h
+++ b/libs/http/src/ClientCall.h
@@ -19,7 +19,9 @@
 /// before each sending allows the first one only.
 class ClientCall {
 public:
-  ClientCall(std::size_t MaxBodyBytes, ClientSockets &Sockets);
+  /// \p HeldBytes: of the bodies of all calls, counted along.
+  ClientCall(std::size_t MaxBodyBytes, std::size_t &HeldBytes,
+             ClientSockets &Sockets);
   ~ClientCall();
   ClientCall(const ClientCall &) = delete;
   ClientCall &operator=(const ClientCall &) = delete;
@@ -42,6 +44,9 @@
 
   [[nodiscard]] HttpClient::CallId id() const { return m_Id; }
   [[nodiscard]] CURL *handle() const { return m_Handle; }
+  [[nodiscard]] std::size_t heldBytes() const {
+    return m_Response.m_Body.size();
+  }
 
 private:
   static std::size_t onBody(char *Data, std::size_t, std::size_t Size,
@@ -57,6 +62,7 @@
   [[nodiscard]] bool hasFramedBody() const;
 
   const std::size_t m_MaxBodyBytes;
+  std::size_t &m_HeldBytes;
   ClientSockets &m_Sockets;
   CURL *m_Handle;
   curl_slist *m_HeaderLines = nullptr;
--- a/libs/http/src/ClientImpl.cpp
+++ b/libs/http/src/ClientImpl.cpp
@@ -121,6 +121,7 @@
     // A call that was just added is due at once.
     runTimer();
     collect();
+    limitHeld();
     wait();
   }
 }
@@ -145,8 +146,8 @@
 
 std::unique_ptr<ClientCall> HttpClient::Impl::makeCall() {
   if (m_Spare.empty()) {
-    auto Call =
-        std::make_unique<ClientCall>(m_Settings.m_MaxBodyBytes, m_Sockets);
+    auto Call = std::make_unique<ClientCall>(m_Settings.m_MaxBodyBytes,
+                                             m_HeldBytes, m_Sockets);
     curl_easy_setopt(Call->handle(), CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
     return Call;
   }
@@ -207,14 +208,14 @@
   Work.m_OnDone(std::move(Result));
 }
 
-void HttpClient::Impl::stop(CallId Id) {
+void HttpClient::Impl::stop(CallId Id, Failure What) {
   auto Queued =
       std::find_if(m_Queue.begin(), m_Queue.end(),
                    [&](const Order &Work) { return Work.m_Id == Id; });
   if (Queued != m_Queue.end()) {
     Order Work = std::move(*Queued);
     m_Queue.erase(Queued);
-    fail(Work, Failure::Cancelled);
+    fail(Work, What);
     return;
   }
   auto Found = m_Calls.find(Id);
@@ -223,7 +224,19 @@
   std::unique_ptr<ClientCall> Call = std::move(Found->second);
   m_Calls.erase(Found);
   curl_multi_remove_handle(m_Multi, Call->handle());
-  end(std::move(Call), Failure::Cancelled);
+  end(std::move(Call), What);
+}
+
+void HttpClient::Impl::limitHeld() {
+  while (m_HeldBytes > m_Settings.m_MaxHeldBytes) {
+    auto Largest = std::max_element(m_Calls.begin(), m_Calls.end(),
+                                    [](const auto &Left, const auto &Right) {
+                                      return Left.second->heldBytes() <
+                                             Right.second->heldBytes();
+                                    });
+    stop(Largest->first, Failure::TooLarge);
+    startQueued();
+  }
 }
 
 void HttpClient::Impl::end(std::unique_ptr<ClientCall> Call, Failure What) {
--- a/libs/http/src/ClientImpl.h
+++ b/libs/http/src/ClientImpl.h
@@ -52,7 +52,9 @@
   void start(Order Work);
   void startQueued();
   void dropExpired();
-  void stop(CallId Call);
+  /// Ends a call that was given up for \p What.
+  void stop(CallId Call, Failure What = Failure::Cancelled);
+  void limitHeld();
   void wait();
   void runTimer();
   void onEvent(int Socket, std::uint32_t Events);
@@ -74,8 +76,9 @@
 
   // Of the client's thread alone.
   std::vector<Order> m_Taken;
-  std::deque<Order> m_Queue; ///< Waits for a connection.
-  ClientSockets m_Sockets;   ///< Outlives the calls.
+  std::deque<Order> m_Queue;   ///< Waits for a connection.
+  ClientSockets m_Sockets;     ///< Outlives the calls.
+  std::size_t m_HeldBytes = 0; ///< Of unfinished answers; outlives the calls.
   absl::flat_hash_map<CallId, std::unique_ptr<ClientCall>> m_Calls;
   std::vector<std::unique_ptr<ClientCall>> m_Spare;
   absl::Time m_TimerAt = absl::InfiniteFuture();
