Server: a whole request is not answered with the fault of a later one

Of requests in one read, those behind 64 unanswered ones wait in the parser. If bytes that are no HTTP followed, the connection was ended with 400 after the 64th answer. Answers are matched by order, so the 65th request, which was whole and not run, was told not to be tried again.

It is now answered 503, which is true of it, and the connection ended as before. Evidence: UnansweredRequestTest.Read_RubbishBehindWaitingOnes_TheyAreNotRun failed before (no 503) and passes; http tests run on this commit.

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -171,7 +171,9 @@
   if (!Held->m_Parser.isInside())
     Held->m_MessageSince = absl::InfiniteFuture();
   if (State != ParseState::Good && !Held->m_StopsReading)
-    refuseRest(*Held, statusOf(State));
+    // The answer is that of the first request behind those handed over.
+    refuseRest(*Held,
+               Held->m_Parser.hasMessage() ? Unavailable : statusOf(State));
   limitHeld();
   limitAll();
 }
--- a/libs/http/tests/UnreadAnswerTest.cpp
+++ b/libs/http/tests/UnreadAnswerTest.cpp
@@ -163,6 +163,20 @@
     absl::SleepFor(absl::Milliseconds(1));
 }
 
+TEST_F(UnansweredRequestTest, Read_RubbishBehindWaitingOnes_TheyAreNotRun) {
+  constexpr std::size_t Pipelined = 64;
+  std::string Text;
+  for (std::size_t Index = 0; Index <= Pipelined; ++Index)
+    Text += Get;
+  RawSocket Caller = RawSocket::connectTo(m_Port);
+  Caller.sendAll(Text + "\x01\x02");
+  for (std::size_t Index = 0; Index < Pipelined; ++Index) {
+    answer(taken(Index), "ok");
+    EXPECT_TRUE(Caller.readUntil("ok").starts_with("HTTP/1.1 200 "));
+  }
+  EXPECT_TRUE(Caller.readToEnd().starts_with("HTTP/1.1 503 "));
+}
+
 TEST_F(UnansweredRequestTest, Closed_RequestUnderWay_ItsRoomIsGivenBack) {
   uploader(BudgetBytes / 4, 0).reset();
   while (held() != 0)
