--- a/review/standins-2/Net2.cpp
+++ b/review/standins-2/Net2.cpp
@@ -115,6 +115,12 @@
   ::setsockopt(m_Fd, SOL_SOCKET, SO_SNDTIMEO, &Time, sizeof(Time));
 }
 
+bool Conn::hasInput() const {
+  char Byte = 0;
+  return !m_Buffer.empty() ||
+         ::recv(m_Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 Conn Conn::connectTo(const std::string &Address, int Port, double TimeoutS,
                      int ReceiveBytes) {
   Conn Made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
--- a/review/standins-2/Net2.h
+++ b/review/standins-2/Net2.h
@@ -45,6 +45,8 @@
   /// Closes with a reset.
   void reset();
   void setTimeout(double Seconds);
+  /// \returns whether bytes wait to be read.
+  [[nodiscard]] bool hasInput() const;
   bool send(const std::string &Bytes);
   std::optional<Head> readHead();
   /// \returns whether all of it came. \p PerSecond: pace of reading in bytes;
