--- a/review/7/Driver.cpp
+++ b/review/7/Driver.cpp
@@ -30,12 +30,13 @@
 
 class PipelineCase {
 public:
-  explicit PipelineCase(const std::vector<std::string> &Words) : m_Site(Words) {}
+  explicit PipelineCase(const std::vector<std::string> &Words)
+      : m_Site(Words) {}
 
   int run() {
     m_Site.configure({{"entries", "/entries/", "idempotent", 5, "archive"}});
-    const Place &At = m_Site.addMachine(
-        "archive", 36, [this](Conn &Peer, const Head &Asked) {
+    const Place &At =
+        m_Site.addMachine("archive", 36, [this](Conn &Peer, const Head &Asked) {
           return serve(Peer, Asked);
         });
     if (!m_Site.start())
--- a/review/standins-2/Case2.cpp
+++ b/review/standins-2/Case2.cpp
@@ -38,8 +38,8 @@
   }
   std::string ServiceRows;
   for (const auto &[Name, IsUsed] : Services)
-    ServiceRows += (ServiceRows.empty() ? "" : ",") + std::string("[\"") + Name +
-                   R"(","/health",300,"h1",false])";
+    ServiceRows += (ServiceRows.empty() ? "" : ",") + std::string("[\"") +
+                   Name + R"(","/health",300,"h1",false])";
   m_Store->put(
       "keyed.op", "config",
       R"({"version":"r1","routes":{"columns":["name","host","pathPrefix",)"
@@ -62,8 +62,8 @@
   At->m_Name = "sidecar-a-" + Number;
   At->m_Service = Service;
   At->m_Ip = m_Network + Number;
-  m_Upstreams.push_back(std::make_unique<Upstream>(
-      *At, "i-" + Number, Slots, std::move(OnRequest)));
+  m_Upstreams.push_back(std::make_unique<Upstream>(*At, "i-" + Number, Slots,
+                                                   std::move(OnRequest)));
   m_Places.push_back(std::move(At));
   return *m_Places.back();
 }
--- a/review/standins-2/Net2.cpp
+++ b/review/standins-2/Net2.cpp
@@ -34,7 +34,8 @@
 timeval timeOf(double Seconds) {
   timeval Time{};
   Time.tv_sec = static_cast<time_t>(Seconds);
-  Time.tv_usec = static_cast<suseconds_t>((Seconds - std::floor(Seconds)) * 1e6);
+  Time.tv_usec =
+      static_cast<suseconds_t>((Seconds - std::floor(Seconds)) * 1e6);
   return Time;
 }
 
@@ -84,8 +85,8 @@
 }
 
 Conn::Conn(Conn &&Other) noexcept
-    : m_Fd(std::exchange(Other.m_Fd, -1)),
-      m_Buffer(std::move(Other.m_Buffer)) {}
+    : m_Fd(std::exchange(Other.m_Fd, -1)), m_Buffer(std::move(Other.m_Buffer)) {
+}
 
 Conn &Conn::operator=(Conn &&Other) noexcept {
   close();
@@ -121,6 +122,11 @@
          ::recv(m_Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool Conn::isEnded() const {
+  pollfd Poll{.fd = m_Fd, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&Poll, 1, 0) == 1 && Poll.revents != 0;
+}
+
 Conn Conn::connectTo(const std::string &Address, int Port, double TimeoutS,
                      int ReceiveBytes) {
   Conn Made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -160,7 +166,8 @@
   do
     Taken = ::recv(m_Fd, m_Buffer.data() + Before, Most, 0);
   while (Taken < 0 && errno == EINTR);
-  m_Buffer.resize(Before + static_cast<std::size_t>(std::max<ssize_t>(Taken, 0)));
+  m_Buffer.resize(Before +
+                  static_cast<std::size_t>(std::max<ssize_t>(Taken, 0)));
   return Taken > 0;
 }
 
--- a/review/standins-2/Net2.h
+++ b/review/standins-2/Net2.h
@@ -47,6 +47,8 @@
   void setTimeout(double Seconds);
   /// \returns whether bytes wait to be read.
   [[nodiscard]] bool hasInput() const;
+  /// \returns whether the peer has closed.
+  [[nodiscard]] bool isEnded() const;
   bool send(const std::string &Bytes);
   std::optional<Head> readHead();
   /// \returns whether all of it came. \p PerSecond: pace of reading in bytes;
--- a/review/standins-2/Site2.cpp
+++ b/review/standins-2/Site2.cpp
@@ -73,8 +73,8 @@
   std::size_t At = Path.find('?');
   while (At != std::string::npos) {
     std::size_t End = Path.find('&', At + 1);
-    std::string Part = Path.substr(
-        At + 1, End == std::string::npos ? End : End - At - 1);
+    std::string Part =
+        Path.substr(At + 1, End == std::string::npos ? End : End - At - 1);
     if (Part.rfind(Name + "=", 0) == 0)
       return unescape(Part.substr(Name.size() + 1));
     At = End;
@@ -134,7 +134,8 @@
   return {};
 }
 
-Record::Record(const std::string &Path) : m_File(std::fopen(Path.c_str(), "w")) {}
+Record::Record(const std::string &Path)
+    : m_File(std::fopen(Path.c_str(), "w")) {}
 
 Record::~Record() {
   if (m_File)
@@ -180,8 +181,8 @@
 }
 
 Store::Store(const std::string &Address, int Port) {
-  m_Listener = std::make_unique<Listener>(
-      Address, Port, [this](Conn &Peer) { serve(Peer); });
+  m_Listener = std::make_unique<Listener>(Address, Port,
+                                          [this](Conn &Peer) { serve(Peer); });
 }
 
 void Store::add(Topic &To, const std::string &Content) {
@@ -280,10 +281,11 @@
           bool IsHealth = Asked->path() == "/health";
           if (IsHealth || (!Expected.empty() && Expected != m_Instance)) {
             if (!Peer.readBody(Asked->length()) ||
-                !Peer.send("HTTP/1.1 " +
-                           std::string(IsHealth ? "200 OK" : "421 Misdirected") +
-                           "\r\nInstance-Id: " + m_Instance +
-                           "\r\nContent-Length: 0\r\n\r\n"))
+                !Peer.send(
+                    "HTTP/1.1 " +
+                    std::string(IsHealth ? "200 OK" : "421 Misdirected") +
+                    "\r\nInstance-Id: " + m_Instance +
+                    "\r\nContent-Length: 0\r\n\r\n"))
               return;
             continue;
           }
@@ -305,8 +307,7 @@
         "{\"address\":\"" + m_At.m_Ip + ":" + std::to_string(m_At.m_Target) +
         "\",\"born\":" + std::to_string(m_Born) + ",\"info\":{\"service\":\"" +
         m_At.m_Service + R"(","version":"v1","zone":"a","slots":)" +
-        std::to_string(m_Slots) +
-        R"(},"status":{"state":"ready","sequence":)" +
+        std::to_string(m_Slots) + R"(},"status":{"state":"ready","sequence":)" +
         std::to_string(Sequence) + ",\"coldRemainingS\":0}}";
     Conn Control = Conn::connectTo(m_At.m_Ip, m_At.m_Control, 1);
     if (Control.isOpen() &&
@@ -381,8 +382,8 @@
   std::ofstream(File) << Text;
   std::string LogFile = m_Folder + "/" + At.m_Name + ".log";
   std::string Variable = "KNAPWEEDLOFT_SETTINGS=" + File;
-  int Log = ::open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                   0644);
+  int Log =
+      ::open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   pid_t Pid = ::fork();
   if (Pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
