--- a/review/7/Driver.cpp
+++ b/review/7/Driver.cpp
@@ -43,6 +43,7 @@
       return CouldNotRun;
     std::vector<Seen> All(Clients);
     std::vector<std::thread> Threads;
+    Threads.reserve(Clients);
     for (int Index = 0; Index < Clients; ++Index)
       Threads.emplace_back([&, Index] { All[Index] = client(At, Index); });
     for (std::thread &One : Threads)
@@ -106,7 +107,7 @@
 
   Seen client(const Place &At, int Client) {
     Seen Result;
-    Conn Peer = Conn::connectTo(At.m_Ip, At.m_Callers, 4);
+    Conn Peer = Conn::connectTo({At.m_Ip, At.m_Callers}, 4);
     // The connection is a kept one: it has carried a request before.
     if (!Peer.send(request(Client, 0)))
       return Result;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 OUT=target/review-2
 mkdir -p "$OUT"
-FLAGS=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread)
+FLAGS=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread
+  -Ilibs/model/include)
 PARTS=()
 for SOURCE in review/standins-2/*.cpp; do
   PART=$OUT/$(basename "$SOURCE" .cpp).o
--- a/review/standins-2/Case2.cpp
+++ b/review/standins-2/Case2.cpp
@@ -6,7 +6,7 @@
 namespace review2 {
 namespace {
 
-constexpr int StorePort = 17000;
+constexpr std::uint16_t StorePort = 17000;
 constexpr double ReadyTimeout = 15;
 /// Targets are used once they have reported and the daemons are linked.
 constexpr double SettleTime = 3;
@@ -19,7 +19,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   m_Record.line(m_HasTrouble ? "with the disruption"
                              : "without the disruption (TROUBLE=0)");
-  m_Store = std::make_unique<Store>(m_Network + "200", StorePort);
+  m_Store = std::make_unique<Store>(
+      knapweedloft::model::Endpoint{m_Network + "200", StorePort});
   m_Platform = std::make_unique<Platform>(
       Words.at(0), contentOf(Words.at(1)), Words.at(2),
       m_Network + "200:" + std::to_string(StorePort), m_Record);
@@ -68,11 +69,13 @@
   return *m_Places.back();
 }
 
-bool CaseSite::start() {
+bool CaseSite::start(double GraceS) {
   if (m_Network.empty())
     return false;
-  for (const auto &At : m_Places)
+  for (const auto &At : m_Places) {
+    At->m_GraceS = GraceS;
     m_Platform->start(*At, true);
+  }
   for (const auto &At : m_Places)
     if (!m_Platform->awaitReady(*At, ReadyTimeout)) {
       m_Record.line("could not run: " + At->m_Name + " is not ready");
--- a/review/standins-2/Case2.h
+++ b/review/standins-2/Case2.h
@@ -41,7 +41,7 @@
   }
   /// Starts all daemons and waits until they are ready and their upstreams are
   /// in use.
-  bool start();
+  bool start(double GraceS = 6);
   /// \returns the head of a request, without the empty line that ends it.
   static std::string head(const std::string &Method, const std::string &Path,
                           const std::string &Id, double DeadlineS);
--- a/review/standins-2/Net2.cpp
+++ b/review/standins-2/Net2.cpp
@@ -20,14 +20,16 @@
 namespace review2 {
 namespace {
 
+using knapweedloft::model::Endpoint;
+
 constexpr std::size_t PieceBytes = 64 << 10;
 constexpr std::size_t MaxHeadBytes = 64 << 10;
 
-sockaddr_in addressOf(const std::string &Address, int Port) {
+sockaddr_in addressOf(const Endpoint &Of) {
   sockaddr_in At{};
   At.sin_family = AF_INET;
-  At.sin_port = htons(static_cast<std::uint16_t>(Port));
-  ::inet_pton(AF_INET, Address.c_str(), &At.sin_addr);
+  At.sin_port = htons(Of.m_Port);
+  ::inet_pton(AF_INET, Of.m_Address.c_str(), &At.sin_addr);
   return At;
 }
 
@@ -127,8 +129,7 @@
   return ::poll(&Poll, 1, 0) == 1 && Poll.revents != 0;
 }
 
-Conn Conn::connectTo(const std::string &Address, int Port, double TimeoutS,
-                     int ReceiveBytes) {
+Conn Conn::connectTo(const Endpoint &To, double TimeoutS, int ReceiveBytes) {
   Conn Made(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (!Made.isOpen())
     return {};
@@ -138,7 +139,7 @@
     ::setsockopt(Made.m_Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
                  sizeof(ReceiveBytes));
   Made.setTimeout(TimeoutS);
-  sockaddr_in At = addressOf(Address, Port);
+  sockaddr_in At = addressOf(To);
   if (::connect(Made.m_Fd, reinterpret_cast<const sockaddr *>(&At),
                 sizeof(At)) != 0)
     return {};
@@ -219,11 +220,11 @@
   return true;
 }
 
-int listenAt(const std::string &Address, int Port, int Backlog) {
+int listenAt(const Endpoint &To, int Backlog) {
   int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int One = 1;
   ::setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
-  sockaddr_in At = addressOf(Address, Port);
+  sockaddr_in At = addressOf(To);
   if (::bind(Fd, reinterpret_cast<const sockaddr *>(&At), sizeof(At)) != 0 ||
       ::listen(Fd, Backlog) != 0) {
     ::close(Fd);
--- a/review/standins-2/Net2.h
+++ b/review/standins-2/Net2.h
@@ -1,7 +1,8 @@
 #ifndef KNAPWEEDLOFT_REVIEW_STANDINS_2_NET2_H
 #define KNAPWEEDLOFT_REVIEW_STANDINS_2_NET2_H
 
-#include <atomic>
+#include "model/Endpoint.h"
+
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -38,8 +39,8 @@
   ~Conn();
 
   /// \p ReceiveBytes: size of the receive buffer; 0: the kernel's choice.
-  static Conn connectTo(const std::string &Address, int Port, double TimeoutS,
-                        int ReceiveBytes = 0);
+  static Conn connectTo(const knapweedloft::model::Endpoint &To,
+                        double TimeoutS, int ReceiveBytes = 0);
   [[nodiscard]] bool isOpen() const { return m_Fd >= 0; }
   void close();
   /// Closes with a reset.
@@ -62,7 +63,7 @@
   std::string m_Buffer;
 };
 
-int listenAt(const std::string &Address, int Port, int Backlog = 1024);
+int listenAt(const knapweedloft::model::Endpoint &At, int Backlog = 1024);
 std::string lower(std::string Text);
 
 } // namespace review2
--- a/review/standins-2/Site2.cpp
+++ b/review/standins-2/Site2.cpp
@@ -125,7 +125,7 @@
     int Number = static_cast<int>(::getpid()) + 37 * Try;
     std::string Network = "127." + std::to_string(20 + Number / 250 % 200) +
                           "." + std::to_string(1 + Number % 250) + ".";
-    int Probe = listenAt(Network + "1", 18548);
+    int Probe = listenAt({Network + "1", 18548});
     if (Probe < 0)
       continue;
     ::close(Probe);
@@ -150,9 +150,9 @@
   std::fflush(m_File);
 }
 
-Listener::Listener(const std::string &Address, int Port,
+Listener::Listener(const knapweedloft::model::Endpoint &At,
                    std::function<void(Conn &)> Serve, int Backlog)
-    : m_Fd(listenAt(Address, Port, Backlog)), m_Serve(std::move(Serve)) {
+    : m_Fd(listenAt(At, Backlog)), m_Serve(std::move(Serve)) {
   m_Thread = std::thread([this] {
     while (!m_IsEnding) {
       pollfd Poll{.fd = m_Fd, .events = POLLIN, .revents = 0};
@@ -180,9 +180,9 @@
     pauseFor(0.05);
 }
 
-Store::Store(const std::string &Address, int Port) {
-  m_Listener = std::make_unique<Listener>(Address, Port,
-                                          [this](Conn &Peer) { serve(Peer); });
+Store::Store(const knapweedloft::model::Endpoint &At) {
+  m_Listener =
+      std::make_unique<Listener>(At, [this](Conn &Peer) { serve(Peer); });
 }
 
 void Store::add(Topic &To, const std::string &Content) {
@@ -273,7 +273,7 @@
     : m_At(std::move(At)), m_Instance(std::move(Instance)), m_Slots(Slots),
       m_Born(unixMs()) {
   m_Listener = std::make_unique<Listener>(
-      m_At.m_Ip, m_At.m_Target,
+      knapweedloft::model::Endpoint{m_At.m_Ip, m_At.m_Target},
       [this, OnRequest = std::move(OnRequest)](Conn &Peer) {
         Peer.setTimeout(30);
         while (auto Asked = Peer.readHead()) {
@@ -309,7 +309,7 @@
         m_At.m_Service + R"(","version":"v1","zone":"a","slots":)" +
         std::to_string(m_Slots) + R"(},"status":{"state":"ready","sequence":)" +
         std::to_string(Sequence) + ",\"coldRemainingS\":0}}";
-    Conn Control = Conn::connectTo(m_At.m_Ip, m_At.m_Control, 1);
+    Conn Control = Conn::connectTo({m_At.m_Ip, m_At.m_Control}, 1);
     if (Control.isOpen() &&
         Control.send("PUT /v1/instances/" + m_Instance +
                      " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json"
@@ -350,8 +350,7 @@
     }
 }
 
-void Platform::spawn(Process &One, bool IsFirst) {
-  const Place &At = One.m_At;
+std::string Platform::writeSettings(const Place &At, bool IsFirst) {
   std::string Text = m_Template;
   std::size_t Section = Text.find("{{#bounds.exposureShare}}");
   std::string SectionEnd = "{{/bounds.exposureShare}}";
@@ -380,6 +379,12 @@
   replaceAll(Text, "{{bounds.retryBudgetRatio|json}}", "0.2");
   std::string File = m_Folder + "/" + At.m_Name + ".toml";
   std::ofstream(File) << Text;
+  return File;
+}
+
+void Platform::spawn(Process &One, bool IsFirst) {
+  const Place &At = One.m_At;
+  std::string File = writeSettings(At, IsFirst);
   std::string LogFile = m_Folder + "/" + At.m_Name + ".log";
   std::string Variable = "KNAPWEEDLOFT_SETTINGS=" + File;
   int Log =
@@ -414,6 +419,15 @@
     ::kill(m_Processes[Name].m_Pid, Number);
 }
 
+void Platform::changeGrace(const std::string &Name, double GraceS) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  Process &One = m_Processes.at(Name);
+  One.m_At.m_GraceS = GraceS;
+  writeSettings(One.m_At, false);
+  m_Log.line("platform: the settings of " + Name + " say grace_s " +
+             textOf(GraceS));
+}
+
 void Platform::guard() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   for (auto &[Name, One] : m_Processes) {
@@ -457,7 +471,7 @@
 }
 
 bool Platform::isReady(const Place &At) const {
-  Conn Ready = Conn::connectTo(At.m_Ip, At.m_Ready, 1);
+  Conn Ready = Conn::connectTo({At.m_Ip, At.m_Ready}, 1);
   if (!Ready.isOpen() ||
       !Ready.send("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n"))
     return false;
--- a/review/standins-2/Site2.h
+++ b/review/standins-2/Site2.h
@@ -35,7 +35,7 @@
 /// Accepts connections and serves each on a thread of its own.
 class Listener {
 public:
-  Listener(const std::string &Address, int Port,
+  Listener(const knapweedloft::model::Endpoint &At,
            std::function<void(Conn &)> Serve, int Backlog = 1024);
   ~Listener();
   Listener(const Listener &) = delete;
@@ -52,7 +52,7 @@
 /// The platform's store: keyed topics of one partition.
 class Store {
 public:
-  Store(const std::string &Address, int Port);
+  explicit Store(const knapweedloft::model::Endpoint &At);
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value);
 
@@ -78,11 +78,11 @@
   std::string m_Name;
   std::string m_Service;
   std::string m_Ip;
-  int m_Callers = 18548;
-  int m_Links = 18543;
-  int m_Ready = 18546;
-  int m_Control = 18540;
-  int m_Target = 18547;
+  std::uint16_t m_Callers = 18548;
+  std::uint16_t m_Links = 18543;
+  std::uint16_t m_Ready = 18546;
+  std::uint16_t m_Control = 18540;
+  std::uint16_t m_Target = 18547;
   int m_MemoryMb = 260;
   int m_Descriptors = 4100;
   double m_GraceS = 6;
@@ -123,6 +123,8 @@
 
   void start(const Place &At, bool IsFirst);
   void signal(const std::string &Name, int Number);
+  /// Writes the settings file of a running process anew.
+  void changeGrace(const std::string &Name, double GraceS);
   /// Kills a process that holds more than its memory, as the platform does,
   /// and starts what ended again after a short delay.
   void guard();
@@ -140,6 +142,8 @@
     int m_PeakMb = 0;
     double m_RestartAt = 0;
   };
+  /// \returns the path of the settings file.
+  std::string writeSettings(const Place &At, bool IsFirst);
   void spawn(Process &One, bool IsFirst);
   std::string m_Program;
   std::string m_Template;
