Server: says why connections of callers are closed, and with what under way

Cause: logs and metrics could not tell a connection that a caller closed from one that the server closed: both left "The caller disconnected." for each request under way, and closes were not counted.

Change: each close has a reason; connections and the requests unanswered on them are counted by it, with the bytes read. The metrics have the counts, one line a second at most tells what the server cut, and a request's own line names the reason. No decision changed.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -1,10 +1,12 @@
 #ifndef KNAPWEEDLOFT_HTTP_LOOPSERVER_H
 #define KNAPWEEDLOFT_HTTP_LOOPSERVER_H
 
+#include "http/CallerConnectionCounts.h"
 #include "http/ExchangeId.h"
 #include "http/HttpMessage.h"
 #include "http/ParsedMessage.h"
 #include "io/EventLoop.h"
+#include "io/MonotonicClock.h"
 #include "model/Endpoint.h"
 #include "policy/MemoryBudget.h"
 
@@ -39,9 +41,9 @@
     /// \p From is the peer's IP number.
     std::function<void(ExchangeId, ParsedMessage, const std::string &From)>
         m_OnRequest;
-    /// The peer is gone and the request, not answered yet, with it. Never runs
-    /// inside a call of the server.
-    std::function<void(ExchangeId)> m_OnGone;
+    /// The connection was closed with the request, not answered yet, on it.
+    /// Never runs inside a call of the server.
+    std::function<void(ExchangeId, CallerConnectionEnd)> m_OnGone;
   };
 
   struct Limits {
@@ -70,6 +72,8 @@
     /// none.
     policy::MemoryBudget *m_Budget = nullptr;
     Hooks m_Hooks;
+    /// The time by which limits are judged.
+    std::function<absl::Time()> m_Clock = &io::monotonicNow;
   };
 
   /// Binds and listens.
@@ -86,6 +90,10 @@
   /// For requests and connections from now on.
   void setLimits(const Limits &Changed);
 
+  /// Ends connections whose time is over. The server does so by itself every
+  /// half second.
+  void endOverdue();
+
   /// Answers close their connections from now on. Idle ones are left open:
   /// peers may have requests on their way.
   void beginClosing();
@@ -98,6 +106,7 @@
   /// \returns the connections that are open; those that only wait for their
   /// peers to close count.
   [[nodiscard]] std::size_t connections() const;
+  [[nodiscard]] const CallerConnectionCounts &counts() const;
 
   /// \returns how many requests are not answered yet.
   [[nodiscard]] std::size_t pending() const;
--- a/libs/http/src/LoopServer.cpp
+++ b/libs/http/src/LoopServer.cpp
@@ -26,6 +26,8 @@
   m_Impl->m_Settings.m_Limits = Changed;
 }
 
+void LoopServer::endOverdue() { m_Impl->endOverdue(); }
+
 void LoopServer::beginClosing() { m_Impl->beginClosing(); }
 
 void LoopServer::endIdle() { m_Impl->endIdle(); }
@@ -34,6 +36,10 @@
 
 std::size_t LoopServer::connections() const { return m_Impl->connections(); }
 
+const CallerConnectionCounts &LoopServer::counts() const {
+  return m_Impl->m_Counts;
+}
+
 std::size_t LoopServer::pending() const { return m_Impl->m_Pending; }
 
 std::size_t LoopServer::unsentBytes() const { return m_Impl->unsentBytes(); }
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -3,7 +3,6 @@
 #include "http/HttpError.h"
 #include "http/MessageText.h"
 #include "io/IoError.h"
-#include "io/MonotonicClock.h"
 #include "io/Sockets.h"
 
 #include <algorithm>
@@ -43,6 +42,10 @@
   }
 }
 
+std::size_t indexOf(CallerConnectionEnd Why) {
+  return static_cast<std::size_t>(Why);
+}
+
 } // namespace
 
 LoopServer::Impl::Impl(io::EventLoop &Loop, Options Settings)
@@ -56,7 +59,7 @@
   m_Settings.m_Hooks = {};
   m_Acceptor->stop();
   while (!m_Connections.empty())
-    close(m_Connections.begin()->first);
+    close(m_Connections.begin()->first, CallerConnectionEnd::Stopped);
 }
 
 void LoopServer::Impl::listen() {
@@ -66,6 +69,8 @@
         [this](io::FileDescriptor Socket, std::string From) {
           if (m_Connections.size() < m_Settings.m_MaxConnections)
             add(std::move(Socket), std::move(From));
+          else
+            ++m_Counts.m_Closed[indexOf(CallerConnectionEnd::TooMany)];
         });
   } catch (const io::IoError &Error) {
     throw HttpError(Error.what());
@@ -76,7 +81,7 @@
 void LoopServer::Impl::add(io::FileDescriptor Socket, std::string From) {
   (void)waitsForOthers(); // Its request may have come during a pause.
   std::uint64_t Id = ++m_LastId;
-  absl::Time Now = io::monotonicNow();
+  absl::Time Now = m_Settings.m_Clock();
   auto Held = std::make_unique<ServerConnection>(ServerConnection{
       .m_Id = Id,
       .m_Socket = std::move(Socket),
@@ -106,20 +111,21 @@
       flush(*Held);
   }
   if (Events & EPOLLRDHUP)
-    return close(Id); // The peer, which is not read, is gone.
+    // The peer, which is not read, is gone.
+    return close(Id, CallerConnectionEnd::CallerLeft);
   if (!(Events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
     return;
   if (!waitsForOthers())
     read(Id);
   else if (Events & (EPOLLHUP | EPOLLERR))
-    close(Id); // The peer is gone.
+    close(Id, CallerConnectionEnd::CallerLeft);
 }
 
 bool LoopServer::Impl::waitsForOthers() {
   if (m_IsWaiting || m_Loop.heldUp() < LongPause)
     return m_IsWaiting;
   m_IsWaiting = true;
-  m_MeasuresUntil = io::monotonicNow() + MeasuredAfter;
+  m_MeasuresUntil = m_Settings.m_Clock() + MeasuredAfter;
   for (auto &[Id, Held] : m_Connections)
     setEvents(*Held);
   m_Loop.post(
@@ -146,17 +152,18 @@
   if (!Bytes)
     return;
   if (*Bytes <= 0)
-    return close(Id);
+    return close(Id, CallerConnectionEnd::CallerLeft);
+  m_Counts.m_BytesRead += static_cast<std::uint64_t>(*Bytes);
   if (Held->m_StopsReading) {
     // Dropped: the answer that closes the connection is on its way.
     Held->m_DroppedBytes += static_cast<std::size_t>(*Bytes);
     bool IsWritten = Held->m_LingersSince != absl::InfiniteFuture();
     if (IsWritten && Held->m_DroppedBytes > MaxDroppedBytes)
-      close(Id);
+      close(Id, CallerConnectionEnd::Refused);
     return;
   }
   if (!Held->m_Parser.isInside())
-    Held->m_MessageSince = io::monotonicNow();
+    Held->m_MessageSince = m_Settings.m_Clock();
   ParseState State = Held->m_Parser.feed(
       {m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
   countHeld(*Held, Held->m_Parser.heldBytes());
@@ -173,7 +180,8 @@
   if (State != ParseState::Good && !Held->m_StopsReading)
     // The answer is that of the first request behind those handed over.
     refuseRest(*Held,
-               Held->m_Parser.hasMessage() ? Unavailable : statusOf(State));
+               Held->m_Parser.hasMessage() ? Unavailable : statusOf(State),
+               CallerConnectionEnd::Refused);
   limitHeld();
   limitAll();
 }
@@ -188,7 +196,7 @@
       return setEvents(*Held);
     }
     ParsedMessage Message = Held->m_Parser.take();
-    if (io::monotonicNow() < m_MeasuresUntil)
+    if (m_Settings.m_Clock() < m_MeasuresUntil)
       Message.m_Waited = io::sinceLastInput(Held->m_Socket.get());
     ExchangeId Next{Id, ++Held->m_LastSequence};
     Held->m_Exchanges.push_back({.m_Sequence = Next.m_Sequence,
@@ -235,7 +243,7 @@
     Held->m_WaitingBytes += Found->m_Answer->bytes();
   }
   if (Held->m_Exchanges.empty())
-    Held->m_LastActive = io::monotonicNow();
+    Held->m_LastActive = m_Settings.m_Clock();
   flush(*Held);
   if (WasFull && find(Connection))
     takeMessagesLater(Connection);
@@ -279,23 +287,26 @@
   bool WasBehind = isBehind(Held);
   WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
   if (Held.m_Output.totalWritten() != Before)
-    Held.m_LastWritten = io::monotonicNow();
+    Held.m_LastWritten = m_Settings.m_Clock();
   if (Result == WriteBuffer::Result::Broken)
-    return close(Held.m_Id);
+    return close(Held.m_Id, CallerConnectionEnd::CallerLeft);
   bool IsDone = Result == WriteBuffer::Result::Empty;
   if (IsDone && Held.m_ClosesAfterWrite && Held.m_Exchanges.empty())
-    endWriting(Held);
+    endWriting(Held, CallerConnectionEnd::LastAnswer);
   count(Held);
   setEvents(Held);
   if (WasBehind && !isBehind(Held))
     readOn(Held);
 }
 
-void LoopServer::Impl::endWriting(ServerConnection &Held) {
+void LoopServer::Impl::endWriting(ServerConnection &Held,
+                                  CallerConnectionEnd Why) {
   if (Held.m_LingersSince != absl::InfiniteFuture())
     return;
+  if (!Held.m_EndsBy)
+    Held.m_EndsBy = Why;
   Held.m_StopsReading = true;
-  Held.m_LingersSince = io::monotonicNow();
+  Held.m_LingersSince = m_Settings.m_Clock();
   countHeld(Held, 0);
   io::endWriting(Held.m_Socket.get());
 }
@@ -313,7 +324,7 @@
   m_Loop.rewatch(Held.m_Watch, Events);
 }
 
-void LoopServer::Impl::close(std::uint64_t Id) {
+void LoopServer::Impl::close(std::uint64_t Id, CallerConnectionEnd Why) {
   auto Found = m_Connections.find(Id);
   if (Found == m_Connections.end())
     return;
@@ -321,17 +332,22 @@
   m_Connections.erase(Found);
   countHeld(*Held, 0);
   m_Loop.unwatch(Held->m_Watch);
+  // All answers are written; what made the server end the connection counts.
+  if (Held->m_LingersSince != absl::InfiniteFuture())
+    Why = Held->m_EndsBy.value_or(Why);
+  ++m_Counts.m_Closed[indexOf(Why)];
+  m_Counts.m_Unanswered[indexOf(Why)] += Held->m_Exchanges.size();
   for (ServerConnection::Exchange &Open : Held->m_Exchanges) {
     countRequest(*Held, Open, 0);
     if (Open.m_Answer)
       continue;
     --m_Pending;
     // Not at once: this may run inside a call of answer().
-    m_Loop.post(
-        [this, Gone = ExchangeId{Id, Open.m_Sequence}, IsAlive = m_IsAlive] {
-          if (*IsAlive && m_Settings.m_Hooks.m_OnGone)
-            m_Settings.m_Hooks.m_OnGone(Gone);
-        });
+    m_Loop.post([this, Gone = ExchangeId{Id, Open.m_Sequence}, Why,
+                 IsAlive = m_IsAlive] {
+      if (*IsAlive && m_Settings.m_Hooks.m_OnGone)
+        m_Settings.m_Hooks.m_OnGone(Gone, Why);
+    });
   }
 }
 
@@ -348,7 +364,7 @@
     // A caller that has just connected is about to send.
     bool IsNew = Held && Held->m_LastSequence == 0;
     if (Held && !IsNew && isIdle(*Held))
-      endWriting(*Held);
+      endWriting(*Held, CallerConnectionEnd::Stopped);
   }
 }
 
@@ -362,32 +378,37 @@
                      [](const auto &One) { return isIdle(*One.second); });
 }
 
-bool LoopServer::Impl::isOverdue(const ServerConnection &Held,
-                                 absl::Time Now) const {
+std::optional<CallerConnectionEnd>
+LoopServer::Impl::overdue(const ServerConnection &Held, absl::Time Now) const {
   const Limits &Bounds = m_Settings.m_Limits;
+  auto EndIf = [](bool IsOver, CallerConnectionEnd Why) {
+    return IsOver ? std::optional(Why) : std::nullopt;
+  };
   if (Now - Held.m_LingersSince > Bounds.m_LingerTimeout)
-    return true;
+    return CallerConnectionEnd::LastAnswer;
   if (Held.m_Output.left() > 0)
-    return Now - Held.m_LastWritten > Bounds.m_WriteTimeout;
+    return EndIf(Now - Held.m_LastWritten > Bounds.m_WriteTimeout,
+                 CallerConnectionEnd::WriteTimeout);
   if (Held.m_Parser.isInside())
-    return Now - Held.m_MessageSince > Bounds.m_HeaderTimeout;
-  return Held.m_Exchanges.empty() &&
-         Now - Held.m_LastActive > Bounds.m_IdleTimeout;
+    return EndIf(Now - Held.m_MessageSince > Bounds.m_HeaderTimeout,
+                 CallerConnectionEnd::RequestTimeout);
+  return EndIf(Held.m_Exchanges.empty() &&
+                   Now - Held.m_LastActive > Bounds.m_IdleTimeout,
+               CallerConnectionEnd::Idle);
 }
 
-void LoopServer::Impl::closeWhere(
-    const std::function<bool(const ServerConnection &)> &IsDue) {
-  std::vector<std::uint64_t> Due;
+void LoopServer::Impl::endOverdue() {
+  absl::Time Now = m_Settings.m_Clock();
+  std::vector<std::pair<std::uint64_t, CallerConnectionEnd>> Due;
   for (const auto &[Id, Held] : m_Connections)
-    if (IsDue(*Held))
-      Due.push_back(Id);
-  for (std::uint64_t Id : Due)
-    close(Id);
+    if (auto Why = overdue(*Held, Now))
+      Due.emplace_back(Id, *Why);
+  for (auto [Id, Why] : Due)
+    close(Id, Why);
 }
 
 void LoopServer::Impl::sweep() {
-  absl::Time Now = io::monotonicNow();
-  closeWhere([&](const auto &Held) { return isOverdue(Held, Now); });
+  endOverdue();
   m_Loop.post(
       [this, IsAlive = m_IsAlive] {
         if (*IsAlive)
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -8,8 +8,8 @@
 
 #include "absl/container/flat_hash_map.h"
 
-#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,12 +23,14 @@
 
   void answer(ExchangeId Id, int Status, std::string_view Lines,
               std::string_view Body);
+  void endOverdue();
   void beginClosing();
   void endIdle();
   [[nodiscard]] bool isIdle() const;
   [[nodiscard]] std::size_t connections() const { return m_Connections.size(); }
 
   Options m_Settings;
+  CallerConnectionCounts m_Counts;
   std::size_t m_Pending = 0;
   std::uint16_t m_Port = 0;
 
@@ -42,7 +44,9 @@
   void countRequest(ServerConnection &Held, ServerConnection::Exchange &Of,
                     std::size_t Bytes);
   void limitHeld();
-  void refuseRest(ServerConnection &Held, int Status);
+  /// Answers what follows those handed over with \p Status and ends the
+  /// connection behind it.
+  void refuseRest(ServerConnection &Held, int Status, CallerConnectionEnd Why);
   [[nodiscard]] bool hasRoomFor(std::size_t RequestBytes) const;
   /// \returns whether \p Held is not read because its peer does not read.
   [[nodiscard]] static bool isBehind(const ServerConnection &Held);
@@ -61,7 +65,7 @@
   /// Answers without making room for it.
   void write(ExchangeId Id, int Status, std::string_view Lines,
              std::string_view Body);
-  void endWriting(ServerConnection &Held);
+  void endWriting(ServerConnection &Held, CallerConnectionEnd Why);
   /// Lets the other sockets of the loop go first after a pause.
   [[nodiscard]] bool waitsForOthers();
   void resume();
@@ -72,12 +76,12 @@
   /// Writes the answers that wait for no other.
   void writeAnswered(ServerConnection &Held);
   void setEvents(ServerConnection &Held);
-  void close(std::uint64_t Id);
-  void closeWhere(const std::function<bool(const ServerConnection &)> &IsDue);
+  void close(std::uint64_t Id, CallerConnectionEnd Why);
   void sweep();
   [[nodiscard]] static bool isIdle(const ServerConnection &Held);
-  [[nodiscard]] bool isOverdue(const ServerConnection &Held,
-                               absl::Time Now) const;
+  /// \returns why the connection has to be closed by now, if it has.
+  [[nodiscard]] std::optional<CallerConnectionEnd>
+  overdue(const ServerConnection &Held, absl::Time Now) const;
   [[nodiscard]] ServerConnection *find(std::uint64_t Id);
 
   io::EventLoop &m_Loop;
--- a/libs/http/src/LoopServerMemory.cpp
+++ b/libs/http/src/LoopServerMemory.cpp
@@ -1,7 +1,5 @@
 #include "LoopServerImpl.h"
 
-#include "io/MonotonicClock.h"
-
 #include <algorithm>
 
 namespace knapweedloft::http {
@@ -62,8 +60,11 @@
              m_Settings.m_Budget->maxBytes() - ForSmall;
 }
 
-void LoopServer::Impl::refuseRest(ServerConnection &Held, int Status) {
+void LoopServer::Impl::refuseRest(ServerConnection &Held, int Status,
+                                  CallerConnectionEnd Why) {
   Held.m_StopsReading = true;
+  if (!Held.m_EndsBy)
+    Held.m_EndsBy = Why;
   countHeld(Held, 0);
   Held.m_Parser = MessageParser(MessageKind::Request, {});
   std::uint64_t Sequence = ++Held.m_LastSequence;
@@ -78,7 +79,7 @@
 
 void LoopServer::Impl::readOn(ServerConnection &Held) {
   if (Held.m_Parser.isInside())
-    Held.m_MessageSince = io::monotonicNow();
+    Held.m_MessageSince = m_Settings.m_Clock();
   takeMessagesLater(Held.m_Id);
 }
 
@@ -89,7 +90,7 @@
                                       return Left.second->m_HeldBytes <
                                              Right.second->m_HeldBytes;
                                     });
-    refuseRest(*Largest->second, Unavailable);
+    refuseRest(*Largest->second, Unavailable, CallerConnectionEnd::Memory);
   }
 }
 
@@ -108,9 +109,9 @@
       return;
     ServerConnection &Held = *Largest->second;
     if (Held.unreadBytes() >= Held.m_HeldBytes)
-      close(Held.m_Id);
+      close(Held.m_Id, CallerConnectionEnd::Memory);
     else
-      refuseRest(Held, Unavailable);
+      refuseRest(Held, Unavailable, CallerConnectionEnd::Memory);
   }
 }
 
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -2,6 +2,7 @@
 #define KNAPWEEDLOFT_HTTP_SERVERCONNECTION_H
 
 #include "WriteBuffer.h"
+#include "http/CallerConnectionCounts.h"
 #include "http/MessageParser.h"
 #include "io/EventLoop.h"
 #include "io/FileDescriptor.h"
@@ -53,6 +54,8 @@
   absl::Time m_MessageSince = absl::InfiniteFuture(); ///< A request began.
   absl::Time m_LastWritten;
   bool m_ClosesAfterWrite = false;
+  /// Why the server ends it; set before the last answer is written.
+  std::optional<CallerConnectionEnd> m_EndsBy;
   bool m_StopsReading = false;    ///< Nothing that follows is looked at.
   std::size_t m_HeldBytes = 0;    ///< Of requests that are not handed over.
   std::size_t m_WaitingBytes = 0; ///< Of answers that wait for others.
--- a/libs/http/tests/LoopTest.cpp
+++ b/libs/http/tests/LoopTest.cpp
@@ -56,7 +56,7 @@
         if (m_Ids.size() >= m_AwaitedRequests)
           notifyOnce(m_Arrived);
       };
-      Options.m_Hooks.m_OnGone = [this](ExchangeId) {
+      Options.m_Hooks.m_OnGone = [this](ExchangeId, CallerConnectionEnd) {
         ++m_Gone;
         notifyOnce(m_Left);
       };
--- a/libs/mesh/include/mesh/EntryPath.h
+++ b/libs/mesh/include/mesh/EntryPath.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_MESH_ENTRYPATH_H
 #define KNAPWEEDLOFT_MESH_ENTRYPATH_H
 
+#include "http/CallerConnectionCounts.h"
 #include "http/ExchangeId.h"
 #include "http/HttpMessage.h"
 #include "http/ParsedMessage.h"
@@ -108,8 +109,10 @@
   /// A request was received from the IP address \p From.
   void onRequest(http::ExchangeId Id, http::ParsedMessage Message,
                  const std::string &From, absl::Time Now);
-  /// The caller disconnected.
-  void onCallerDisconnected(http::ExchangeId Id, absl::Time Now);
+  /// The connection of a request was closed before its answer: the caller
+  /// disconnected, or the server closed it.
+  void onConnectionClosed(http::ExchangeId Id, http::CallerConnectionEnd Why,
+                          absl::Time Now);
   void onAnswer(wire::AnswerT &Answer, absl::Time Now);
   /// The link to a daemon is down: the outcome of requests sent there is
   /// unknown.
--- a/libs/mesh/src/EntryPath.cpp
+++ b/libs/mesh/src/EntryPath.cpp
@@ -422,8 +422,9 @@
   return Message;
 }
 
-void EntryPath::onCallerDisconnected(http::ExchangeId Exchange,
-                                     absl::Time Now) {
+void EntryPath::onConnectionClosed(http::ExchangeId Exchange,
+                                   http::CallerConnectionEnd Why,
+                                   absl::Time Now) {
   auto Found = m_ByExchange.find(Exchange);
   if (Found == m_ByExchange.end())
     return;
@@ -436,10 +437,17 @@
     m_Options.m_Hooks.m_Cancel(Request.m_To, Cancel);
     serviceOf(Request.m_Service, Now).m_Chooser.onCancelled(Request.m_Target);
   }
-  m_Log.routine("The caller disconnected.",
-                {{"id", Request.m_CallId},
-                 {"sent", Request.m_IsSent},
-                 {"held", Now - Request.m_Received}});
+  if (Why == http::CallerConnectionEnd::CallerLeft)
+    m_Log.routine("The caller disconnected.",
+                  {{"id", Request.m_CallId},
+                   {"sent", Request.m_IsSent},
+                   {"held", Now - Request.m_Received}});
+  else
+    m_Log.notable("The connection was closed before the answer.",
+                  {{"id", Request.m_CallId},
+                   {"why", http::CallerConnectionEndNames.nameOf(Why)},
+                   {"sent", Request.m_IsSent},
+                   {"held", Now - Request.m_Received}});
   forget(Id);
 }
 
--- a/libs/mesh/src/NodeImpl.cpp
+++ b/libs/mesh/src/NodeImpl.cpp
@@ -477,6 +477,7 @@
     m_Rollouts->tick(Now);
   m_Peers->tick(Now);
   m_ConnectionLog.tick(m_Client->counts(), Now);
+  m_CallerConnectionLog.tick(m_Callers->counts(), Now);
   sendSpent(Now);
   m_Quarantine->tick(Now, absl::Now());
   if (Now >= m_NextCallsUpdate) {
--- a/libs/mesh/src/NodeImpl.h
+++ b/libs/mesh/src/NodeImpl.h
@@ -6,6 +6,7 @@
 #include "http/LoopServer.h"
 #include "io/MonotonicClock.h"
 #include "link/LinkNode.h"
+#include "mesh/CallerConnectionLog.h"
 #include "mesh/ConnectionLog.h"
 #include "mesh/EntryPath.h"
 #include "mesh/Node.h"
@@ -116,6 +117,7 @@
   policy::MemoryBudget m_Memory; ///< Outlives those who hold of it.
   std::unique_ptr<http::LoopClient> m_Client;
   ConnectionLog m_ConnectionLog;
+  CallerConnectionLog m_CallerConnectionLog;
   std::unique_ptr<link::LinkNode> m_Links;
   std::unique_ptr<PeerLinks> m_Peers;
   std::unique_ptr<RequestQuarantine> m_Quarantine;
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -91,6 +91,21 @@
                    Counts.m_Closed[Index]);
 }
 
+void appendCallerConnections(std::string &Text,
+                             const http::CallerConnectionCounts &Counts) {
+  append(Text, "caller_bytes_read_total",
+         static_cast<double>(Counts.m_BytesRead));
+  for (std::size_t Index = 0; Index < Counts.m_Closed.size(); ++Index) {
+    std::string_view Why = http::CallerConnectionEndNames.nameOf(
+        static_cast<http::CallerConnectionEnd>(Index));
+    fmt::format_to(
+        std::back_inserter(Text),
+        "knapweedloft_caller_connections_closed_total{{why=\"{}\"}} {}\n"
+        "knapweedloft_caller_requests_unanswered_total{{why=\"{}\"}} {}\n",
+        Why, Counts.m_Closed[Index], Why, Counts.m_Unanswered[Index]);
+  }
+}
+
 } // namespace
 
 std::string Node::Impl::metricsText() const {
@@ -154,6 +169,7 @@
   append(Text, "peers_linked", static_cast<double>(m_Peers->linked()));
   append(Text, "peers_known", static_cast<double>(m_Peers->daemons() - 1));
   appendConnections(Text, m_Client->counts());
+  appendCallerConnections(Text, m_Callers->counts());
   for (std::size_t Index = 0; Index < 3; ++Index) {
     auto Kind = static_cast<telemetry::Importance>(Index);
     fmt::format_to(std::back_inserter(Text),
--- a/libs/mesh/src/NodeSetup.cpp
+++ b/libs/mesh/src/NodeSetup.cpp
@@ -77,7 +77,8 @@
       m_EventLog(Log), m_Log(Log, "node"), m_Self(makeSelf(Settings)),
       m_StartedAt(io::monotonicNow()),
       m_Memory(std::max(m_Settings.m_MemoryBytes / 2, MinHeldBytes)),
-      m_ConnectionLog(ComponentLog(Log, "target")) {
+      m_ConnectionLog(ComponentLog(Log, "target")),
+      m_CallerConnectionLog(ComponentLog(Log, "entry")) {
   m_Client = std::make_unique<http::LoopClient>(
       m_Loop,
       http::LoopClient::Options{
@@ -111,8 +112,9 @@
                                        const std::string &From) {
     m_Entry->onRequest(Id, std::move(Message), From, io::monotonicNow());
   };
-  Callers.m_Hooks.m_OnGone = [this](http::ExchangeId Id) {
-    m_Entry->onCallerDisconnected(Id, io::monotonicNow());
+  Callers.m_Hooks.m_OnGone = [this](http::ExchangeId Id,
+                                    http::CallerConnectionEnd Why) {
+    m_Entry->onConnectionClosed(Id, Why, io::monotonicNow());
   };
   m_Callers = std::make_unique<http::LoopServer>(m_Loop, std::move(Callers));
 }
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -421,9 +421,10 @@
   EXPECT_NE(m_Answers[0].m_Body.find("unknown"), std::string::npos);
 }
 
-TEST_F(EntryPathTest, OnCallerDisconnected_RequestInFlight_IsCancelled) {
+TEST_F(EntryPathTest, OnConnectionClosed_RequestInFlight_IsCancelled) {
   request("/reads/1");
-  m_Entry.onCallerDisconnected({1, 1}, m_Now);
+  m_Entry.onConnectionClosed({1, 1}, http::CallerConnectionEnd::CallerLeft,
+                             m_Now);
   EXPECT_EQ(m_Cancelled.size(), 1U);
   EXPECT_EQ(m_Entry.pending(), 0U);
   succeed(0); // A late answer is dropped.
--- a/tools/soak/src/SoakTarget.cpp
+++ b/tools/soak/src/SoakTarget.cpp
@@ -83,7 +83,8 @@
   Options.m_Hooks.m_OnRequest =
       [this](http::ExchangeId Id, http::ParsedMessage Request,
              const std::string &) { onRequest(Id, std::move(Request)); };
-  Options.m_Hooks.m_OnGone = [this](http::ExchangeId Id) { onGone(Id); };
+  Options.m_Hooks.m_OnGone = [this](http::ExchangeId Id,
+                                    http::CallerConnectionEnd) { onGone(Id); };
   m_Server = std::make_unique<http::LoopServer>(m_Loop, std::move(Options));
   report(m_Life, mesh::TargetCondition::Ready);
 }
