--- a/libs/http/include/http/MessageParser.h
+++ b/libs/http/include/http/MessageParser.h
@@ -60,6 +60,8 @@
   [[nodiscard]] ParseState state() const;
   /// \returns whether a message has begun and is not whole yet.
   [[nodiscard]] bool isInside() const;
+  /// \returns how many messages have begun, those that are whole included.
+  [[nodiscard]] std::uint64_t begun() const;
   /// \returns how many bytes of the message that is not whole yet are held.
   [[nodiscard]] std::size_t heldBytes() const;
   /// \returns about how many bytes whole messages hold that were not taken.
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -162,10 +162,12 @@
       close(Id, CallerConnectionEnd::Refused);
     return;
   }
-  if (!Held->m_Parser.isInside())
-    Held->m_MessageSince = m_Settings.m_Clock();
+  std::uint64_t Begun = Held->m_Parser.begun();
   ParseState State = Held->m_Parser.feed(
       {m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
+  // One read may end a request, hold others and begin the next.
+  if (Held->m_Parser.begun() != Begun)
+    Held->m_MessageSince = m_Settings.m_Clock();
   countHeld(*Held, Held->m_Parser.heldBytes());
   if (Held->m_Parser.takeContinueWanted()) {
     Held->m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -175,8 +177,6 @@
   Held = find(Id);
   if (!Held)
     return;
-  if (!Held->m_Parser.isInside())
-    Held->m_MessageSince = absl::InfiniteFuture();
   if (State != ParseState::Good && !Held->m_StopsReading)
     // The answer is that of the first request behind those handed over.
     refuseRest(*Held,
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -58,6 +58,7 @@
   std::size_t m_ReadyBytes = 0;
   ParseState m_State = ParseState::Good;
   bool m_IsInside = false;
+  std::uint64_t m_Begun = 0;
   bool m_IsContinueWanted = false;
 
 private:
@@ -106,6 +107,7 @@
     m_IsName = false;
     m_HasHeaders = false;
     m_IsInside = true;
+    ++m_Begun;
     m_IsContinueWanted = false;
     return 0;
   }
@@ -213,6 +215,8 @@
 
 bool MessageParser::isInside() const { return m_Impl->m_IsInside; }
 
+std::uint64_t MessageParser::begun() const { return m_Impl->m_Begun; }
+
 std::size_t MessageParser::heldBytes() const { return m_Impl->heldBytes(); }
 
 std::size_t MessageParser::readyBytes() const { return m_Impl->m_ReadyBytes; }
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -51,7 +51,8 @@
   std::uint64_t m_LastSequence = 0;
   std::uint32_t m_Events = 0;
   absl::Time m_LastActive; ///< When the last request ended or it was opened.
-  absl::Time m_MessageSince = absl::InfiniteFuture(); ///< A request began.
+  /// When the last request began that was read, whole or not.
+  absl::Time m_MessageSince = absl::InfinitePast();
   absl::Time m_LastWritten;
   bool m_ClosesAfterWrite = false;
   /// Why the server ends it; set before the last answer is written.
--- a/libs/http/tests/MessageParserTest.cpp
+++ b/libs/http/tests/MessageParserTest.cpp
@@ -35,6 +35,16 @@
   EXPECT_EQ(m_Requests.take().m_Path, "/2");
 }
 
+TEST_F(MessageParserTest, Begun_EndOfOneAndBeginOfNext_CountsTheNext) {
+  m_Requests.feed("GET /1 HT");
+  EXPECT_EQ(m_Requests.begun(), 1U);
+  m_Requests.feed("TP/1.1\r\n\r\nGET /2 HT");
+  EXPECT_TRUE(m_Requests.isInside());
+  EXPECT_EQ(m_Requests.begun(), 2U);
+  m_Requests.feed("TP/1.1\r\n\r\n");
+  EXPECT_EQ(m_Requests.begun(), 2U);
+}
+
 TEST_F(MessageParserTest, Feed_LengthAndChunks_IsMalformed) {
   EXPECT_EQ(m_Requests.feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstdint>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
 #include <string_view>
@@ -84,6 +85,12 @@
     return ntohs(Address.sin_port);
   }
 
+  /// Sends small pieces at once instead of waiting for more bytes.
+  void setNoDelay() const {
+    int One = 1;
+    setsockopt(m_Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof One);
+  }
+
   /// Closes the connection with a reset.
   void reset() {
     linger AtOnce{.l_onoff = 1, .l_linger = 0};
@@ -115,6 +122,18 @@
     return Result;
   }
 
+  /// Reads what has come, without waiting.
+  [[nodiscard]] std::string readNow() const {
+    std::string Result;
+    char Bytes[4096];
+    while (true) {
+      ssize_t Count = recv(m_Socket, Bytes, sizeof Bytes, MSG_DONTWAIT);
+      if (Count <= 0)
+        return Result;
+      Result.append(Bytes, static_cast<std::size_t>(Count));
+    }
+  }
+
   [[nodiscard]] std::string readToEnd() const {
     std::string Result;
     char Bytes[4096];
