Server: a request that is not whole in its time costs no other its answer

What callers saw: where one request of a connection was late, the connection was closed at once, and the requests before it, which the target was running, got no answer.

Cause: the time-out closed the connection whatever was under way on it.

Change: reading ends, the requests before it are answered, and the late one is refused with 408 as the last answer. It was never handed over, so that "not run" is true. The time of a request is also judged while an answer is being written.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -49,8 +49,9 @@
   struct Limits {
     std::size_t m_MaxHeaderBytes = 16 << 10;
     std::size_t m_MaxBodyBytes = 64 << 20;
-    absl::Duration m_HeaderTimeout =
-        absl::Seconds(10); ///< For a whole request.
+    /// From the first byte of a request until it is whole. Past it the request
+    /// is refused with 408 behind those before it, and its connection ends.
+    absl::Duration m_HeaderTimeout = absl::Seconds(10);
     absl::Duration m_IdleTimeout = absl::Seconds(60);
     absl::Duration m_WriteTimeout = absl::Seconds(30); ///< Without progress.
     /// An ended connection waits so long for its peer to close.
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -23,6 +23,7 @@
 constexpr absl::Duration ResumeAfter = absl::Milliseconds(100);
 /// Peers send on while the server waits.
 constexpr absl::Duration MeasuredAfter = absl::Seconds(1);
+constexpr int RequestTimeout = 408;
 constexpr int Unavailable = 503;
 /// More than a peer sends before it has read the last answer, unless it does
 /// not look for it.
@@ -381,20 +382,28 @@
 std::optional<CallerConnectionEnd>
 LoopServer::Impl::overdue(const ServerConnection &Held, absl::Time Now) const {
   const Limits &Bounds = m_Settings.m_Limits;
-  auto EndIf = [](bool IsOver, CallerConnectionEnd Why) {
-    return IsOver ? std::optional(Why) : std::nullopt;
-  };
   if (Now - Held.m_LingersSince > Bounds.m_LingerTimeout)
     return CallerConnectionEnd::LastAnswer;
-  if (Held.m_Output.left() > 0)
-    return EndIf(Now - Held.m_LastWritten > Bounds.m_WriteTimeout,
-                 CallerConnectionEnd::WriteTimeout);
-  if (Held.m_Parser.isInside())
-    return EndIf(Now - Held.m_MessageSince > Bounds.m_HeaderTimeout,
-                 CallerConnectionEnd::RequestTimeout);
-  return EndIf(Held.m_Exchanges.empty() &&
-                   Now - Held.m_LastActive > Bounds.m_IdleTimeout,
-               CallerConnectionEnd::Idle);
+  if (Held.m_Output.left() > 0 &&
+      Now - Held.m_LastWritten > Bounds.m_WriteTimeout)
+    return CallerConnectionEnd::WriteTimeout;
+  if (Held.m_Parser.isInside() && !Held.m_StopsReading &&
+      Now - Held.m_MessageSince > Bounds.m_HeaderTimeout)
+    return CallerConnectionEnd::RequestTimeout;
+  if (isIdle(Held) && Now - Held.m_LastActive > Bounds.m_IdleTimeout)
+    return CallerConnectionEnd::Idle;
+  return std::nullopt;
+}
+
+void LoopServer::Impl::end(std::uint64_t Id, CallerConnectionEnd Why) {
+  ServerConnection *Held = find(Id);
+  if (!Held)
+    return;
+  // The requests before the one that is late have their answers first.
+  if (Why == CallerConnectionEnd::RequestTimeout)
+    refuseRest(*Held, RequestTimeout, Why);
+  else
+    close(Id, Why);
 }
 
 void LoopServer::Impl::endOverdue() {
@@ -404,7 +413,7 @@
     if (auto Why = overdue(*Held, Now))
       Due.emplace_back(Id, *Why);
   for (auto [Id, Why] : Due)
-    close(Id, Why);
+    end(Id, Why);
 }
 
 void LoopServer::Impl::sweep() {
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -79,7 +79,9 @@
   void close(std::uint64_t Id, CallerConnectionEnd Why);
   void sweep();
   [[nodiscard]] static bool isIdle(const ServerConnection &Held);
-  /// \returns why the connection has to be closed by now, if it has.
+  /// Ends a connection that is overdue.
+  void end(std::uint64_t Id, CallerConnectionEnd Why);
+  /// \returns why the connection has to end by now, if it has.
   [[nodiscard]] std::optional<CallerConnectionEnd>
   overdue(const ServerConnection &Held, absl::Time Now) const;
   [[nodiscard]] ServerConnection *find(std::uint64_t Id);
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -32,5 +32,34 @@
   EXPECT_EQ(m_Server->connections(), 1U);
 }
 
+// Guards against a slow request that costs the requests before it on its
+// connection their answers.
+TEST_F(BusyConnectionTest, Overdue_RequestsUnderWay_AreAnsweredBeforeItEnds) {
+  serve();
+  send(std::string(Begin) + End + Begin + End + Begin);
+  pass(HeaderTimeout + SweepInterval);
+  ASSERT_EQ(m_Server->connections(), 1U);
+  answer(1);
+  answer(0);
+  ASSERT_EQ(answers().size(), 3U);
+  EXPECT_EQ(answers()[0].first, 200);
+  EXPECT_EQ(answers()[1].first, 200);
+  EXPECT_EQ(answers()[2].first, 408);
+  EXPECT_EQ(m_Taken.size(), 2U);
+}
+
+TEST_F(BusyConnectionTest, Overdue_NothingUnderWay_IsRefusedNotRun) {
+  serve();
+  send(Begin);
+  pass(HeaderTimeout);
+  EXPECT_TRUE(answers().empty());
+  pass(SweepInterval);
+  EXPECT_EQ(countOf(408), 1U);
+  m_Caller.closeNow();
+  while (m_Server->connections() > 0)
+    handleReady();
+  EXPECT_EQ(closedBy(CallerConnectionEnd::RequestTimeout), 1U);
+}
+
 } // namespace
 } // namespace knapweedloft::http
--- a/libs/http/tests/SplitRequestTest.cpp
+++ b/libs/http/tests/SplitRequestTest.cpp
@@ -56,6 +56,15 @@
     m_Requests.push_back(Next);
   }
 
+  /// Sends the next \p Bytes in one piece.
+  void sendPiece(std::size_t Bytes) {
+    send(std::string_view(m_Text).substr(m_Sent, Bytes));
+    const Request &Last = m_Requests[requestAt(m_Sent + Bytes - 1)];
+    if (Last.m_Begin >= m_Sent)
+      m_LastBegan = m_Now;
+    m_Sent += Bytes;
+  }
+
   /// \returns the request that the byte at \p Offset belongs to.
   [[nodiscard]] std::size_t requestAt(std::size_t Offset) const {
     std::size_t Index = 0;
@@ -68,27 +77,17 @@
   /// its time.
   void sendUpTo(std::size_t End) {
     while (m_Sent < End) {
-      std::size_t Piece = std::min(number(1, 300), End - m_Sent);
-      send(m_Text.substr(m_Sent, Piece));
-      if (HasFatalFailure())
-        return;
-      std::size_t Former = requestAt(m_Sent);
-      m_Sent += Piece;
+      ASSERT_NO_FATAL_FAILURE(sendPiece(std::min(number(1, 300), End - m_Sent)))
+          << "closed at byte " << m_Sent;
       if (m_Sent == End)
         return;
-      std::size_t Inside = requestAt(m_Sent);
-      if (Inside != Former)
-        m_InsideSince = m_Now;
-      passAnswering(std::min(duration(absl::Milliseconds(600)),
-                             m_InsideSince + HeaderTimeout - m_Now));
-      if (m_Now >= m_InsideSince + HeaderTimeout - absl::Milliseconds(1)) {
-        // The rest of this request is due.
-        std::size_t Rest = std::min(m_Requests[Inside].m_End, End) - m_Sent;
-        send(m_Text.substr(m_Sent, Rest));
-        m_Sent += Rest;
-        m_InsideSince = m_Now;
-      }
-      ASSERT_EQ(m_Server->connections(), 1U) << "closed at byte " << m_Sent;
+      absl::Time Due = m_LastBegan + HeaderTimeout;
+      passAnswering(std::min(duration(absl::Milliseconds(600)), Due - m_Now));
+      std::size_t Rest =
+          std::min(m_Requests[requestAt(m_Sent - 1)].m_End, End) - m_Sent;
+      if (m_Now < Due || Rest == 0)
+        continue;
+      ASSERT_NO_FATAL_FAILURE(sendPiece(Rest)) << "closed at byte " << m_Sent;
     }
   }
 
@@ -118,7 +117,7 @@
   std::string m_Text;
   std::vector<Request> m_Requests;
   std::size_t m_Sent = 0;
-  absl::Time m_InsideSince = m_Now;
+  absl::Time m_LastBegan = m_Now; ///< The last request that was sent.
   std::vector<absl::Time> m_TakenAt;
 };
 
@@ -134,6 +133,22 @@
   EXPECT_EQ(m_Server->connections(), 1U);
 }
 
+TEST_P(SplitRequestTest, Server_OneHeadStalls_IsRefusedBehindTheOthersInTime) {
+  std::size_t Stalled = number(0, m_Requests.size() - 1);
+  const Request &Late = m_Requests[Stalled];
+  serve();
+  sendUpTo(number(Late.m_Begin + 1, Late.m_HeadEnd - 1));
+  ASSERT_FALSE(HasFatalFailure());
+  absl::Time Due = m_LastBegan + HeaderTimeout;
+  passAnswering(Due - m_Now);
+  EXPECT_EQ(countOf(408), 0U);
+  expectAnsweredInOrder(Stalled);
+  passAnswering(SweepInterval);
+  EXPECT_EQ(countOf(408), 1U);
+  EXPECT_EQ(answers().size(), Stalled + 1);
+  EXPECT_EQ(m_Taken.size(), Stalled);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SplitRequestTest, testing::Range(1U, 101U));
 
 } // namespace
