Server: what has come is read before its caller is judged late

What callers saw: after a pause of the daemon, or with more sockets ready than one round of its loop takes, a connection ended as late or idle although the rest of its request, or its next request, lay in the daemon's socket.

Cause: limits of time were judged without a look at the socket.

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -404,15 +404,21 @@
   return std::nullopt;
 }
 
-void LoopServer::Impl::end(std::uint64_t Id, CallerConnectionEnd Why) {
-  ServerConnection *Held = find(Id);
-  if (!Held)
-    return;
-  // The requests before the one that is late have their answers first.
-  if (Why == CallerConnectionEnd::RequestTimeout)
-    refuseRest(*Held, RequestTimeout, Why);
-  else
-    close(Id, Why);
+void LoopServer::Impl::end(std::uint64_t Id, CallerConnectionEnd Why,
+                           absl::Time Now) {
+  bool IsCallerLate = Why == CallerConnectionEnd::RequestTimeout ||
+                      Why == CallerConnectionEnd::Idle;
+  if (IsCallerLate) {
+    // What it sent in time may not have been read yet.
+    read(Id);
+    ServerConnection *Held = find(Id);
+    if (!Held || overdue(*Held, Now) != Why)
+      return;
+    // The requests before the one that is late have their answers first.
+    if (Why == CallerConnectionEnd::RequestTimeout)
+      return refuseRest(*Held, RequestTimeout, Why);
+  }
+  close(Id, Why);
 }
 
 void LoopServer::Impl::endOverdue() {
@@ -422,10 +428,11 @@
     if (auto Why = overdue(*Held, Now))
       Due.emplace_back(Id, *Why);
   for (auto [Id, Why] : Due)
-    end(Id, Why);
+    end(Id, Why, Now);
 }
 
 void LoopServer::Impl::sweep() {
+  (void)waitsForOthers(); // What came during a pause is read after it.
   endOverdue();
   m_Loop.post(
       [this, IsAlive = m_IsAlive] {
--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -77,8 +77,8 @@
   void close(std::uint64_t Id, CallerConnectionEnd Why);
   void sweep();
   [[nodiscard]] static bool isIdle(const ServerConnection &Held);
-  /// Ends a connection that is overdue.
-  void end(std::uint64_t Id, CallerConnectionEnd Why);
+  /// Ends a connection that is overdue, unless what has come saves it.
+  void end(std::uint64_t Id, CallerConnectionEnd Why, absl::Time Now);
   /// \returns why the connection has to end by now, if it has.
   [[nodiscard]] std::optional<CallerConnectionEnd>
   overdue(const ServerConnection &Held, absl::Time Now) const;
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -1,6 +1,9 @@
 #include "VirtualTimeFixture.h"
 
+#include "absl/time/clock.h"
+
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace knapweedloft::http {
@@ -98,5 +101,55 @@
   EXPECT_EQ(countOf(408), 1U);
 }
 
+/// The server looks at its limits before it reads what has come: after a pause,
+/// or with many sockets ready at once.
+class LateSweepTest : public BusyConnectionTest {
+protected:
+  LateSweepTest() { serve(); }
+
+  /// Lets \p Time pass for the clock, while \p Bytes come unread.
+  void pause(absl::Duration Time, std::string_view Bytes) {
+    ASSERT_TRUE(m_Caller.sendAll(Bytes));
+    ASSERT_TRUE(awaitDelivery());
+    m_Now += Time;
+    m_Server->endOverdue();
+  }
+
+  /// Waits until the kernel has what the caller sent in the server's socket.
+  [[nodiscard]] bool awaitDelivery() const {
+    constexpr int MaxMilliseconds = 10'000;
+    for (int Waited = 0; m_Caller.unacknowledged() > 0; ++Waited) {
+      if (Waited == MaxMilliseconds)
+        return false;
+      absl::SleepFor(absl::Milliseconds(1));
+    }
+    return true;
+  }
+};
+
+// Guards against a request that is late because of a pause of the server.
+TEST_F(LateSweepTest, Overdue_RestOfTheRequestHasCome_IsHandedOver) {
+  send(std::string(Begin) + End + Begin);
+  pause(2 * HeaderTimeout, End);
+  answerAll();
+  EXPECT_EQ(countOf(200), 2U);
+  EXPECT_EQ(m_Server->connections(), 1U);
+}
+
+TEST_F(LateSweepTest, Overdue_RequestHasComeOnIdleConnection_IsHandedOver) {
+  send(std::string(Begin) + End);
+  answerAll();
+  pause(2 * IdleTimeout, std::string(Begin) + End);
+  ASSERT_EQ(m_Taken.size(), 2U);
+  answerAll();
+  EXPECT_EQ(countOf(200), 2U);
+}
+
+TEST_F(LateSweepTest, Overdue_NothingHasCome_Ends) {
+  send(Begin);
+  pause(2 * HeaderTimeout, "");
+  EXPECT_EQ(countOf(408), 1U);
+}
+
 } // namespace
 } // namespace knapweedloft::http
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -4,10 +4,12 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstdint>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
 #include <string_view>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
 #include <unistd.h>
@@ -91,6 +93,14 @@
     setsockopt(m_Socket, IPPROTO_TCP, TCP_NODELAY, &One, sizeof One);
   }
 
+  /// \returns the bytes that were sent and are not in the peer's socket, as far
+  /// as is known.
+  [[nodiscard]] int unacknowledged() const {
+    int Bytes = 0;
+    ioctl(m_Socket, SIOCOUTQ, &Bytes);
+    return Bytes;
+  }
+
   /// Closes the connection with a reset.
   void reset() {
     linger AtOnce{.l_onoff = 1, .l_linger = 0};
