Server: the limit of a header section does not cut a body that goes on

What callers saw: an upload that took longer than headerTimeoutS was cut, though its header section had come at once and its bytes kept coming.

Cause: the limit was applied to the whole request.

Change: the limit ends with the header section. A body may pause for idleTimeoutS; a request whose body stalls for longer is refused like one that is late. What unfinished bodies hold is bounded in bytes, as before.

--- a/libs/http/include/http/LoopServer.h
+++ b/libs/http/include/http/LoopServer.h
@@ -49,9 +49,12 @@
   struct Limits {
     std::size_t m_MaxHeaderBytes = 16 << 10;
     std::size_t m_MaxBodyBytes = 64 << 20;
-    /// From the first byte of a request until it is whole. Past it the request
-    /// is refused with 408 behind those before it, and its connection ends.
+    /// From the first byte of a request to the end of its header section, while
+    /// the server reads. Past it the request is refused with 408 behind those
+    /// before it, and its connection ends.
     absl::Duration m_HeaderTimeout = absl::Seconds(10);
+    /// Without a request under way, or without a byte of an unfinished body:
+    /// that request is refused like one whose header section is late.
     absl::Duration m_IdleTimeout = absl::Seconds(60);
     absl::Duration m_WriteTimeout = absl::Seconds(30); ///< Without progress.
     /// An ended connection waits so long for its peer to close.
--- a/libs/http/include/http/MessageParser.h
+++ b/libs/http/include/http/MessageParser.h
@@ -60,6 +60,8 @@
   [[nodiscard]] ParseState state() const;
   /// \returns whether a message has begun and is not whole yet.
   [[nodiscard]] bool isInside() const;
+  /// \returns whether its header section is not whole either.
+  [[nodiscard]] bool isInsideHead() const;
   /// \returns how many messages have begun, those that are whole included.
   [[nodiscard]] std::uint64_t begun() const;
   /// \returns how many bytes of the message that is not whole yet are held.
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -156,6 +156,8 @@
   if (*Bytes <= 0)
     return close(Id, CallerConnectionEnd::CallerLeft);
   m_Counts.m_BytesRead += static_cast<std::uint64_t>(*Bytes);
+  absl::Time Now = m_Settings.m_Clock();
+  Held->m_LastRead = Now;
   if (Held->m_StopsReading) {
     // Dropped: the answer that closes the connection is on its way.
     Held->m_DroppedBytes += static_cast<std::size_t>(*Bytes);
@@ -169,7 +171,7 @@
       {m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
   // One read may end a request, hold others and begin the next.
   if (Held->m_Parser.begun() != Begun)
-    Held->m_MessageSince = m_Settings.m_Clock();
+    Held->m_MessageSince = Now;
   countHeld(*Held, Held->m_Parser.heldBytes());
   if (Held->m_Parser.takeContinueWanted()) {
     Held->m_Output.append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -396,8 +398,10 @@
   auto HasPassed = [&](absl::Duration Limit, absl::Time Since) {
     return Now - std::max(Since, Held.m_ReadsSince) > Limit;
   };
-  if (Held.m_Parser.isInside() && !Held.m_StopsReading &&
-      HasPassed(Bounds.m_HeaderTimeout, Held.m_MessageSince))
+  bool IsLate = Held.m_Parser.isInsideHead()
+                    ? HasPassed(Bounds.m_HeaderTimeout, Held.m_MessageSince)
+                    : HasPassed(Bounds.m_IdleTimeout, Held.m_LastRead);
+  if (Held.m_Parser.isInside() && !Held.m_StopsReading && IsLate)
     return CallerConnectionEnd::RequestTimeout;
   if (isIdle(Held) && HasPassed(Bounds.m_IdleTimeout, Held.m_LastActive))
     return CallerConnectionEnd::Idle;
--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -60,6 +60,7 @@
   bool m_IsInside = false;
   std::uint64_t m_Begun = 0;
   bool m_IsContinueWanted = false;
+  bool m_HasHeaders = false;
 
 private:
   static Impl &of(http_parser *Parser) {
@@ -186,7 +187,6 @@
   ParsedMessage m_Current;
   std::size_t m_HeaderBytes = 0;
   bool m_IsName = false; ///< The last part of a header was of its name.
-  bool m_HasHeaders = false;
 };
 
 MessageParser::MessageParser(MessageKind Kind, const Options &Limits)
@@ -215,6 +215,10 @@
 
 bool MessageParser::isInside() const { return m_Impl->m_IsInside; }
 
+bool MessageParser::isInsideHead() const {
+  return m_Impl->m_IsInside && !m_Impl->m_HasHeaders;
+}
+
 std::uint64_t MessageParser::begun() const { return m_Impl->m_Begun; }
 
 std::size_t MessageParser::heldBytes() const { return m_Impl->heldBytes(); }
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -54,6 +54,7 @@
   absl::Time m_LastActive; ///< When the last request ended or it was opened.
   /// When the last request began that was read, whole or not.
   absl::Time m_MessageSince = absl::InfinitePast();
+  absl::Time m_LastRead; ///< When its last bytes were read.
   /// Since when the server reads; before that its caller could not be late.
   absl::Time m_ReadsSince;
   absl::Time m_LastWritten;
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -151,5 +151,44 @@
   EXPECT_EQ(countOf(408), 1U);
 }
 
+class SlowBodyTest : public BusyConnectionTest,
+                     public testing::WithParamInterface<const char *> {
+protected:
+  SlowBodyTest() {
+    serve();
+    send(std::string(Begin) + End + GetParam());
+  }
+};
+
+// Guards against an upload that is cut by the limit of its head.
+TEST_P(SlowBodyTest, Read_BodyTakesLongerThanAHeadMay_IsHandedOver) {
+  for (int Byte = 0; Byte < 10; ++Byte) {
+    pass(HeaderTimeout / 2);
+    send("x");
+  }
+  send("\r\n0\r\n\r\n");
+  answerAll();
+  EXPECT_EQ(countOf(200), 2U);
+}
+
+TEST_P(SlowBodyTest, Overdue_BodyStalls_IsRefusedBehindTheOthers) {
+  send("xxx");
+  pass(IdleTimeout);
+  EXPECT_EQ(m_Server->connections(), 1U);
+  answerAll();
+  EXPECT_EQ(countOf(408), 0U);
+  pass(SweepInterval);
+  EXPECT_EQ(countOf(200), 1U);
+  EXPECT_EQ(countOf(408), 1U);
+  EXPECT_EQ(m_Taken.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Framings, SlowBodyTest,
+    testing::Values("POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\na"
+                    "\r\n"),
+    [](const auto &Info) { return Info.index == 0 ? "Length" : "Chunks"; });
+
 } // namespace
 } // namespace knapweedloft::http
