Server: the end of a connection is seen with 64 requests under way on it

Cause: such a connection is not read, and its end shows in a read.

Change: its end is watched for, as it is for callers that leave answers unread.

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -318,9 +318,10 @@
 void LoopServer::Impl::setEvents(ServerConnection &Held) {
   std::uint32_t Events = Held.m_Output.left() > 0 ? EPOLLOUT : 0U;
   // Reading goes on while requests are under way: it shows that a peer left.
-  if (isBehind(Held))
+  bool IsFull = Held.m_Exchanges.size() >= m_Settings.m_MaxPipelined;
+  if (isBehind(Held) || IsFull)
     Events |= EPOLLRDHUP;
-  else if (Held.m_Exchanges.size() < m_Settings.m_MaxPipelined && !m_IsWaiting)
+  else if (!m_IsWaiting)
     Events |= EPOLLIN;
   if (Events == Held.m_Events)
     return;
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -101,6 +101,18 @@
   EXPECT_EQ(countOf(408), 1U);
 }
 
+// Guards against targets that work on for a caller that has left.
+TEST_F(FullConnectionTest, Closed_RequestsUnderWay_IsSeen) {
+  m_Caller.closeNow();
+  for (std::size_t Round = 0; Round < MaxRounds; ++Round) {
+    handleReady();
+    if (m_Server->connections() == 0)
+      break;
+  }
+  EXPECT_EQ(m_Server->connections(), 0U);
+  EXPECT_EQ(m_Server->pending(), 0U);
+}
+
 /// The server looks at its limits before it reads what has come: after a pause,
 /// or with many sockets ready at once.
 class LateSweepTest : public BusyConnectionTest {
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_HTTP_RAWSOCKET_H
 #define KNAPWEEDLOFT_HTTP_RAWSOCKET_H
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstdint>
@@ -132,15 +133,21 @@
     return Result;
   }
 
+  /// Reads some of what has come, without waiting.
+  [[nodiscard]] std::string readSome() const {
+    char Bytes[4096];
+    ssize_t Count = recv(m_Socket, Bytes, sizeof Bytes, MSG_DONTWAIT);
+    return {Bytes, static_cast<std::size_t>(std::max<ssize_t>(Count, 0))};
+  }
+
   /// Reads what has come, without waiting.
   [[nodiscard]] std::string readNow() const {
     std::string Result;
-    char Bytes[4096];
     while (true) {
-      ssize_t Count = recv(m_Socket, Bytes, sizeof Bytes, MSG_DONTWAIT);
-      if (Count <= 0)
+      std::string Next = readSome();
+      if (Next.empty())
         return Result;
-      Result.append(Bytes, static_cast<std::size_t>(Count));
+      Result += Next;
     }
   }
 
