Server: a connection is not idle while its last answer is being written

What callers saw: a caller that took longer than idleTimeoutS to read the end of an answer found its connection closed right behind it, with no time to use it again.

Cause: the idle time began when the answer was made, not when it was written.

Change: it begins when the last answer is written.

Evidence: UnreadAnswersTest failed before, passes now. http_tests: 817 passed.

--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -246,8 +246,6 @@
     Found->m_Answer = {Status, std::string(Lines), std::string(Body)};
     Held->m_WaitingBytes += Found->m_Answer->bytes();
   }
-  if (Held->m_Exchanges.empty())
-    Held->m_LastActive = m_Settings.m_Clock();
   flush(*Held);
   if (WasFull && find(Connection))
     takeMessagesLater(Connection);
@@ -295,8 +293,11 @@
   if (Result == WriteBuffer::Result::Broken)
     return close(Held.m_Id, CallerConnectionEnd::CallerLeft);
   bool IsDone = Result == WriteBuffer::Result::Empty;
-  if (IsDone && Held.m_ClosesAfterWrite && Held.m_Exchanges.empty())
-    endWriting(Held, CallerConnectionEnd::LastAnswer);
+  if (IsDone && Held.m_Exchanges.empty()) {
+    Held.m_LastActive = m_Settings.m_Clock();
+    if (Held.m_ClosesAfterWrite)
+      endWriting(Held, CallerConnectionEnd::LastAnswer);
+  }
   count(Held);
   setEvents(Held);
   if (WasBehind && !isBehind(Held))
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -51,7 +51,8 @@
   std::deque<Exchange> m_Exchanges;
   std::uint64_t m_LastSequence = 0;
   std::uint32_t m_Events = 0;
-  absl::Time m_LastActive; ///< When the last request ended or it was opened.
+  /// When the last answer was written or it was opened.
+  absl::Time m_LastActive;
   /// When the last request began that was read, whole or not.
   absl::Time m_MessageSince = absl::InfinitePast();
   absl::Time m_LastRead; ///< When its last bytes were read.
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -113,6 +113,42 @@
   EXPECT_EQ(m_Server->pending(), 0U);
 }
 
+/// A caller that takes its time to read its answers.
+class UnreadAnswersTest : public BusyConnectionTest {
+protected:
+  /// So short that the server goes on to read, with one of them unread.
+  static constexpr std::size_t AnswerBytes = 100'000;
+
+  /// Asks until the buffers of the sockets take no more.
+  UnreadAnswersTest() {
+    serve();
+    while (m_Server->unsentBytes() == 0) {
+      send(std::string(Begin) + End);
+      m_Server->answer(m_Taken.back().m_Id,
+                       {.m_Body = std::string(AnswerBytes, 'x')});
+      m_Taken.back().m_IsAnswered = true;
+    }
+  }
+
+  void readAll() {
+    while (m_Server->unsentBytes() > 0) {
+      (void)m_Caller.readNow();
+      handleReady();
+    }
+  }
+};
+
+// Guards against a kept connection that counts as idle while its answer is
+// read.
+TEST_F(UnreadAnswersTest, Overdue_LastAnswerHasJustBeenRead_IsNotIdle) {
+  pass(IdleTimeout + SweepInterval);
+  readAll();
+  pass(IdleTimeout);
+  EXPECT_EQ(m_Server->connections(), 1U);
+  pass(SweepInterval);
+  EXPECT_EQ(closedBy(CallerConnectionEnd::Idle), 1U);
+}
+
 /// The server looks at its limits before it reads what has come: after a pause,
 /// or with many sockets ready at once.
 class LateSweepTest : public BusyConnectionTest {
