--- a/libs/http/tests/HttpServerTest.cpp
+++ b/libs/http/tests/HttpServerTest.cpp
@@ -203,6 +203,25 @@
   EXPECT_EQ(taken(), 0U);
 }
 
+// Guards against a busy connection that is closed because each read ends inside
+// a request, though each request comes quickly.
+TEST_F(HttpServerTest, ReadsEndInsideRequests_PastATransfersTime_StaysOpen) {
+  constexpr absl::Duration IdleTimeout = absl::Seconds(2);
+  // A whole request or answer may take two idle timeouts.
+  constexpr absl::Duration BusyFor = absl::Seconds(5);
+  constexpr absl::Duration Gap = absl::Milliseconds(50);
+  start({.m_IdleTimeout = IdleTimeout});
+  constexpr std::size_t Cut = 9;
+  RawSocket Caller = connectAndSend(PlainGet.substr(0, Cut));
+  for (absl::Duration Busy; Busy < BusyFor; Busy += Gap) {
+    std::string Piece(PlainGet.substr(Cut));
+    ASSERT_TRUE(Caller.sendAll(Piece.append(PlainGet.substr(0, Cut))));
+    take().answer({200, {}, "done"});
+    ASSERT_THAT(Caller.readUntil("done"), HasSubstr("done"));
+    absl::SleepFor(Gap);
+  }
+}
+
 TEST_F(HttpServerTest, SlowReader_OnOnlyThread_HoldsNobodyUp) {
   start();
   RawSocket Slow = connectAndSend(PlainGet);
