Test: SplitRequestTest keeps the time of a request with it

Cause: requests that are handed over while others are answered had no entry in the list of times, and the test read behind its end.

--- a/libs/http/tests/SplitRequestTest.cpp
+++ b/libs/http/tests/SplitRequestTest.cpp
@@ -98,9 +98,8 @@
   }
 
   void answerSome() {
-    m_TakenAt.resize(m_Taken.size(), m_Now);
     for (std::size_t Index = 0; Index < m_Taken.size(); ++Index)
-      if (m_TakenAt[Index] + m_AnswerTime <= m_Now || number(0, 30) == 0)
+      if (m_Taken[Index].m_At + m_AnswerTime <= m_Now || number(0, 30) == 0)
         answer(Index);
   }
 
@@ -116,7 +115,6 @@
   std::vector<Request> m_Requests;
   std::size_t m_Sent = 0;
   absl::Time m_LastBegan = m_Now; ///< The last request that was sent.
-  std::vector<absl::Time> m_TakenAt;
 };
 
 // Guards against limits of time that one request of a connection inherits from
--- a/libs/http/tests/VirtualTimeFixture.h
+++ b/libs/http/tests/VirtualTimeFixture.h
@@ -29,6 +29,7 @@
   struct Taken {
     ExchangeId m_Id;
     std::string m_Path;
+    absl::Time m_At; ///< When it was handed over.
     bool m_IsAnswered = false;
   };
 
@@ -55,7 +56,7 @@
     Options.m_Hooks.m_OnRequest = [this](ExchangeId Id,
                                          const ParsedMessage &Message,
                                          const std::string &) {
-      m_Taken.push_back({Id, Message.m_Path});
+      m_Taken.push_back({Id, Message.m_Path, m_Now});
     };
     m_MaxPipelined = Options.m_MaxPipelined;
     m_Server = std::make_unique<LoopServer>(m_Loop, std::move(Options));
