--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -94,8 +94,9 @@
 TEST_F(FullConnectionTest, Overdue_StallsAfterOthersAreAnswered_IsRefused) {
   pass(2 * HeaderTimeout);
   answerAll();
+  pass(HeaderTimeout);
   EXPECT_EQ(countOf(408), 0U);
-  pass(HeaderTimeout + SweepInterval);
+  pass(SweepInterval);
   EXPECT_EQ(countOf(200, Pipelined + 1), Pipelined);
   EXPECT_EQ(countOf(408), 1U);
 }
@@ -205,7 +206,7 @@
 // Guards against an upload that is cut by the limit of its head.
 TEST_P(SlowBodyTest, Read_BodyTakesLongerThanAHeadMay_IsHandedOver) {
   for (int Byte = 0; Byte < 10; ++Byte) {
-    pass(HeaderTimeout / 2);
+    pass(IdleTimeout / 2);
     send("x");
   }
   send("\r\n0\r\n\r\n");
