--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace knapweedloft::http {
 namespace {
@@ -144,6 +145,41 @@
   EXPECT_EQ(closedBy(CallerConnectionEnd::Idle), 1U);
 }
 
+TEST_F(UnreadAnswersTest, Overdue_NothingIsRead_UnansweredRequestsAreCounted) {
+  send(std::string(Begin) + End + Begin + End);
+  pass(limits().m_WriteTimeout + SweepInterval);
+  EXPECT_EQ(m_Server->connections(), 0U);
+  EXPECT_EQ(closedBy(CallerConnectionEnd::WriteTimeout), 1U);
+  EXPECT_EQ(unansweredBy(CallerConnectionEnd::WriteTimeout), 2U);
+  EXPECT_EQ(m_Server->counts().cut(), 2U);
+  std::vector<CallerConnectionEnd> Expected(2,
+                                            CallerConnectionEnd::WriteTimeout);
+  EXPECT_EQ(m_Gone, Expected);
+}
+
+// Guards against an answer behind the one that has closed the connection.
+TEST_F(UnreadAnswersTest, Overdue_BehindTheClosingAnswer_IsNotAnswered) {
+  send(std::string(Begin) + End + Begin);
+  m_Server->beginClosing();
+  answer(m_Taken.size() - 1);
+  pass(HeaderTimeout + SweepInterval);
+  std::size_t Asked = m_Taken.size();
+  EXPECT_EQ(countOf(200, Asked), Asked);
+  pass(limits().m_LingerTimeout + SweepInterval);
+  EXPECT_EQ(answers().size(), Asked);
+  EXPECT_EQ(closedBy(CallerConnectionEnd::LastAnswer), 1U);
+}
+
+TEST_F(BusyConnectionTest, Accept_AboveTheLimit_IsCounted) {
+  LoopServer::Options Options;
+  Options.m_MaxConnections = 1;
+  serve(std::move(Options));
+  RawSocket Further = RawSocket::connectTo(m_Server->port());
+  EXPECT_TRUE(
+      runUntil([this] { return closedBy(CallerConnectionEnd::TooMany) == 1; }));
+  EXPECT_EQ(Further.readToEnd(), "");
+}
+
 /// The server looks at its limits before it reads what has come: after a pause,
 /// or with many sockets ready at once.
 class LateSweepTest : public BusyConnectionTest {
--- a/libs/http/tests/VirtualTimeFixture.h
+++ b/libs/http/tests/VirtualTimeFixture.h
@@ -58,6 +58,9 @@
                                          const std::string &) {
       m_Taken.push_back({Id, Message.m_Path, m_Now});
     };
+    Options.m_Hooks.m_OnGone = [this](ExchangeId, CallerConnectionEnd Why) {
+      m_Gone.push_back(Why);
+    };
     m_MaxPipelined = Options.m_MaxPipelined;
     m_Server = std::make_unique<LoopServer>(m_Loop, std::move(Options));
     m_Caller = RawSocket::connectTo(m_Server->port());
@@ -151,11 +154,16 @@
     return m_Server->counts().m_Closed[static_cast<std::size_t>(Why)];
   }
 
+  [[nodiscard]] std::uint64_t unansweredBy(CallerConnectionEnd Why) const {
+    return m_Server->counts().m_Unanswered[static_cast<std::size_t>(Why)];
+  }
+
   io::EventLoop m_Loop;
   absl::Time m_Now = absl::FromUnixSeconds(1000);
   std::unique_ptr<LoopServer> m_Server;
   RawSocket m_Caller{-1};
   std::vector<Taken> m_Taken;
+  std::vector<CallerConnectionEnd> m_Gone; ///< Why requests were given up.
 
 private:
   /// \returns how many answers the server could write in order.
