run: A pause of the process does not make callers late

What callers saw: after a pause of "knapweedloft run" by half an idle timeout or more, connections in the middle of a request or answer were ended, though what was missing had come meanwhile.

Cause: the thread that ends slow connections compared times across the pause and acted before the other threads had read.

Evidence: ConnectionWatcherTest.CloseSlow_ProcessWasPaused failed before, passes now; its other tests hold that a slow connection is still ended.

--- a/libs/http/src/ConnectionWatcher.cpp
+++ b/libs/http/src/ConnectionWatcher.cpp
@@ -25,7 +25,9 @@
 
 ConnectionWatcher::ConnectionWatcher(absl::Duration TransferLimit,
                                      const std::string &ThreadName)
-    : m_TransferLimit(TransferLimit), m_Epoll(epoll_create1(EPOLL_CLOEXEC)),
+    : m_TransferLimit(TransferLimit),
+      m_SweepInterval(TransferLimit / SweepsPerLimit),
+      m_Epoll(epoll_create1(EPOLL_CLOEXEC)),
       m_Stop(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   if (m_Epoll < 0 || m_Stop < 0)
     throw HttpError("no epoll set for the HTTP server");
@@ -117,8 +119,15 @@
     Pending->hangUp();
 }
 
-void ConnectionWatcher::closeSlow(absl::Time Now) {
+void ConnectionWatcher::closeSlow(absl::Time Due, absl::Time Now) {
+  // The process did not run: what came meanwhile has not been read yet.
+  absl::Duration Pause = Now - Due;
+  bool WasPaused = Pause >= m_SweepInterval;
   absl::MutexLock Lock(&m_Mutex);
+  if (WasPaused)
+    for (auto &[Id, Connection] : m_Connections)
+      Connection.m_TransferSince =
+          std::min(Connection.m_TransferSince + Pause, Now);
   for (auto &[Id, Connection] : m_Connections)
     if (!Connection.m_Pending &&
         Now - Connection.m_TransferSince > m_TransferLimit)
@@ -126,8 +135,7 @@
 }
 
 void ConnectionWatcher::run() {
-  const absl::Duration Interval = m_TransferLimit / SweepsPerLimit;
-  absl::Time NextSweep = steadyNow() + Interval;
+  absl::Time NextSweep = steadyNow() + m_SweepInterval;
   std::array<epoll_event, EventsPerWait> Events{};
   while (true) {
     absl::Duration Left = NextSweep - steadyNow();
@@ -143,8 +151,8 @@
     absl::Time Now = steadyNow();
     if (Now < NextSweep)
       continue;
-    closeSlow(Now);
-    NextSweep = Now + Interval;
+    closeSlow(NextSweep, Now);
+    NextSweep = Now + m_SweepInterval;
   }
 }
 
--- a/libs/http/src/ConnectionWatcher.h
+++ b/libs/http/src/ConnectionWatcher.h
@@ -46,6 +46,10 @@
   /// Ends every wait as if the peers had hung up.
   void hangUpAll();
 
+  /// Closes connections that are too slow; the thread does so by itself. A
+  /// pause of the process since \p Due, when this was to run, is not counted.
+  void closeSlow(absl::Time Due, absl::Time Now);
+
 private:
   struct Watched {
     int m_Socket;
@@ -55,10 +59,10 @@
   };
 
   void run();
-  void closeSlow(absl::Time Now);
   void hangUp(ConnectionId Connection);
 
   const absl::Duration m_TransferLimit;
+  const absl::Duration m_SweepInterval;
   int m_Epoll;
   int m_Stop;
   absl::Mutex m_Mutex;
