run: Idle and slow connections are judged by one clock, not by libmicrohttpd's

What callers saw: after a pause of "knapweedloft run" longer than its idle timeout, connections were closed though the rest of a request, or the next one, had come meanwhile.

Cause: libmicrohttpd's own timeout counts the pause and acts before it reads.

Change: its timeout is not used.

Evidence: two tests of ServerPauseTest, which stop a real process, failed before and pass now; the third holds that idle and stalled connections are still closed.

--- a/libs/http/src/ConnectionWatcher.cpp
+++ b/libs/http/src/ConnectionWatcher.cpp
@@ -23,10 +23,11 @@
 
 } // namespace
 
-ConnectionWatcher::ConnectionWatcher(absl::Duration TransferLimit,
+ConnectionWatcher::ConnectionWatcher(const Limits &Bounds,
                                      const std::string &ThreadName)
-    : m_TransferLimit(TransferLimit),
-      m_SweepInterval(TransferLimit / SweepsPerLimit),
+    : m_Limits(Bounds),
+      m_SweepInterval(std::min(Bounds.m_Idle, Bounds.m_Transfer) /
+                      SweepsPerLimit),
       m_Epoll(epoll_create1(EPOLL_CLOEXEC)),
       m_Stop(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   if (m_Epoll < 0 || m_Stop < 0)
@@ -55,8 +56,7 @@
     absl::MutexLock Lock(&m_Mutex);
     Id = ++m_LastId;
     m_Connections.try_emplace(
-        Id,
-        Watched{.m_Socket = Socket, .m_TransferSince = Now, .m_Pending = {}});
+        Id, Watched{.m_Socket = Socket, .m_Since = Now, .m_Pending = {}});
   }
   epoll_event Event{};
   Event.events = EPOLLRDHUP | EPOLLET;
@@ -85,13 +85,23 @@
 }
 
 void ConnectionWatcher::beginTransfer(ConnectionId Connection, absl::Time Now) {
+  begin(Connection, false, Now);
+}
+
+void ConnectionWatcher::beginIdle(ConnectionId Connection, absl::Time Now) {
+  begin(Connection, true, Now);
+}
+
+void ConnectionWatcher::begin(ConnectionId Connection, bool IsIdle,
+                              absl::Time Now) {
   std::shared_ptr<PendingExchange> Dropped;
   absl::MutexLock Lock(&m_Mutex);
   auto Found = m_Connections.find(Connection);
   if (Found == m_Connections.end())
     return;
   Dropped = std::exchange(Found->second.m_Pending, nullptr);
-  Found->second.m_TransferSince = Now;
+  Found->second.m_IsIdle = IsIdle;
+  Found->second.m_Since = Now;
 }
 
 void ConnectionWatcher::hangUpAll() {
@@ -119,19 +129,19 @@
     Pending->hangUp();
 }
 
-void ConnectionWatcher::closeSlow(absl::Time Due, absl::Time Now) {
-  // The process did not run: what came meanwhile has not been read yet.
-  absl::Duration Pause = Now - Due;
-  bool WasPaused = Pause >= m_SweepInterval;
+void ConnectionWatcher::closeOverdue(absl::Time Due, absl::Time Now) {
+  bool WasPaused = Now - Due >= m_SweepInterval;
+  // The pause may have begun right after the sweep before.
+  absl::Duration Pause = Now - Due + m_SweepInterval;
   absl::MutexLock Lock(&m_Mutex);
-  if (WasPaused)
-    for (auto &[Id, Connection] : m_Connections)
-      Connection.m_TransferSince =
-          std::min(Connection.m_TransferSince + Pause, Now);
-  for (auto &[Id, Connection] : m_Connections)
-    if (!Connection.m_Pending &&
-        Now - Connection.m_TransferSince > m_TransferLimit)
+  for (auto &[Id, Connection] : m_Connections) {
+    if (WasPaused)
+      Connection.m_Since = std::min(Connection.m_Since + Pause, Now);
+    absl::Duration Limit =
+        Connection.m_IsIdle ? m_Limits.m_Idle : m_Limits.m_Transfer;
+    if (!Connection.m_Pending && Now - Connection.m_Since > Limit)
       shutdown(Connection.m_Socket, SHUT_RDWR);
+  }
 }
 
 void ConnectionWatcher::run() {
@@ -151,7 +161,7 @@
     absl::Time Now = steadyNow();
     if (Now < NextSweep)
       continue;
-    closeSlow(NextSweep, Now);
+    closeOverdue(NextSweep, Now);
     NextSweep = Now + m_SweepInterval;
   }
 }
--- a/libs/http/src/ConnectionWatcher.h
+++ b/libs/http/src/ConnectionWatcher.h
@@ -14,24 +14,31 @@
 
 namespace knapweedloft::http {
 
-/// Finds peers that hang up and peers that are too slow.
+/// Finds peers that hang up, are idle or are too slow.
 ///
 /// libmicrohttpd does not look at the socket of a suspended connection. This
 /// thread has an epoll set of its own that wakes only when a peer closes its
 /// side; a peer that shuts down its sending side only counts as gone too.
-/// A few times per limit it closes connections that were for too long in the
-/// middle of a request or of an answer, however steadily bytes trickle.
+/// A few times per limit it closes connections that were idle for too long, or
+/// in the middle of a request or of an answer, however steadily bytes trickle.
+/// A pause of the process is not counted; libmicrohttpd's own timeout counts it
+/// and acts before it reads what came meanwhile.
 class ConnectionWatcher {
 public:
   using ConnectionId = std::uint64_t;
 
+  struct Limits {
+    absl::Duration m_Idle;     ///< Until the first line of a request is read.
+    absl::Duration m_Transfer; ///< Of a whole request, or of a whole answer.
+  };
+
   /// \throws HttpError if the epoll set cannot be made.
-  ConnectionWatcher(absl::Duration TransferLimit,
-                    const std::string &ThreadName);
+  ConnectionWatcher(const Limits &Bounds, const std::string &ThreadName);
   ~ConnectionWatcher();
   ConnectionWatcher(const ConnectionWatcher &) = delete;
   ConnectionWatcher &operator=(const ConnectionWatcher &) = delete;
 
+  /// Adds a connection, which is idle.
   [[nodiscard]] ConnectionId add(int Socket, absl::Time Now);
   void remove(ConnectionId Connection);
 
@@ -40,28 +47,32 @@
   bool beginWait(ConnectionId Connection,
                  std::shared_ptr<PendingExchange> Pending);
 
-  /// The answer is about to be sent, or the connection has become idle.
+  /// A request is being read, or its answer is about to be sent.
   void beginTransfer(ConnectionId Connection, absl::Time Now);
+  /// The connection has become idle.
+  void beginIdle(ConnectionId Connection, absl::Time Now);
 
   /// Ends every wait as if the peers had hung up.
   void hangUpAll();
 
-  /// Closes connections that are too slow; the thread does so by itself. A
-  /// pause of the process since \p Due, when this was to run, is not counted.
-  void closeSlow(absl::Time Due, absl::Time Now);
+  /// Closes connections that are past a limit; the thread does so by itself.
+  /// A pause of the process shows in \p Due, when this was to run.
+  void closeOverdue(absl::Time Due, absl::Time Now);
 
 private:
   struct Watched {
     int m_Socket;
     bool m_HasHungUp = false;
-    absl::Time m_TransferSince;
+    bool m_IsIdle = true;
+    absl::Time m_Since; ///< When it became idle, or the transfer began.
     std::shared_ptr<PendingExchange> m_Pending; ///< Set while it waits.
   };
 
   void run();
   void hangUp(ConnectionId Connection);
+  void begin(ConnectionId Connection, bool IsIdle, absl::Time Now);
 
-  const absl::Duration m_TransferLimit;
+  const Limits m_Limits;
   const absl::Duration m_SweepInterval;
   int m_Epoll;
   int m_Stop;
--- a/libs/http/src/ServerRequest.cpp
+++ b/libs/http/src/ServerRequest.cpp
@@ -102,7 +102,7 @@
       MHD_get_connection_info(Connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
           ->socket_context);
   if (Peer != nullptr)
-    Server.m_Watcher.beginTransfer(Peer->m_Id, steadyNow());
+    Server.m_Watcher.beginIdle(Peer->m_Id, steadyNow());
 }
 
 MHD_Result HttpServer::Impl::onRequest(void *Self, MHD_Connection *Connection,
--- a/libs/http/src/ServerSetup.cpp
+++ b/libs/http/src/ServerSetup.cpp
@@ -56,7 +56,8 @@
 
 HttpServer::Impl::Impl(Options Settings)
     : m_Settings(std::move(Settings)),
-      m_Watcher(TransferIdleTimeouts * m_Settings.m_IdleTimeout,
+      m_Watcher({.m_Idle = m_Settings.m_IdleTimeout,
+                 .m_Transfer = TransferIdleTimeouts * m_Settings.m_IdleTimeout},
                 m_Settings.m_ThreadName) {
   start();
 }
@@ -66,14 +67,11 @@
   unsigned Flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
   if (Address.m_IsV6)
     Flags |= MHD_USE_IPv6;
-  auto IdleSeconds = static_cast<unsigned>(std::max<std::int64_t>(
-      1, absl::ToInt64Seconds(m_Settings.m_IdleTimeout)));
   m_Daemon = MHD_start_daemon(
       Flags, m_Settings.m_Port, nullptr, nullptr, &Impl::onRequest, this,
       MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&Address.m_Storage),
       MHD_OPTION_THREAD_POOL_SIZE, std::max(1U, m_Settings.m_Threads),
       MHD_OPTION_CONNECTION_LIMIT, m_Settings.m_MaxConnections,
-      MHD_OPTION_CONNECTION_TIMEOUT, IdleSeconds,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       2 * m_Settings.m_MaxHeaderBytes + ConnectionMemoryBytes,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, ListenBacklog,
