--- a/libs/http/src/LoopServerImpl.h
+++ b/libs/http/src/LoopServerImpl.h
@@ -53,6 +53,17 @@
   /// Makes room in the budget at the cost of those who hold most.
   void limitAll();
 
+  // LoopServerTimes.cpp
+  /// Lets the other sockets of the loop go first after a pause.
+  [[nodiscard]] bool waitsForOthers();
+  void resume();
+  void sweep();
+  /// Ends a connection that is overdue, unless what has come saves it.
+  void end(std::uint64_t Id, CallerConnectionEnd Why, absl::Time Now);
+  /// \returns why the connection has to end by now, if it has.
+  [[nodiscard]] std::optional<CallerConnectionEnd>
+  overdue(const ServerConnection &Held, absl::Time Now) const;
+
   // LoopServerImpl.cpp
   void listen();
   void add(io::FileDescriptor Socket, std::string From);
@@ -64,9 +75,6 @@
   void write(ExchangeId Id, int Status, std::string_view Lines,
              std::string_view Body);
   void endWriting(ServerConnection &Held, CallerConnectionEnd Why);
-  /// Lets the other sockets of the loop go first after a pause.
-  [[nodiscard]] bool waitsForOthers();
-  void resume();
   void flush(ServerConnection &Held);
   /// Writes the answer to the first exchange of \p Held and ends it.
   void writeFirst(ServerConnection &Held, int Status, std::string_view Lines,
@@ -75,13 +83,7 @@
   void writeAnswered(ServerConnection &Held);
   void setEvents(ServerConnection &Held);
   void close(std::uint64_t Id, CallerConnectionEnd Why);
-  void sweep();
   [[nodiscard]] static bool isIdle(const ServerConnection &Held);
-  /// Ends a connection that is overdue, unless what has come saves it.
-  void end(std::uint64_t Id, CallerConnectionEnd Why, absl::Time Now);
-  /// \returns why the connection has to end by now, if it has.
-  [[nodiscard]] std::optional<CallerConnectionEnd>
-  overdue(const ServerConnection &Held, absl::Time Now) const;
   [[nodiscard]] ServerConnection *find(std::uint64_t Id);
 
   io::EventLoop &m_Loop;
