--- a/libs/http/src/LoopServerTimes.cpp
+++ b/libs/http/src/LoopServerTimes.cpp
@@ -84,6 +84,7 @@
 }
 
 void LoopServer::Impl::endOverdue() {
+  (void)waitsForOthers(); // What came during a pause is read after it.
   absl::Time Now = m_Settings.m_Clock();
   std::vector<std::pair<std::uint64_t, CallerConnectionEnd>> Due;
   for (const auto &[Id, Held] : m_Connections)
@@ -94,7 +95,6 @@
 }
 
 void LoopServer::Impl::sweep() {
-  (void)waitsForOthers(); // What came during a pause is read after it.
   endOverdue();
   m_Loop.post(
       [this, IsAlive = m_IsAlive] {
--- a/libs/http/tests/BusyConnectionTest.cpp
+++ b/libs/http/tests/BusyConnectionTest.cpp
@@ -224,6 +224,24 @@
   EXPECT_EQ(countOf(200, 2), 2U);
 }
 
+TEST_F(LateSweepTest, Overdue_AfterAPause_OtherSocketsAreReadFirst) {
+  // Longer than what counts as a pause.
+  constexpr absl::Duration Work = absl::Milliseconds(700);
+  send(std::string(Begin) + End);
+  answerAll();
+  m_Loop.post([&] {
+    absl::SleepFor(Work);
+    // In the next round, which finds that the loop was held up.
+    m_Loop.post([&] {
+      pause(2 * IdleTimeout, std::string(Begin) + End);
+      EXPECT_EQ(m_Taken.size(), 1U);
+      m_Loop.stop();
+    });
+  });
+  m_Loop.run();
+  EXPECT_TRUE(runUntil([this] { return m_Taken.size() == 2; }));
+}
+
 TEST_F(LateSweepTest, Overdue_NothingHasCome_Ends) {
   send(Begin);
   pause(2 * HeaderTimeout, "");
