Test: an answer may take longer than every limit of its caller's time

HttpServerTest.Answer_TakesLongerThanEveryLimit: the guard that a waiting request has no limit could be taken out of ConnectionWatcher with all tests green; it fails the test now.

--- a/libs/http/include/http/CallerConnectionCounts.h
+++ b/libs/http/include/http/CallerConnectionCounts.h
@@ -9,14 +9,14 @@
 
 namespace knapweedloft::http {
 
-/// Why a connection that a LoopServer accepted was closed: whatever decided it
-/// first.
+/// Why a connection that a LoopServer accepted was closed. Once all its answers
+/// are written, what made the server end it counts, whoever closes it.
 enum class CallerConnectionEnd : std::uint8_t {
   CallerLeft,     ///< The caller closed or reset it, or it broke.
   LastAnswer,     ///< An answer of the application was its last one.
   Refused,        ///< The server refused what it read: malformed or too long.
   Idle,           ///< No request came for the idle timeout.
-  RequestTimeout, ///< A request was not whole in its time.
+  RequestTimeout, ///< A header section was late, or a body stalled.
   WriteTimeout,   ///< The caller took no byte of an answer in time.
   Memory,         ///< It held the most of the memory budget.
   Stopped,        ///< It was idle in a planned stop, or the server ended.
--- a/libs/http/tests/HttpServerTest.cpp
+++ b/libs/http/tests/HttpServerTest.cpp
@@ -222,6 +222,16 @@
   }
 }
 
+// Guards against limits of the caller's time that run while its answer is made.
+TEST_F(HttpServerTest, Answer_TakesLongerThanEveryLimit_IsSent) {
+  start({.m_IdleTimeout = absl::Seconds(1)});
+  RawSocket Caller = connectAndSend(PlainGet);
+  HttpExchange Exchange = take();
+  absl::SleepFor(absl::Seconds(3));
+  EXPECT_TRUE(Exchange.answer({200, {}, "done"}));
+  EXPECT_THAT(Caller.readUntil("done"), HasSubstr("done"));
+}
+
 TEST_F(HttpServerTest, SlowReader_OnOnlyThread_HoldsNobodyUp) {
   start();
   RawSocket Slow = connectAndSend(PlainGet);
