Client: a reset that a write has met is no orderly end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection; the caller got that part as the whole answer.

Cause: the kernel reports a reset once, to the first call that asks. Here that was the write of the upload; the read behind it returned 0, as at an orderly end, and such an end completes an answer without a length.

Fix: a connection remembers that a write has met its break; its end then completes nothing. A write that fails with EPIPE does not count: the kernel gives it for a reset only behind an orderly end, and then the answer is whole.

Evidence: BrokenUploadTest, with more than the sockets' buffers left to write.

Ruled out: reading before each write, which leaves the reset that comes between the two; taking no end during an upload, which would lose answers that end in order.

--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -25,6 +25,8 @@
   std::uint64_t m_Call = 0; ///< 0: idle.
   bool m_IsConnecting = true;
   bool m_WasUsed = false; ///< It carried a call before the present one.
+  /// A write has met its break, which reading does not show any more.
+  bool m_IsBroken = false;
   std::uint32_t m_Events = 0;
   std::size_t m_HeldBytes = 0; ///< Of an answer that is not whole yet.
   std::size_t m_Skipped = 0;   ///< Answers that were not the call's.
--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -158,10 +158,12 @@
 
 void LoopClient::Impl::write(ClientConnection &Held) {
   WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
-  // A break shows on reading, where an answer may still wait.
   bool IsBlocked = Result == WriteBuffer::Result::Blocked;
-  bool IsUnsent = Held.m_WasUsed && Held.m_Output.left() > 0 && !IsBlocked;
-  if (Result == WriteBuffer::Result::Broken && IsUnsent)
+  bool IsBroken = Result == WriteBuffer::Result::Broken;
+  Held.m_IsBroken = Held.m_IsBroken || IsBroken;
+  bool IsAtEnd = IsBroken || Result == WriteBuffer::Result::Ended;
+  // What came before the end may still wait to be read.
+  if (IsAtEnd && Held.m_WasUsed && Held.m_Output.left() > 0)
     return breakOff(Held);
   setEvents(Held, EPOLLIN | (IsBlocked ? EPOLLOUT : 0U));
 }
@@ -182,7 +184,7 @@
   if (!Bytes)
     return;
   if (*Bytes <= 0)
-    return onEnd(*Held, *Bytes == 0);
+    return onEnd(*Held, *Bytes == 0 && !Held->m_IsBroken);
   if (Held->m_Call == 0)
     return close(Id, ConnectionEnd::Unasked);
   Held->m_Parser.feed({m_ReadBuffer.data(), static_cast<std::size_t>(*Bytes)});
--- a/libs/http/src/LoopServerImpl.cpp
+++ b/libs/http/src/LoopServerImpl.cpp
@@ -258,7 +258,8 @@
   WriteBuffer::Result Result = Held.m_Output.flush(Held.m_Socket.get());
   if (Held.m_Output.totalWritten() != Before)
     Held.m_LastWritten = m_Settings.m_Clock();
-  if (Result == WriteBuffer::Result::Broken)
+  if (Result == WriteBuffer::Result::Ended ||
+      Result == WriteBuffer::Result::Broken)
     return close(Held.m_Id, CallerConnectionEnd::CallerLeft);
   bool IsDone = Result == WriteBuffer::Result::Empty;
   if (IsDone && Held.m_Exchanges.empty()) {
--- a/libs/http/src/WriteBuffer.cpp
+++ b/libs/http/src/WriteBuffer.cpp
@@ -30,8 +30,11 @@
                MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Taken < 0 && errno == EINTR)
       continue;
+    if (Taken < 0 && errno == EAGAIN)
+      return Result::Blocked;
+    // A reset is EPIPE only behind an orderly end, else ECONNRESET.
     if (Taken < 0)
-      return errno == EAGAIN ? Result::Blocked : Result::Broken;
+      return errno == EPIPE ? Result::Ended : Result::Broken;
     auto Bytes = static_cast<std::size_t>(Taken);
     m_Written += Bytes;
     m_Left -= Bytes;
--- a/libs/http/src/WriteBuffer.h
+++ b/libs/http/src/WriteBuffer.h
@@ -14,11 +14,18 @@
 /// that is written is given back.
 class WriteBuffer {
 public:
-  enum class Result : std::uint8_t { Empty, Blocked, Broken };
+  enum class Result : std::uint8_t {
+    Empty,
+    Blocked,
+    Ended, ///< The peer ended the connection in order, and takes nothing more.
+    Broken ///< The connection was reset or has timed out.
+  };
 
   void append(std::string Bytes);
 
-  /// Writes as much as the socket takes.
+  /// Writes as much as the socket takes. The kernel reports the error of a
+  /// connection once: after Broken, the socket reads as if it had ended in
+  /// order.
   Result flush(int Socket);
 
   [[nodiscard]] std::size_t left() const { return m_Left; }
--- a/libs/http/tests/RawSocket.h
+++ b/libs/http/tests/RawSocket.h
@@ -112,6 +112,9 @@
   /// Wakes a thread that waits in acceptOne() or reads.
   void shutDown() const { shutdown(m_Socket, SHUT_RDWR); }
 
+  /// Ends the sending side in order.
+  void endWriting() const { shutdown(m_Socket, SHUT_WR); }
+
   [[nodiscard]] bool isOpen() const { return m_Socket >= 0; }
 
   bool sendAll(std::string_view Bytes) const {
