Client: a whole answer is read after the write of its request broke off

What callers saw: an upstream answered a long upload early and whole, with a length or in chunks, and reset the connection before the rest was written. On a kept connection the caller got 504 in place of that answer; on a new one it got the answer.

Cause: on a connection that had carried a call before, a write that broke ended the call at once, without a look at what lay in the socket. That was meant for a connection which its server closed while it was idle.

Fix: the call ends at once only where nothing of its request was written, which is when it may go on over another connection. Behind a part of the request, the socket is read to its end.

Evidence: BrokenUploadTest on kept connections too, 28 cases; 10 of them failed before: whole answers by a reset, by a close with unread bytes and by a reset behind an orderly end (6), and those without a length by the last (4).

--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -162,8 +162,8 @@
   bool IsBroken = Result == WriteBuffer::Result::Broken;
   Held.m_IsBroken = Held.m_IsBroken || IsBroken;
   bool IsAtEnd = IsBroken || Result == WriteBuffer::Result::Ended;
-  // What came before the end may still wait to be read.
-  if (IsAtEnd && Held.m_WasUsed && Held.m_Output.left() > 0)
+  // Behind a part of the request an answer may still wait to be read.
+  if (IsAtEnd && Held.m_WasUsed && isUnsent(Held))
     return breakOff(Held);
   setEvents(Held, EPOLLIN | (IsBlocked ? EPOLLOUT : 0U));
 }
@@ -296,17 +296,19 @@
   Idle.push_back(Held.m_Id);
 }
 
+bool LoopClient::Impl::isUnsent(const ClientConnection &Held) const {
+  auto Found = m_Calls.find(Held.m_Call);
+  if (Found == m_Calls.end())
+    return Held.m_Output.totalWritten() == 0;
+  // On a used connection the bytes of earlier calls count as written, so what
+  // is left is compared with the whole request.
+  return Held.m_Output.left() == Found->second.m_Call.m_Text.size();
+}
+
 void LoopClient::Impl::breakOff(ClientConnection &Held) {
+  bool IsUnsent = isUnsent(Held);
   CallId Call = std::exchange(Held.m_Call, 0);
-  bool IsUnsent = Held.m_Output.totalWritten() == 0;
-  bool MayRepeat = false;
-  auto Found = m_Calls.find(Call);
-  if (Found != m_Calls.end()) {
-    // On a used connection the bytes of earlier calls count as written, so
-    // what is left is compared with the whole request.
-    IsUnsent = Held.m_Output.left() == Found->second.m_Call.m_Text.size();
-    MayRepeat = IsUnsent && Held.m_WasUsed;
-  }
+  bool MayRepeat = IsUnsent && Held.m_WasUsed && m_Calls.contains(Call);
   close(Held.m_Id, ConnectionEnd::Broken);
   if (Call == 0)
     return;
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -53,6 +53,8 @@
   void skip(ClientConnection &Held);
   void countHeld(ClientConnection &Held, std::size_t Bytes);
   void limitHeld();
+  /// \returns whether nothing of its call's request was written.
+  [[nodiscard]] bool isUnsent(const ClientConnection &Held) const;
   void breakOff(ClientConnection &Held);
   void keep(ClientConnection &Held, const HttpResponse &Last, absl::Time Now);
   void setEvents(ClientConnection &Held, std::uint32_t Events);
--- a/libs/http/tests/BrokenUploadTest.cpp
+++ b/libs/http/tests/BrokenUploadTest.cpp
@@ -137,7 +137,7 @@
 INSTANTIATE_TEST_SUITE_P(
     Ends, BrokenUploadTest,
     testing::Combine(
-        testing::Values(Connection::New),
+        testing::Values(Connection::New, Connection::Kept),
         testing::Values(End::Reset, End::CloseUnread, End::Orderly,
                         End::OrderlyThenReset),
         testing::Values(
