Client: an answer whose status line breaks the grammar is broken off at once

What callers saw: an upstream's answer with status 000 reached no caller, but its request was held until the deadline (504), and an answer behind it on the same connection was taken in its place. Any status below 100 or of fewer than three digits did the same. One above 599, a second blank before the status, control bytes in the reason, HTTP/2.0 and an empty line before the status line came out as an answer.

Cause: http_parser decided what an answer is. Debian builds it without its strict checks, and a status below 200 counted as interim, whatever it was.

Fix: answers have a reader of their own. It checks the status line byte by byte: HTTP/1.x, one blank, three digits from 100 to 599. 101 is none, as nobody asks for another protocol. What breaks a rule ends the call as Cut as soon as the byte is read, closes the connection and names the rule (AnswerFault); retries and the target's health go by Cut as before. Requests stay with http_parser: a stricter grammar there would refuse callers. Field names, codings and the ends of chunks are read as leniently as before.

Ruled out: http_parser's strict mode, a compile-time choice of the package; a check beside http_parser, which does not show the bytes between its hooks.

--- a/libs/http/include/http/HttpResult.h
+++ b/libs/http/include/http/HttpResult.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_HTTP_HTTPRESULT_H
 #define KNAPWEEDLOFT_HTTP_HTTPRESULT_H
 
+#include "http/AnswerFault.h"
 #include "http/HttpMessage.h"
 #include "model/NameTable.h"
 
@@ -12,9 +13,11 @@
 
 /// What became of a call.
 enum class Failure : std::uint8_t {
-  None,     ///< A whole answer: its declared length or its last chunk came.
-  NotSent,  ///< No connection was made; the server saw nothing.
-  Cut,      ///< The connection broke after bytes may have been sent.
+  None,    ///< A whole answer: its declared length or its last chunk came.
+  NotSent, ///< No connection was made; the server saw nothing.
+  /// The connection broke after bytes may have been sent, or was broken off
+  /// for an answer with an AnswerFault.
+  Cut,
   TooLarge, ///< The answer exceeded the limit.
   TimedOut,
   Cancelled,
@@ -26,6 +29,8 @@
 struct HttpResult {
   Failure m_Failure = Failure::None;
   HttpResponse m_Response; ///< Whole if m_Failure is None, else unspecified.
+  /// What is wrong with an answer that was Cut for it.
+  AnswerFault m_Fault = AnswerFault::None;
   absl::Duration m_Latency;
 };
 
--- a/libs/http/include/http/MessageParser.h
+++ b/libs/http/include/http/MessageParser.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEEDLOFT_HTTP_MESSAGEPARSER_H
 #define KNAPWEEDLOFT_HTTP_MESSAGEPARSER_H
 
+#include "http/AnswerFault.h"
 #include "http/ParsedMessage.h"
 #include "model/NameTable.h"
 
@@ -29,7 +30,8 @@
 /// Cuts the bytes of one direction of a connection into whole messages.
 ///
 /// Messages with an ambiguous length (two lengths, a length and chunks) are
-/// malformed. Nothing is parsed past the first error. Not thread-safe.
+/// malformed; docs/design/http.md has the grammar that answers must meet.
+/// Nothing is parsed past the first error. Not thread-safe.
 ///
 /// \code
 ///   MessageParser Parser(MessageKind::Request, {});
@@ -58,6 +60,9 @@
   [[nodiscard]] ParsedMessage take();
 
   [[nodiscard]] ParseState state() const;
+  /// \returns what is wrong with an answer that is malformed; None if it is
+  /// cut.
+  [[nodiscard]] AnswerFault fault() const;
   /// \returns whether a message has begun and is not whole yet.
   [[nodiscard]] bool isInside() const;
   /// \returns whether its header section is not whole either.
--- a/libs/http/src/LoopClientImpl.cpp
+++ b/libs/http/src/LoopClientImpl.cpp
@@ -56,7 +56,7 @@
   if (!Held) {
     m_Loop.post([this, Id, IsAlive = m_IsAlive] {
       if (*IsAlive)
-        finish(Id, Failure::NotSent);
+        finish(Id, {.m_Failure = Failure::NotSent});
     });
     return;
   }
@@ -281,7 +281,7 @@
     keep(Held, Response, io::monotonicNow());
   else
     close(Held.m_Id, ConnectionEnd::ServerSaid);
-  finish(Call, Failure::None, std::move(Response));
+  finish(Call, {.m_Response = std::move(Response)});
 }
 
 void LoopClient::Impl::keep(ClientConnection &Held, const HttpResponse &Last,
@@ -307,6 +307,7 @@
 
 void LoopClient::Impl::breakOff(ClientConnection &Held) {
   bool IsUnsent = isUnsent(Held);
+  AnswerFault Fault = Held.m_Parser.fault();
   CallId Call = std::exchange(Held.m_Call, 0);
   bool MayRepeat = IsUnsent && Held.m_WasUsed && m_Calls.contains(Call);
   close(Held.m_Id, ConnectionEnd::Broken);
@@ -315,7 +316,8 @@
   if (MayRepeat)
     begin(Call);
   else
-    finish(Call, IsUnsent ? Failure::NotSent : Failure::Cut);
+    finish(Call, {.m_Failure = IsUnsent ? Failure::NotSent : Failure::Cut,
+                  .m_Fault = Fault});
 }
 
 void LoopClient::Impl::close(std::uint64_t Id, ConnectionEnd Why) {
@@ -332,8 +334,7 @@
     std::erase(Kept->second, Id);
 }
 
-void LoopClient::Impl::finish(CallId Id, Failure Reason,
-                              HttpResponse Response) {
+void LoopClient::Impl::finish(CallId Id, HttpResult Result) {
   auto Found = m_Calls.find(Id);
   if (Found == m_Calls.end())
     return;
@@ -341,9 +342,6 @@
   m_Calls.erase(Found);
   m_Dues.erase({Done.m_Due, Id});
   absl::Time Now = io::monotonicNow();
-  HttpResult Result;
-  Result.m_Failure = Reason;
-  Result.m_Response = std::move(Response);
   Result.m_Latency = Now - Done.m_Started;
   Done.m_OnDone(std::move(Result), Now);
 }
@@ -385,7 +383,7 @@
       Held->m_Call = 0;
       close(Connection, ConnectionEnd::TimedOut);
     }
-    finish(Id, IsUnsent ? Failure::NotSent : Failure::TimedOut);
+    finish(Id, {.m_Failure = IsUnsent ? Failure::NotSent : Failure::TimedOut});
   }
   if (!m_Dues.empty())
     scheduleSweep(m_Dues.begin()->first);
--- a/libs/http/src/LoopClientImpl.h
+++ b/libs/http/src/LoopClientImpl.h
@@ -59,7 +59,7 @@
   void keep(ClientConnection &Held, const HttpResponse &Last, absl::Time Now);
   void setEvents(ClientConnection &Held, std::uint32_t Events);
   void close(std::uint64_t Id, ConnectionEnd Why);
-  void finish(CallId Id, Failure Reason, HttpResponse Response = {});
+  void finish(CallId Id, HttpResult Result);
   void scheduleSweep(absl::Time Due);
   void sweep();
   [[nodiscard]] ClientConnection *find(std::uint64_t Id);
--- /dev/null
+++ b/libs/http/tests/AnswerGrammarTest.cpp
@@ -0,0 +1,156 @@
+#include "LoopFixture.h"
+#include "http/MessageParser.h"
+
+#include <string>
+#include <tuple>
+
+namespace knapweedloft::http {
+namespace {
+
+using namespace std::string_literals;
+
+/// Bytes that a server sends, and the rule of RFC 9112 or RFC 9110 that they
+/// break. Those that break none are an answer with the body "body".
+struct AnswerCase {
+  const char *m_Name;
+  std::string m_Bytes;
+  AnswerFault m_Fault = AnswerFault::None;
+};
+
+std::string nameOfCase(const testing::TestParamInfo<AnswerCase> &Info) {
+  return Info.param.m_Name;
+}
+
+/// A server that sends the bytes of a case, and a sound answer behind those
+/// that are none. It keeps the connection open.
+class AnswerGrammarTest : public LoopFixture,
+                          public testing::WithParamInterface<AnswerCase> {
+protected:
+  static constexpr absl::Duration Timeout = absl::Minutes(1);
+
+  [[nodiscard]] static bool isSound() {
+    return GetParam().m_Fault == AnswerFault::None;
+  }
+
+  static std::string bytes() {
+    constexpr const char *Sound =
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+    return GetParam().m_Bytes + (isSound() ? "" : Sound);
+  }
+
+  /// \returns whether the client closed the connection without more requests.
+  bool serveOne() {
+    RawSocket Client = m_Listener.acceptOne();
+    (void)Client.readUntil("\r\n\r\n");
+    Client.sendAll(bytes());
+    m_Done.WaitForNotification();
+    return m_Result.m_Failure == Failure::Cut && Client.readToEnd().empty();
+  }
+
+  void take(HttpResult Result) {
+    m_Result = std::move(Result);
+    m_Done.Notify();
+  }
+
+  void expectVerdict() const {
+    ASSERT_EQ(m_Result.m_Failure, isSound() ? Failure::None : Failure::Cut);
+    EXPECT_EQ(m_Result.m_Fault == AnswerFault::None, isSound());
+    if (isSound()) {
+      EXPECT_EQ(m_Result.m_Response.m_Body, "body");
+    }
+  }
+
+  RawSocket m_Listener = RawSocket::listenAnywhere();
+  absl::Notification m_Done;
+  HttpResult m_Result;
+};
+
+TEST_P(AnswerGrammarTest, LoopClient_Answer_MeetsTheGrammarOrIsCutAtOnce) {
+  onLoop([this] {
+    m_Client = std::make_unique<LoopClient>(m_Loop, LoopClient::Options{});
+    m_Client->send(
+        {.m_To = {"127.0.0.1", m_Listener.port()},
+         .m_Text = "GET / HTTP/1.1\r\n\r\n",
+         .m_Timeout = Timeout},
+        [this](HttpResult Result, absl::Time) { take(std::move(Result)); });
+  });
+  EXPECT_EQ(serveOne(), !isSound());
+  expectVerdict();
+  EXPECT_EQ(AnswerFaultNames.nameOf(m_Result.m_Fault),
+            AnswerFaultNames.nameOf(GetParam().m_Fault));
+}
+
+TEST_P(AnswerGrammarTest, Parser_AnyPieces_SameVerdict) {
+  for (std::size_t PieceBytes : {std::size_t{1}, std::size_t{2}, std::size_t{7},
+                                 GetParam().m_Bytes.size()}) {
+    MessageParser Parser(MessageKind::Response, {});
+    std::string_view Rest = GetParam().m_Bytes;
+    while (!Rest.empty()) {
+      Parser.feed(Rest.substr(0, PieceBytes));
+      Rest.remove_prefix(std::min(PieceBytes, Rest.size()));
+    }
+    ParsedMessage Last;
+    while (Parser.hasMessage())
+      Last = Parser.take();
+    EXPECT_EQ(Last.m_Body, isSound() ? "body" : "") << PieceBytes;
+    EXPECT_EQ(AnswerFaultNames.nameOf(Parser.fault()),
+              AnswerFaultNames.nameOf(GetParam().m_Fault))
+        << PieceBytes;
+  }
+}
+
+AnswerCase statusLine(const char *Name, const std::string &Line,
+                      AnswerFault Fault = AnswerFault::None) {
+  return {Name, Line + "\r\nContent-Length: 4\r\n\r\nbody", Fault};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    StatusLine, AnswerGrammarTest,
+    testing::Values(
+        statusLine("Usual", "HTTP/1.1 200 OK"),
+        statusLine("NoReason", "HTTP/1.1 200 "),
+        statusLine("NoBlankBeforeTheReason", "HTTP/1.1 200"),
+        statusLine("ReasonOfAnyText", "HTTP/1.1 404 \xc3\xa9\t~ 1"),
+        statusLine("HighestStatus", "HTTP/1.1 599 Own"),
+        statusLine("BehindInterim", "HTTP/1.1 100 Continue\r\n\r\n"
+                                    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"
+                                    "\r\nHTTP/1.1 200 OK"),
+        statusLine("Zeros", "HTTP/1.1 000 Trouble", AnswerFault::StatusLine),
+        statusLine("LowStatus", "HTTP/1.1 099 Low", AnswerFault::StatusLine),
+        statusLine("HighStatus", "HTTP/1.1 600 High", AnswerFault::StatusLine),
+        statusLine("HighestDigits", "HTTP/1.1 999 High",
+                   AnswerFault::StatusLine),
+        statusLine("TwoDigits", "HTTP/1.1 20 OK", AnswerFault::StatusLine),
+        statusLine("FourDigits", "HTTP/1.1 2000 OK", AnswerFault::StatusLine),
+        statusLine("LetterInStatus", "HTTP/1.1 2x0 OK",
+                   AnswerFault::StatusLine),
+        statusLine("SignedStatus", "HTTP/1.1 -20 OK", AnswerFault::StatusLine),
+        statusLine("NoStatus", "HTTP/1.1 ", AnswerFault::StatusLine),
+        statusLine("TwoBlanks", "HTTP/1.1  200 OK", AnswerFault::StatusLine),
+        statusLine("Tab", "HTTP/1.1\t200 OK", AnswerFault::StatusLine),
+        statusLine("StatusRunsIntoReason", "HTTP/1.1 200OK",
+                   AnswerFault::StatusLine),
+        statusLine("OtherMajorVersion", "HTTP/2.0 200 OK",
+                   AnswerFault::StatusLine),
+        statusLine("TwoMinorDigits", "HTTP/1.10 200 OK",
+                   AnswerFault::StatusLine),
+        statusLine("NoMinorVersion", "HTTP/1 200 OK", AnswerFault::StatusLine),
+        statusLine("LowerCaseVersion", "http/1.1 200 OK",
+                   AnswerFault::StatusLine),
+        statusLine("LeadingBlank", " HTTP/1.1 200 OK", AnswerFault::StatusLine),
+        statusLine("LeadingEmptyLine", "\r\nHTTP/1.1 200 OK",
+                   AnswerFault::StatusLine),
+        statusLine("UnaskedSwitch", "HTTP/1.1 101 Switching Protocols",
+                   AnswerFault::StatusLine),
+        statusLine("ZerosBehindInterim",
+                   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble",
+                   AnswerFault::StatusLine),
+        statusLine("ControlInReason", "HTTP/1.1 200 O\x01K",
+                   AnswerFault::StatusLine),
+        statusLine("CarriageReturnInReason", "HTTP/1.1 200 OK\rX",
+                   AnswerFault::StatusLine),
+        statusLine("NoHttp", "\x01\x02 what is this", AnswerFault::StatusLine)),
+    nameOfCase);
+
+} // namespace
+} // namespace knapweedloft::http
