Client: a field whose name is no token is no field

What callers saw: an answer with a blank inside a field's name, or before its colon, reached the caller with that line passed on. Where the field frames the body ("Content-Length : 4"), the body was framed by it, which other readers do differently. A folded line was passed on with its two parts run together.

Fix: the name of a field is a token (RFC 9110, section 5.6.2), the value holds no control byte but the tab, and a folded line is refused, as RFC 9112, section 5.2 lets a proxy do.

--- a/libs/http/src/FieldSection.cpp
+++ b/libs/http/src/FieldSection.cpp
@@ -15,7 +15,7 @@
       m_Place = Place::LastEnd;
       return Progress::Unfinished;
     }
-    if (!isTokenCharacter(Byte) && Byte != ' ')
+    if (!isTokenCharacter(Byte))
       return Progress::Malformed;
     m_Fields.emplace_back().m_Name += Byte;
     m_Place = Place::Name;
@@ -37,7 +37,7 @@
 FieldSection::Progress FieldSection::readName(char Byte) {
   if (Byte == ':')
     m_Place = Place::ValueStart;
-  else if (isTokenCharacter(Byte) || Byte == ' ')
+  else if (isTokenCharacter(Byte))
     m_Fields.back().m_Name += Byte;
   else
     return Progress::Malformed;
--- a/libs/http/tests/AnswerGrammarTest.cpp
+++ b/libs/http/tests/AnswerGrammarTest.cpp
@@ -152,5 +152,51 @@
         statusLine("NoHttp", "\x01\x02 what is this", AnswerFault::StatusLine)),
     nameOfCase);
 
+AnswerCase field(const char *Name, const std::string &Line,
+                 AnswerFault Fault = AnswerFault::None) {
+  return {Name,
+          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + Line + "\r\n\r\nbody",
+          Fault};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, AnswerGrammarTest,
+    testing::Values(
+        field("NoBlank", "X:y"), field("BlanksAround", "X: \t y \t"),
+        field("NoValue", "X:"), field("AnyToken", "!#$%&'*+-.^_`|~9z: y"),
+        field("ValueOfAnyText", "X: \x80\xff \t :;,"),
+        field("LineFeedAlone", "X: y\nZ: y"),
+        field("BlankInName", "X y: z", AnswerFault::Fields),
+        field("BlankBeforeColon", "X : z", AnswerFault::Fields),
+        field("TabBeforeColon", "X\t: z", AnswerFault::Fields),
+        field("ControlInName", "X\x01y: z", AnswerFault::Fields),
+        field("ZeroInName", "X\0y: z"s, AnswerFault::Fields),
+        field("DeleteInName", "X\x7fy: z", AnswerFault::Fields),
+        field("HighByteInName", "X\x80y: z", AnswerFault::Fields),
+        field("DelimiterInName", "X(y): z", AnswerFault::Fields),
+        field("CarriageReturnInName", "X\ry: z", AnswerFault::Fields),
+        field("EmptyName", ": z", AnswerFault::Fields),
+        field("NoColon", "X", AnswerFault::Fields),
+        field("FoldedLine", "X: y\r\n z", AnswerFault::Fields),
+        field("ControlInValue", "X: y\x01z", AnswerFault::Fields),
+        field("ZeroInValue", "X: y\0z"s, AnswerFault::Fields),
+        field("DeleteInValue", "X: y\x7fz", AnswerFault::Fields),
+        field("CarriageReturnInValue", "X: y\rz", AnswerFault::Fields),
+        AnswerCase{"BlankBeforeColonOfLength",
+                   "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+                   AnswerFault::Fields},
+        AnswerCase{"BlankBeforeColonOfCoding",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\n\r\n",
+                   AnswerFault::Fields},
+        AnswerCase{"FirstLineFolded",
+                   "HTTP/1.1 200 OK\r\n X: y\r\nContent-Length: 4\r\n\r\nbody",
+                   AnswerFault::Fields},
+        AnswerCase{"BlankInNameOfInterim",
+                   "HTTP/1.1 100 Continue\r\nX y: z\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                   AnswerFault::Fields}),
+    nameOfCase);
+
 } // namespace
 } // namespace knapweedloft::http
