Client: a coding that nobody asked for is no framing of an answer

What callers saw: an answer with "Transfer-Encoding: gzip, chunked" reached the caller without its Transfer-Encoding, so with a compressed body that nothing declared. With codings that do not end in chunks, with an empty Transfer-Encoding, or with chunks in HTTP/1.0, the body was framed in a way that other readers do not share.

Fix: the only coding is "chunked", once, in HTTP/1.1 and without a Content-Length. Requests announce no other.

Lengths that are no number, overflow or differ were refused before.

--- a/libs/http/src/ResponseHead.cpp
+++ b/libs/http/src/ResponseHead.cpp
@@ -157,9 +157,10 @@
   std::vector<std::string_view> Codings =
       membersOf(Fields, "Transfer-Encoding");
   auto Length = commonNumber(Lengths);
-  bool IsChunked = !Codings.empty() && isSameName(Codings.back(), "chunked");
-  bool IsAmbiguous = IsChunked && !Lengths.empty();
-  if ((!Lengths.empty() && !Length) || IsAmbiguous) {
+  // Requests allow no other coding.
+  bool IsChunked = Codings.size() == 1 && isSameName(Codings[0], "chunked");
+  bool IsAmbiguous = !IsChunked || !Lengths.empty() || m_IsOldVersion;
+  if ((!Lengths.empty() && !Length) || (!Codings.empty() && IsAmbiguous)) {
     fail(AnswerFault::Framing);
     return;
   }
--- a/libs/http/tests/AnswerGrammarTest.cpp
+++ b/libs/http/tests/AnswerGrammarTest.cpp
@@ -198,5 +198,53 @@
                    AnswerFault::Fields}),
     nameOfCase);
 
+AnswerCase framing(const char *Name, const std::string &Lines,
+                   AnswerFault Fault = AnswerFault::None) {
+  return {Name, "HTTP/1.1 200 OK\r\n" + Lines + "\r\n\r\nbody", Fault};
+}
+
+AnswerCase coding(const char *Name, const std::string &Lines,
+                  AnswerFault Fault = AnswerFault::None) {
+  return {Name,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + Lines +
+              "\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+          Fault};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Framing, AnswerGrammarTest,
+    testing::Values(
+        framing("Length", "content-length:4"),
+        framing("SameLengthTwice", "Content-Length: 4\r\nContent-Length: 4"),
+        framing("ListOfSameLength", "Content-Length: 4 , 4"),
+        framing("NoLength", "Content-Length:", AnswerFault::Framing),
+        framing("PlusSign", "Content-Length: +4", AnswerFault::Framing),
+        framing("MinusSign", "Content-Length: -4", AnswerFault::Framing),
+        framing("LetterBehind", "Content-Length: 4x", AnswerFault::Framing),
+        framing("Hexadecimal", "Content-Length: 0x4", AnswerFault::Framing),
+        framing("BlankInLength", "Content-Length: 4 4", AnswerFault::Framing),
+        framing("EmptyMember", "Content-Length: 4,", AnswerFault::Framing),
+        framing("TwoLengths", "Content-Length: 4\r\nContent-Length: 5",
+                AnswerFault::Framing),
+        framing("ListOfTwoLengths", "Content-Length: 4, 5",
+                AnswerFault::Framing),
+        framing("LengthPastAllNumbers", "Content-Length: 18446744073709551620",
+                AnswerFault::Framing),
+        coding("Chunked", "Chunked"),
+        coding("UnaskedCoding", "gzip, chunked", AnswerFault::Framing),
+        coding("ChunkedNotLast", "chunked, gzip", AnswerFault::Framing),
+        coding("ChunkedTwice", "chunked\r\nTransfer-Encoding: chunked",
+               AnswerFault::Framing),
+        coding("UnknownCoding", "xchunked", AnswerFault::Framing),
+        coding("Identity", "identity", AnswerFault::Framing),
+        coding("NoCoding", "", AnswerFault::Framing),
+        coding("LengthAndChunks", "chunked\r\nContent-Length: 4",
+               AnswerFault::Framing),
+        AnswerCase{"ChunksInOldVersion",
+                   "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\n\r\n",
+                   AnswerFault::Framing}),
+    nameOfCase);
+
 } // namespace
 } // namespace knapweedloft::http
