Client: a chunk ends where its size says, or the answer is malformed

What callers saw: in a body in chunks, content that went on past its chunk's size lost two bytes and came out as a whole 200 ("4", "body!!" gave "body"). A size with text behind it, a control byte or a line feed in an extension, and a blank in the name of a trailer's field passed too.

--- a/libs/http/src/ChunkedBody.cpp
+++ b/libs/http/src/ChunkedBody.cpp
@@ -1,5 +1,7 @@
 #include "ChunkedBody.h"
 
+#include "FieldGrammar.h"
+
 #include "absl/strings/ascii.h"
 
 #include <algorithm>
@@ -48,14 +50,11 @@
   case Place::Extension:
     return readExtension(Byte);
   case Place::SizeEnd:
-    m_Place = m_Left == 0 ? Place::Trailer : Place::Content;
-    return;
+    return expect(Byte, '\n', m_Left == 0 ? Place::Trailer : Place::Content);
   case Place::ContentEnd:
-    m_Place = Place::ContentLineEnd;
-    return;
+    return expect(Byte, '\r', Place::ContentLineEnd);
   case Place::ContentLineEnd:
-    m_Place = Place::SizeStart;
-    return;
+    return expect(Byte, '\n', Place::SizeStart);
   case Place::Trailer:
     return readTrailer(Byte);
   case Place::Content:
@@ -71,15 +70,17 @@
 }
 
 void ChunkedBody::endSize(char Byte) {
-  if (Byte == ' ' || Byte == ';')
+  if (Byte == ' ' || Byte == '\t')
+    m_Place = Place::SizeBlank;
+  else if (Byte == ';')
     m_Place = Place::Extension;
   else
     expect(Byte, '\r', Place::SizeEnd);
 }
 
 void ChunkedBody::readExtension(char Byte) {
-  if (Byte == '\r')
-    m_Place = Place::SizeEnd;
+  if (!isTextCharacter(Byte))
+    expect(Byte, '\r', Place::SizeEnd);
 }
 
 void ChunkedBody::readTrailer(char Byte) {
--- a/libs/http/tests/AnswerGrammarTest.cpp
+++ b/libs/http/tests/AnswerGrammarTest.cpp
@@ -246,5 +246,46 @@
                    AnswerFault::Framing}),
     nameOfCase);
 
+AnswerCase chunks(const char *Name, const std::string &Body,
+                  AnswerFault Fault = AnswerFault::None) {
+  return {Name, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Body,
+          Fault};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Chunks, AnswerGrammarTest,
+    testing::Values(
+        chunks("One", "4\r\nbody\r\n0\r\n\r\n"),
+        chunks("Several", "1\r\nb\r\n3\r\nody\r\n000\r\n\r\n"),
+        chunks("LeadingZeros", "004\r\nbody\r\n0\r\n\r\n"),
+        chunks("Extension", "4;a=\"b c\"\r\nbody\r\n0;d\r\n\r\n"),
+        chunks("BlanksBeforeExtension", "4 \t;a\r\nbody\r\n0\r\n\r\n"),
+        chunks("Trailer", "4\r\nbody\r\n0\r\nX: y\r\nZ:\r\n\r\n"),
+        chunks("NoSize", "\r\nbody\r\n0\r\n\r\n", AnswerFault::Chunks),
+        chunks("NoDigit", "g\r\nbody\r\n0\r\n\r\n", AnswerFault::Chunks),
+        chunks("MinusSign", "-4\r\nbody\r\n0\r\n\r\n", AnswerFault::Chunks),
+        chunks("Prefix", "0x4\r\nbody\r\n0\r\n\r\n", AnswerFault::Chunks),
+        chunks("LetterBehindSize", "4z\r\nbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("TwoSizes", "4 4\r\nbody\r\n0\r\n\r\n", AnswerFault::Chunks),
+        chunks("SizePastAllNumbers", "10000000000000004\r\nbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("ControlInExtension", "4;a\x01\r\nbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("LineFeedInExtension", "4;a\nb\r\nbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("LineFeedBehindSize", "4\nbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("CarriageReturnBehindSize", "4\rxbody\r\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("MoreThanItsSize", "4\r\nbody!!0\r\n\r\n", AnswerFault::Chunks),
+        chunks("LineFeedBehindContent", "4\r\nbody\n0\r\n\r\n",
+               AnswerFault::Chunks),
+        chunks("BlankInTrailerName", "4\r\nbody\r\n0\r\nX y: z\r\n\r\n",
+               AnswerFault::Fields),
+        chunks("NoColonInTrailer", "4\r\nbody\r\n0\r\nX\r\n\r\n",
+               AnswerFault::Fields)),
+    nameOfCase);
+
 } // namespace
 } // namespace knapweedloft::http
