Target side: logs and metrics tell a malformed answer from a cut one

What operators saw: "The target gave no complete answer. how=cut" for a target that broke the connection as for one that sent bytes which are no answer; the metric target_broken_total has both.

Change: the line, and that of health checks, name the part of the answer that is malformed (fault=status-line, fields, framing or chunks); metric target_malformed_total. What the answer does to the request, to retries and to the target's health stays that of a cut one.

Evidence: TargetPathTest.OnResult_MalformedAnswer_IsToldFromACutOne.

--- a/libs/mesh/include/mesh/TargetCounts.h
+++ b/libs/mesh/include/mesh/TargetCounts.h
@@ -18,6 +18,8 @@
   std::uint64_t m_TargetShed = 0;
   /// No complete answer arrived, or a success without proof.
   std::uint64_t m_Incomplete = 0;
+  /// Of those, the ones with an http::AnswerFault.
+  std::uint64_t m_Malformed = 0;
   std::uint64_t m_Cancelled = 0;
   std::uint64_t m_Crashes = 0; ///< Of the target.
   std::uint64_t m_Checks = 0;
--- a/libs/mesh/include/mesh/TargetPath.h
+++ b/libs/mesh/include/mesh/TargetPath.h
@@ -227,7 +227,7 @@
   void onResult(JobId Id, http::HttpResult Result, absl::Time Now);
   void onResponse(PendingRequest &Done, http::HttpResponse &Response,
                   absl::Time Now);
-  void onIncompleteAnswer(PendingRequest Done, http::Failure Failure,
+  void onIncompleteAnswer(PendingRequest Done, const http::HttpResult &Result,
                           absl::Time Now);
   void answer(const PendingRequest &Done, wire::AnswerT Answer);
   void refuse(link::PeerHandle To, const model::ForwardId &Id,
--- a/libs/mesh/src/NodeMetrics.cpp
+++ b/libs/mesh/src/NodeMetrics.cpp
@@ -141,6 +141,8 @@
   append(Text, "target_refused_total", static_cast<double>(Target.m_Refused));
   append(Text, "target_shed_total", static_cast<double>(Target.m_TargetShed));
   append(Text, "target_broken_total", static_cast<double>(Target.m_Incomplete));
+  append(Text, "target_malformed_total",
+         static_cast<double>(Target.m_Malformed));
   append(Text, "target_cancelled_total",
          static_cast<double>(Target.m_Cancelled));
   append(Text, "target_checks_total", static_cast<double>(Target.m_Checks));
--- a/libs/mesh/src/TargetChecks.cpp
+++ b/libs/mesh/src/TargetChecks.cpp
@@ -286,6 +286,7 @@
                    Response.m_Status == OkStatus && Instance != nullptr;
   m_Log.state("Health check ended.",
               {{"how", http::FailureNames.nameOf(Result.m_Failure)},
+               {"fault", http::AnswerFaultNames.nameOf(Result.m_Fault)},
                {"status", Response.m_Status},
                {"instance", Instance ? *Instance : ""}});
   m_State.onHealthCheck(Instance ? *Instance : "", IsHealthy, Began);
--- a/libs/mesh/src/TargetPath.cpp
+++ b/libs/mesh/src/TargetPath.cpp
@@ -191,7 +191,7 @@
   if (Result.m_Failure == Failure::None)
     onResponse(Done, Result.m_Response, Now);
   else
-    onIncompleteAnswer(std::move(Done), Result.m_Failure, Now);
+    onIncompleteAnswer(std::move(Done), Result, Now);
   poll(Now);
 }
 
@@ -247,13 +247,18 @@
   answer(Done, std::move(Answer));
 }
 
-void TargetPath::onIncompleteAnswer(PendingRequest Done, Failure Failure,
+void TargetPath::onIncompleteAnswer(PendingRequest Done,
+                                    const http::HttpResult &Result,
                                     absl::Time Now) {
+  Failure Failure = Result.m_Failure;
   ++m_Counts.m_Incomplete;
+  if (Result.m_Fault != http::AnswerFault::None)
+    ++m_Counts.m_Malformed;
   m_Log.notable(
       "The target gave no complete answer.",
       {{"id", Done.m_Message.call_id},
        {"how", http::FailureNames.nameOf(Failure)},
+       {"fault", http::AnswerFaultNames.nameOf(Result.m_Fault)},
        {"instance", Done.m_Instance},
        {"request", fmt::format("{:016x}", Done.m_Message.fingerprint)},
        {"took", Now - Done.m_Started}});
--- a/libs/mesh/tests/TargetPathTest.cpp
+++ b/libs/mesh/tests/TargetPathTest.cpp
@@ -150,8 +150,11 @@
   }
 
   absl::Time m_Now = absl::FromUnixSeconds(1000);
-  telemetry::EventLog m_Log{
-      {.m_Sink = [](std::string_view Text) { return Text.size(); }}};
+  std::string m_LogText;
+  telemetry::EventLog m_Log{{.m_Sink = [this](std::string_view Text) {
+    m_LogText += Text;
+    return Text.size();
+  }}};
   std::vector<wire::AnswerT> m_Answers;
   std::deque<Called> m_Calls;
   std::vector<http::LoopClient::CallId> m_CancelledCalls;
@@ -296,6 +299,23 @@
   EXPECT_EQ(m_Path.state().availability(), TargetAvailability::Down);
 }
 
+TEST_F(TargetPathTest, OnResult_MalformedAnswer_IsToldFromACutOne) {
+  m_Path.onReport(report(1), m_Now);
+  forward(1);
+  forward(2);
+  finish(0, http::Failure::Cut);
+  m_Calls[1].m_OnDone({.m_Failure = http::Failure::Cut,
+                       .m_Fault = http::AnswerFault::StatusLine},
+                      m_Now);
+  ASSERT_EQ(m_Answers.size(), 2U);
+  EXPECT_EQ(ranOf(1), ranOf(0));
+  EXPECT_EQ(m_Answers[1].refusal, m_Answers[0].refusal);
+  EXPECT_EQ(m_Path.counts().m_Incomplete, 2U);
+  EXPECT_EQ(m_Path.counts().m_Malformed, 1U);
+  m_Log.flush(absl::Now());
+  EXPECT_NE(m_LogText.find("fault=status-line"), std::string::npos);
+}
+
 TEST_F(TargetPathTest, OnResult_TargetSaysNotRun_NotRunButArrived) {
   m_Path.onReport(report(1), m_Now);
   forward(1);
