Entry side: nothing malformed from a peer's target is written to a caller

What callers could see: an entry side wrote the status and the header lines that a peer passed on as they were.

Cause: the frames of links are checked for their form, not for what the lines in them say.

Fix: the entry side relays a status from 200 to 599 and lines whose names are tokens, whose values hold no control byte and which frame nothing. All else has an unknown outcome, as a broken answer has at the target side.

Evidence: EntryPathTest.OnAnswer_PeerPassesOnAMalformedOne_OutcomeIsUnknown, twelve answers: all were relayed before, since nothing looked at them.

--- a/libs/http/include/http/MessageText.h
+++ b/libs/http/include/http/MessageText.h
@@ -15,6 +15,11 @@
 /// \returns the fields as lines of a message, without those that isHopByHop().
 [[nodiscard]] std::string headerLines(const HeaderList &Headers);
 
+/// \returns whether \p Lines are whole header lines that may stand beside the
+/// fields which a message sets anew: as of headerLines(), with names that are
+/// tokens and values without control bytes.
+[[nodiscard]] bool areHeaderLines(std::string_view Lines);
+
 /// Appends a response with its length. \p Lines are whole header lines, as of
 /// headerLines(). \p LeavesOutBody for an answer to HEAD, which declares the
 /// length only.
--- a/libs/http/src/MessageText.cpp
+++ b/libs/http/src/MessageText.cpp
@@ -1,7 +1,10 @@
 #include "http/MessageText.h"
 
+#include "FieldGrammar.h"
+
 #include "fmt/format.h"
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 
@@ -19,6 +22,17 @@
                                                          "Upgrade",
                                                          "Expect"};
 
+bool isHeaderLine(std::string_view Line) {
+  std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  std::string_view Name = Line.substr(0, Colon);
+  std::string_view Value = Line.substr(Colon + 1);
+  return std::all_of(Name.begin(), Name.end(), isTokenCharacter) &&
+         std::all_of(Value.begin(), Value.end(), isTextCharacter) &&
+         !isHopByHop(Name);
+}
+
 std::string_view reasonOf(int Status) {
   switch (Status) {
   case 200:
@@ -70,6 +84,17 @@
   return Lines;
 }
 
+bool areHeaderLines(std::string_view Lines) {
+  constexpr std::string_view LineEnd = "\r\n";
+  while (!Lines.empty()) {
+    std::size_t End = Lines.find(LineEnd);
+    if (End == std::string_view::npos || !isHeaderLine(Lines.substr(0, End)))
+      return false;
+    Lines.remove_prefix(End + LineEnd.size());
+  }
+  return true;
+}
+
 void appendResponse(std::string &To, int Status, std::string_view Lines,
                     std::string_view Body, bool IsClosing, bool LeavesOutBody) {
   fmt::format_to(std::back_inserter(To), "HTTP/1.1 {} {}\r\n", Status,
--- a/libs/mesh/src/EntryAnswers.cpp
+++ b/libs/mesh/src/EntryAnswers.cpp
@@ -2,6 +2,7 @@
 #include "mesh/EntryPath.h"
 
 #include "app/WireConvert.h"
+#include "http/MessageText.h"
 #include "model/Ran.h"
 
 #include "absl/random/distributions.h"
@@ -28,6 +29,15 @@
 constexpr absl::Duration RetryAfterSpread = absl::Milliseconds(400);
 /// Minimum remaining time for a retry.
 constexpr absl::Duration MinRetryTime = absl::Milliseconds(20);
+constexpr int FirstFinalStatus = 200;
+constexpr int MaxStatus = 599;
+
+/// \returns whether a caller can be sent an answer as it is. A peer that runs
+/// another version may pass on more than this one reads from its target.
+bool isRelayable(const wire::AnswerT &Answer) {
+  return Answer.status >= FirstFinalStatus && Answer.status <= MaxStatus &&
+         http::areHeaderLines(Answer.lines);
+}
 
 } // namespace
 
@@ -46,6 +56,16 @@
                                absl::Time Now) {
   Pending &Request = m_Pending.at(Id);
   Request.m_IsSent = false;
+  bool IsRelayed =
+      static_cast<RefusalReason>(Answer.refusal) == RefusalReason::None;
+  if (IsRelayed && !isRelayable(Answer)) {
+    m_Log.notable("A peer passed on a malformed answer.",
+                  {{"id", Request.m_CallId},
+                   {"status", Answer.status},
+                   {"target", Request.m_To.m_Name}});
+    Answer.refusal = static_cast<std::uint8_t>(RefusalReason::BadAnswer);
+    Answer.ran = static_cast<std::uint8_t>(Ran::Unknown);
+  }
   if (m_Notices.onAnswer(Request.m_To, Answer, Now)) {
     m_Log.state("A target leaves.", {{"target", Request.m_To.m_Name},
                                      {"instance", Answer.notice->instance},
--- a/libs/mesh/tests/EntryPathTest.cpp
+++ b/libs/mesh/tests/EntryPathTest.cpp
@@ -402,6 +402,31 @@
   EXPECT_EQ(m_Sent.size(), 3U);
 }
 
+TEST_F(EntryPathTest, OnAnswer_PeerPassesOnAMalformedOne_OutcomeIsUnknown) {
+  struct Malformed {
+    std::uint16_t m_Status;
+    const char *m_Lines;
+  };
+  for (const Malformed &Each :
+       {Malformed{0, "Proof: p\r\n"}, Malformed{100, "Proof: p\r\n"},
+        Malformed{600, "Proof: p\r\n"}, Malformed{200, "Pro of: p\r\n"},
+        Malformed{200, "Proof : p\r\n"}, Malformed{200, "Proof: p\x01\r\n"},
+        Malformed{200, "Proof: p\r\n folded\r\n"}, Malformed{200, "Proof: p"},
+        Malformed{200, "Proof: p\nX: y\r\n"}, Malformed{200, ": p\r\n"},
+        Malformed{200, "Proof: p\r\n\r\n"},
+        Malformed{200, "Proof: p\r\nContent-Length: 9\r\n"}}) {
+    request("/orders/1");
+    wire::AnswerT Answer = answerTo(m_Sent.back());
+    Answer.ran = static_cast<std::uint8_t>(Ran::Yes);
+    Answer.status = Each.m_Status;
+    Answer.lines = Each.m_Lines;
+    m_Entry.onAnswer(Answer, m_Now);
+    EXPECT_EQ(m_Answers.back().m_Status, 504) << Each.m_Lines;
+    EXPECT_EQ(m_Answers.back().m_Lines.find("Proof"), std::string::npos);
+  }
+  EXPECT_EQ(m_Answers.size(), m_Sent.size());
+}
+
 TEST_F(EntryPathTest, OnAnswer_Failures_ReachNoMoreTargetsThanTheRouteAllows) {
   m_Targets.push_back(target("d3", 13));
   request("/reads/1");
