--- a/review/standins-3/Upstream.cpp
+++ b/review/standins-3/Upstream.cpp
@@ -50,8 +50,11 @@
   Head Request;
   while (Reader.readHead(Request, IdleSeconds) == ReadEnd::Data) {
     if (Request.path() == "/health") {
-      if (!Held.send("HTTP/1.1 200 OK\r\nInstance-Id: " + m_Id + "\r\n" +
-                     loadLine() + "Content-Length: 0\r\n\r\n"))
+      std::string Line = m_IsLeaving && !m_IsLying
+                             ? "HTTP/1.1 503 Service Unavailable\r\n"
+                             : "HTTP/1.1 200 OK\r\n";
+      if (!Held.send(Line + "Instance-Id: " + m_Id + "\r\n" + loadLine() +
+                     "Content-Length: 0\r\n\r\n"))
         return;
       continue;
     }
@@ -98,6 +101,7 @@
   m_Log.line("run id=" + Id + " at=" + m_Settings.m_Name +
              " bytes=" + std::to_string(Request.m_BodyBytes));
   bool IsInTime = WorkS <= DeadlineS;
+  bool IsFailing = m_IsLying;
   bool IsOpen = waitFor(Held, Began + std::min(WorkS, DeadlineS));
   --m_Running;
   if (!IsOpen) {
@@ -105,9 +109,10 @@
                " cause=connection-closed");
     return false;
   }
-  std::string Answer =
-      IsInTime ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 504 Gateway Timeout\r\n";
-  std::size_t Bytes = IsInTime ? m_Body.size() : 0;
+  std::string Answer = IsFailing  ? "HTTP/1.1 500 Internal Server Error\r\n"
+                       : IsInTime ? "HTTP/1.1 200 OK\r\n"
+                                  : "HTTP/1.1 504 Gateway Timeout\r\n";
+  std::size_t Bytes = IsInTime && !IsFailing ? m_Body.size() : 0;
   Answer += Named + "Response-Signature: " + m_Id + "." + Id +
             "\r\nContent-Length: " + std::to_string(Bytes) + "\r\n\r\n";
   bool IsSent =
@@ -118,8 +123,21 @@
   return IsSent;
 }
 
+bool Upstream::leave() {
+  m_IsLeaving = true;
+  Socket Control = Socket::connectTo(m_Settings.m_Control);
+  if (!Control.isValid() ||
+      !Control.send("DELETE /v1/instances/" + m_Id + " HTTP/1.1\r\nHost: " +
+                    m_Settings.m_Control.m_Address + "\r\n\r\n"))
+    return false;
+  MessageReader Reader(Control);
+  Head Answer;
+  return Reader.readHead(Answer, 1) == ReadEnd::Data &&
+         Answer.status() / 100 == 2;
+}
+
 void Upstream::report() {
-  for (int Sequence = 1; !m_IsStopping; ++Sequence) {
+  for (int Sequence = 1; !m_IsStopping && !m_IsLeaving; ++Sequence) {
     std::string Body = "{\"address\":\"" + textOf(m_Settings.m_At) +
                        "\",\"born\":" + std::to_string(m_BornMs) +
                        ",\"info\":{\"service\":\"" + m_Settings.m_Service +
@@ -142,7 +160,7 @@
     }
     double Until =
         steadySeconds() + (IsAccepted ? ReportSeconds : ReportSeconds / 5);
-    while (!m_IsStopping && steadySeconds() < Until)
+    while (!m_IsStopping && !m_IsLeaving && steadySeconds() < Until)
       sleepSeconds(0.02);
   }
 }
--- a/review/standins-3/Upstream.h
+++ b/review/standins-3/Upstream.h
@@ -46,6 +46,11 @@
   [[nodiscard]] bool isListening() const { return m_Server->isListening(); }
   /// Requests that begin from now on take \p Times as long.
   void setSlowness(double Times) { m_Slowness = Times; }
+  /// Leaves without a report that it drains: tells the daemon by DELETE and
+  /// serves on. \returns whether that was acknowledged.
+  bool leave();
+  /// Says that it is well whatever holds, and fails all requests.
+  void setLying(bool IsLying) { m_IsLying = IsLying; }
   /// \returns what became of the request \p Id, if it began here.
   [[nodiscard]] std::optional<Run> run(const std::string &Id);
   [[nodiscard]] const Options &options() const { return m_Settings; }
@@ -67,6 +72,8 @@
   std::atomic<double> m_Slowness{1};
   std::atomic<int> m_Running{0};
   std::atomic<bool> m_IsStopping{false};
+  std::atomic<bool> m_IsLeaving{false};
+  std::atomic<bool> m_IsLying{false};
   std::mutex m_Mutex;
   std::map<std::string, Run> m_Runs;
   std::unique_ptr<Server> m_Server;
